--- /dev/null
+++ b/anisefront/__init__.py
@@ -0,0 +1,1 @@
+"""anisefront: the decisions of a quota-keeping gateway for a shared API."""
--- /dev/null
+++ b/anisefront/control.py
@@ -0,0 +1,723 @@
+"""Every decision of the gateway. Its settings, events and actions are the types of interface.py.
+
+Read it top to bottom: FuzzyShare steers each class's share of attempts out by the wait of its requests,
+Window caps the attempts out, Quota keeps the customers' quotas and ceilings, Servers picks where to send,
+and Controller leads each request from its arrival to its one final answer. Records are in state.py."""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import math
+import random
+from dataclasses import replace
+
+from anisefront.interface import (
+    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Refuse, Repeat,
+    RequestClass, Result, Scope, Send, Settings, Started, State, Subscribe, Tell, Wake,
+)
+from anisefront.messages import (
+    MAX_ITEMS, MAX_SIGHTINGS, Item, Kind, Sighting, decode, encode, ratio_of, server_tag, sighting, tag_of,
+)
+from anisefront.state import Account, Ask, Backend, QuotaState, Request, ServersState, Store, WindowState
+
+# Fuzzy shares (paper, Tables 6 and 7, absolute delay).
+ERROR_GAIN, CHANGE_GAIN, OUTPUT_GAIN = 0.4, 3.0, 0.01  # per second of error, of its change; share per output
+CENTRES = (-1.0, -0.5, 0.0, 0.5, 1.0)  # five triangles, each as wide as its neighbours' distance
+PERIOD_MS = 100.0  # one step of the shares: short, since one step moves a share by 0.01 at most
+FEW_SAMPLES = 5  # with fewer released in a period, the ages of those still held count as waits too
+LEAST_SHARE = 0.05  # of the window, so that no class is starved for good
+
+# Window.
+START_PER_SERVER = 12.0  # attempts out for each ready server, over all gateways, until answers tell more
+FLOOR_PER_SERVER = 4.0  # over all gateways: never fewer, or slow answers would close it for good
+IN_SERVER_PART = 0.25  # of a class's aim that attempts may spend at servers on average; more thrashes them
+ANSWER_PART = 0.45  # of a class's aim that is kept free for the answer at most
+PEAK_GROWTH = 2.0  # times the recent peak, as the design has it
+FULL_SHARE, FULL_CUT = 0.15, 0.75  # of attempts refused as full that cuts; the cut, as the design has it
+LEAST_CUT, CUT_HEAL = 0.3, 1.05  # how far cuts may go; per period, how a cut wears off
+RATE_MEMORY_MS = 1000.0  # over which answers are counted
+CHANCE = 1.5  # attempts by which the cap may be passed while those out average less
+FLEET_GAIN = 0.1  # of each peer's room, in the mean of what is told
+
+# Quota.
+DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
+OWN_PART = 0.1  # of the burst that all own buckets hold together: what they hold the home may lend as well
+HOME_CEILING = 0.5  # of a ceiling that the home may grant; the rest is split evenly over the set
+ASK_START_MS, ASK_TIMES, ASK_LEAST_MS = 60.0, 2.5, 30.0  # usual time of a home's answer; late is so much
+INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
+RESERVE = 0.5  # of the burst that what is worth nothing leaves in store, and less the more it is worth
+LEASE_AIMS = 1.5  # a slot whose end is never told is free again after so many aims
+TELL_PART, GAP_MOST_MS = 0.75, 60.0  # of an inbox that all others may fill; what waits for company
+TALKING_MS = 1000.0  # a gateway heard within so long shares our peers' inboxes with us
+DONE_MS, DONE_LEAST = 5000.0, 64  # how long, and how many, a home remembers what it granted, against repeats
+TELL_MS = 250.0  # advice to come again where nothing better is known
+
+# Servers.
+SLOW_GAIN, SLOW_MOST = 0.15, 10.0  # how fast a relative slowness is learned; its bound
+SLOW_MEMORY_MS = 15_000.0  # it fades, so that an old spell is no verdict
+FAIL_WEIGHT = 200.0  # of the squared share of failures: one soon fades, a row of them does not
+FAIL_MEMORY_MS = 4000.0  # a server's failures fade, so that it is tried again a little at a time
+SUSPECT, HEARD_WEIGHT, SIGHTING_MS = 0.6, 0.5, 2000.0  # of an own failure: silence; what a peer saw of late
+ZONE_COST = 1.15  # a server of another zone must be so much better
+LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
+UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
+COLD_FAILING, TOSS_MS = 0.5, 1000.0  # a cold server that fails more is passed by; a new chance for a request
+FLEET_MEMORY_MS = 30_000.0  # over which the warm fleet of late counts as what carries the load
+
+# Further attempts.
+HEDGE_TIMES, HEDGE_LEAST_MS = 3.0, 150.0  # usual answer times after which a second copy may go out
+RETRY_PART, RETRY_MOST = 0.2, 20.0  # further attempts for each first one; how many may be saved up
+HEDGE_ROOM, OVER_ROOM = 0.7, 0.5  # of the window: fuller, and no second copy, nothing beyond a quota goes out
+USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
+SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
+CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
+
+
+def grades(x: float) -> list[float]:
+    x = max(-1.0, min(1.0, x))
+    return [max(0.0, 1 - abs(x - centre) / (CENTRES[1] - CENTRES[0])) for centre in CENTRES]
+
+
+OUTPUTS = [(step / 20, grades(step / 20)) for step in range(-20, 21)]
+
+
+class FuzzyShare:
+    """A Mamdani PI-type controller: the wait of one class against its aim moves the class's share."""
+
+    def __init__(self, aim_ms: float, share: float) -> None:
+        self.aim_s, self.share, self.last_error = aim_ms / 1000, share, None
+
+    def step(self, wait_ms: float) -> None:
+        """One period: a late class gains; one under its aim keeps what it has."""
+        error = self.aim_s - wait_ms / 1000
+        change = 0.0 if self.last_error is None else error - self.last_error
+        self.last_error = error
+        if error >= 0 and change >= 0:
+            return  # the output is not below nothing: an idle class need not be inferred
+        move = OUTPUT_GAIN * self.infer(round(ERROR_GAIN * error, 2), round(CHANGE_GAIN * change, 2))
+        if move < 0 or error < 0:
+            self.share = min(1.0, max(LEAST_SHARE, self.share - move))
+
+    @staticmethod
+    @functools.cache  # a pure function of few values, and the dearest step of a pressed gateway
+    def infer(error: float, change: float) -> float:
+        """Diagonal table, max-min inference, centre of gravity; all on [-1, 1]."""
+        strength = [0.0] * len(CENTRES)
+        for i, first in enumerate(grades(error)):
+            for j, second in enumerate(grades(change)):
+                out = max(0, min(len(CENTRES) - 1, i + j - len(CENTRES) // 2))
+                strength[out] = max(strength[out], min(first, second))
+        above = below = 0.0
+        for x, heights in OUTPUTS:
+            height = max(map(min, strength, heights))
+            above, below = above + x * height, below + height
+        return above / below
+
+
+class Window(WindowState):
+    """The cap on attempts out. It lets answers take a part of their aims: rate times that time are out."""
+
+    def count(self, now: float, change: int) -> None:
+        self.mean_out += (self.out - self.mean_out) * -math.expm1((self.mean_ms - now) / RATE_MEMORY_MS)
+        self.mean_ms, self.out = now, self.out + change
+
+    def step(self, now: float, servers: float) -> None:
+        """One period has gone by."""
+        keep = math.exp(-PERIOD_MS / RATE_MEMORY_MS)
+        self.room = self.room * keep + self.answered_ms * IN_SERVER_PART / PERIOD_MS * (1 - keep)
+        self.count(now, 0)
+        self.peak = max(float(self.out), self.peak * keep)
+        crowded = self.full > FULL_SHARE * self.ended  # one server that refuses all is no crowded fleet
+        self.cut = max(LEAST_CUT, self.cut * FULL_CUT) if crowded else min(1.0, self.cut * CUT_HEAL)
+        self.answered_ms, self.full, self.ended = 0.0, self.full * keep * keep, self.ended * keep * keep
+        self.set_limit(servers)
+
+    def set_limit(self, servers: float) -> None:
+        ready = servers / self.gateways  # our part: a cap that forgets the others overdrives the servers
+        # A gateway's own few answers say little: the fleet's mean stands in for what they lack.
+        room = self.room + max(0.0, self.fleet_room - self.room) * FEW_SAMPLES / (FEW_SAMPLES + self.ended)
+        most = PEAK_GROWTH * max(self.peak, START_PER_SERVER * ready)
+        self.limit = max(FLOOR_PER_SERVER * ready * self.cut, min(room * self.cut, most))
+        self.limit = self.limit if room else START_PER_SERVER * ready * self.cut
+
+    def free(self) -> float:
+        """How many more may go out. While the mean is under the cap, chance may pass it: at one or two
+        requests a second the cap is less than one, and a count that scatters would be held for nothing."""
+        return self.limit + (CHANCE if self.mean_out < self.limit else 0.0) - self.out
+
+
+class Quota(QuotaState):
+    """Each customer's bucket fills at the quota times our part of its recent use.
+
+    A part of a wide set holds less than one request. So (departure) one gateway of it, the customer's home,
+    keeps the store that all draw on and lends what the bucket here lacks, the worthiest first; while it is
+    silent, a gateway sends on credit of its own bucket, one request at a time."""
+
+    def account(self, now: float, arrival: Arrival, plan: Plan) -> Account:
+        """The customer's account, its buckets filled for the time gone by."""
+        account = self.accounts.get(arrival.customer)
+        if account is None:
+            spread, tag = max(1, min(arrival.spread, self.settings.gateways)), tag_of(arrival.customer)
+            home = (arrival.first_gateway + tag % spread) % self.settings.gateways
+            account = self.accounts[arrival.customer] = Account(plan, tag, spread, home, now)
+        gone_s = (now - account.at_ms) / 1000
+        account.at_ms = now
+        account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
+        if now - account.total_ms > 2 * DEMAND_MEMORY_MS:
+            account.total = 0.0  # nothing is heard: the even slice serves
+        mine = account.asked * 1000 / DEMAND_MEMORY_MS
+        part = min(1.0, mine / account.total) if account.total else 1 / account.spread
+        account.own = min(plan.burst * OWN_PART * part, account.own + plan.rate_per_s * part * gone_s)
+        # A ceiling is split for good and its parts start empty: a restart can't grant again what was spent.
+        rest = (1 - HOME_CEILING) / account.spread
+        account.ceiling = min(plan.ceiling_burst * rest, account.ceiling + plan.ceiling_per_s * rest * gone_s)
+        return account
+
+    def request(self, now: float, request: Request) -> bool:
+        """May this try go on? Where the bucket here lacks units, its home is asked."""
+        account, plan, units = request.account, request.plan, request.arrival.units
+        if plan.rate_per_s and not plan.max_out and units <= account.own and self.draw(now, request):
+            return True
+        # Danger: who asks for many times its quota, or repeats without end, floods its home's inbox, and
+        # what is lost there is everyone's. So only so many ask as a home can hear.
+        heard = max(INBOX_PART * self.settings.inbox_per_s, ASK_MOST * plan.rate_per_s)
+        if not self.settings.inbox_per_s or self.rng.random() * account.total <= heard:
+            self.ask(now, request)
+        return False
+
+    def draw(self, now: float, request: Request) -> bool:
+        """Send on from the buckets here, where the slice of the ceiling allows; the home is told."""
+        account, units = request.account, request.arrival.units
+        if request.plan.ceiling_per_s and units > account.ceiling:
+            return False
+        account.own, account.ceiling, request.paid = account.own - units, account.ceiling - units, units
+        self.tell_home(now, Kind.SPENT, request)
+        return True
+
+    def ask(self, now: float, request: Request) -> None:
+        request.asks, request.asked_ms = request.asks + 1, now
+        self.tell_home(now, Kind.AGAIN if request.arrival.is_repeat else Kind.ASK, request)
+        if not request.answered:
+            patience = max(ASK_LEAST_MS, ASK_TIMES * self.rtt_ms) * (request.account.home not in self.silent)
+            self.plan_at(now + patience, "ask", request.arrival.id)
+
+    def unanswered(self, now: float, request: Request) -> bool:
+        """The home has not answered: ask again, then send on credit. A quiet customer's lone request so goes
+        on at any gateway; over all, each sends one and then waits for its part of the quota."""
+        if request.answered:
+            return False  # it waits at its home
+        account = self.account(now, request.arrival, request.plan)
+        if request.asks < 2 and account.home not in self.silent:
+            self.ask(now, request)
+            return False
+        self.silent.add(account.home)
+        self.plan_at(now + TELL_MS, "ask", request.arrival.id)
+        return account.own >= 0 and not (request.plan.max_out and account.out) and self.draw(now, request)
+
+    def tell_home(self, now: float, kind: Kind, request: Request) -> None:
+        account = request.account
+        if not request.serial:
+            self.serial = request.serial = self.serial % 0xFFFF + 1
+            self.asking[request.serial] = request
+        self.say(now, account.home, Item(
+            kind, account.tag, request.serial, request.arrival.units, account.asked * 1000 / DEMAND_MEMORY_MS,
+            self.settings.classes.index(request.kind), self.settings.plans.index(request.plan)))
+
+    def close(self, now: float, request: Request) -> None:
+        """The request has ended: what it drew and did not use goes back, and its slot is free."""
+        self.asking.pop(request.serial, None)
+        if request.paid and (not request.attempts or request.plan.max_out):
+            self.tell_home(now, Kind.BACK, request)
+
+    def say(self, now: float, gateway: int, item: Item) -> None:
+        if gateway == self.settings.number:
+            self.hear(now, gateway, self.boot, item)
+        elif self.settings.may_tell:
+            self.outbox.setdefault(gateway, []).append(item)
+
+    def post(self, now: float) -> list[tuple[int, list[Item]]]:
+        """What each gateway is told now. Danger: what comes faster than an inbox takes is lost; so while
+        ours is half full, which stands in for those of our peers, business waits for more to go along."""
+        self.heard_ms = {other: ms for other, ms in self.heard_ms.items() if now - ms <= TALKING_MS}
+        room = TELL_PART * self.settings.inbox_per_s or math.inf
+        full = min(1.0, max(0.0, 2 * self.heard / room - 1))
+        gap = min(GAP_MOST_MS, full * len(self.heard_ms) * 1000 / room)
+        ready = [other for other in self.outbox if now > self.told_ms.get(other, -math.inf) + gap]
+        if len(ready) < len(self.outbox) and now >= self.flush_ms:
+            self.flush_ms = now + max(self.settings.tick_ms, gap / 2)
+            self.plan_at(self.flush_ms, "flush", -1)
+        self.told_ms.update((other, now) for other in ready)
+        return [(other, self.outbox.pop(other)[:MAX_ITEMS]) for other in ready]
+
+    def hear(self, now: float, sender: int, boot: int, item: Item) -> None:
+        if item.kind not in (Kind.GRANT, Kind.WAIT):
+            if item.plan_index < len(self.settings.plans) and item.class_index < len(self.settings.classes):
+                self.at_home(now, (sender, boot, item.serial), item)
+            return
+        request = self.asking.get(item.serial)
+        if request is None or request.account.tag != item.tag or request.account.home != sender:
+            if item.kind is Kind.GRANT:  # it has ended meanwhile
+                self.say(now, sender, item._replace(kind=Kind.BACK))
+            return
+        request.account.total, request.account.total_ms = item.asked_per_s, now
+        if request.asks == 1 and not request.answered:
+            self.rtt_ms += (now - request.asked_ms - self.rtt_ms) * USUAL_GAIN
+        request.answered = True
+        if not request.paid:
+            request.paid = request.arrival.units * (item.kind is Kind.GRANT)
+            self.answered(request, item.kind is Kind.GRANT)
+
+    def at_home(self, now: float, key: tuple[int, int, int], item: Item) -> None:
+        plan, kind = self.settings.plans[item.plan_index], self.settings.classes[item.class_index]
+        store = self.stores.setdefault(item.tag, Store(plan, plan.burst, now))
+        queued = any(ask.key == key for ask in store.queue)
+        asked = item.kind in (Kind.ASK, Kind.AGAIN)
+        if asked and key in store.done:
+            self.reply(now, Kind.GRANT, key, item, store)  # the first answer was lost
+        elif asked and not queued:
+            store.asked += item.units
+            worth = kind.worth if item.kind is Kind.ASK else 0.0
+            ask = Ask(key, item, worth, now, now + kind.aim_ms * (1 - ANSWER_PART))
+            store.queue.append(ask)
+            self.serve(now, item.tag)
+            if ask in store.queue:
+                self.reply(now, Kind.WAIT, key, item, store)
+        elif item.kind is Kind.SPENT and key not in store.done:
+            store.queue = [ask for ask in store.queue if ask.key != key]
+            store.asked += 0.0 if queued else item.units
+            self.book(now, store, key, item, 0.0)
+        elif item.kind is Kind.BACK:
+            if store.leases.pop(key, None) is None and key in store.done and not plan.max_out:
+                store.level = min(plan.burst, store.level + item.units)
+            self.serve(now, item.tag)
+
+    def serve(self, now: float, tag: int) -> None:
+        """Lend to those that wait, the worthiest first, of equal worth the newest."""
+        store, top = self.stores[tag], max(kind.worth for kind in self.settings.classes) or 1.0
+        gone_s, plan = (now - store.at_ms) / 1000, store.plan
+        store.at_ms = now
+        store.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
+        store.level = min(plan.burst, store.level + plan.rate_per_s * gone_s)
+        ceiling_per_s = plan.ceiling_per_s * HOME_CEILING
+        store.ceiling = min(plan.ceiling_burst * HOME_CEILING, store.ceiling + ceiling_per_s * gone_s)
+        store.queue = sorted((ask for ask in store.queue if ask.until_ms > now),
+                             key=lambda ask: (ask.worth, ask.came_ms))
+        if plan.max_out:
+            store.leases = {key: until for key, until in store.leases.items() if until > now}
+        while store.queue:
+            ask, wait_s = store.queue[-1], 0.0
+            if plan.rate_per_s:
+                # Lesser worth leaves a reserve; a client's repeat, whose aim has mostly gone by, the most.
+                spare = RESERVE * plan.burst * (1 - ask.worth / top)
+                wait_s = (ask.item.units + spare - store.level) / plan.rate_per_s
+            if plan.ceiling_per_s:
+                wait_s = max(wait_s, (ask.item.units - store.ceiling) / ceiling_per_s)
+            if plan.max_out and len(store.leases) >= plan.max_out:
+                wait_s = max(wait_s, (min(store.leases.values()) - now) / 1000)
+            if wait_s > 0:
+                if not now < store.wake_ms <= now + wait_s * 1000 + PERIOD_MS:
+                    store.wake_ms = now + wait_s * 1000 + self.settings.tick_ms
+                    self.plan_at(store.wake_ms, "store", tag)
+                return
+            store.queue.pop()
+            self.book(now, store, ask.key, ask.item, ask.item.units)
+            self.reply(now, Kind.GRANT, ask.key, ask.item, store)
+
+    def book(self, now: float, store: Store, key: tuple[int, int, int], item: Item, ceiling: float) -> None:
+        if len(store.done) > DONE_LEAST and now - next(iter(store.done.values())) > DONE_MS:
+            store.done = {old: ms for old, ms in store.done.items() if now - ms <= DONE_MS}
+        store.done[key] = now
+        store.level, store.ceiling = max(-store.plan.burst, store.level - item.units), store.ceiling - ceiling
+        if store.plan.max_out:
+            store.leases[key] = now + LEASE_AIMS * self.settings.classes[item.class_index].aim_ms
+
+    def reply(self, now: float, kind: Kind, key: tuple[int, int, int], item: Item, store: Store) -> None:
+        asked = store.asked * 1000 / DEMAND_MEMORY_MS
+        self.say(now, key[0], item._replace(kind=kind, asked_per_s=asked))
+
+
+class Servers(ServersState):
+    """Which server gets an attempt: the least expected time, by load, speed, failures and zone."""
+
+    def update(self, now: float, fleet: Fleet) -> list[Backend]:
+        """Take in discovery's view; the answer is the servers that just left service."""
+        before = self.warm + self.cold
+        listed = {server.id for server in fleet.servers}
+        for name, backend in self.known.items():
+            if fleet.complete and name not in listed:
+                backend.entry = replace(backend.entry, state=State.GONE)
+        for server in fleet.servers:
+            backend = self.known.get(server.id)
+            if backend is None or backend.entry.started_ms != server.started_ms:  # what restarted has no past
+                backend = Backend(server)
+                self.known[server.id] = self.by_tag[server_tag(server.id)] = backend
+            backend.entry = server
+        self.sort(now)
+        return [backend for backend in before if backend.entry.state is not State.READY]
+
+    def sort(self, now: float) -> None:
+        """The servers that are ready, by warmth."""
+        self.warm, self.cold, self.capacity = [], [], 0.0
+        for backend in self.known.values():
+            if backend.entry.state is State.READY:
+                share = self.warmth(now, backend)
+                (self.warm if share >= 1 else self.cold).append(backend)
+                self.capacity += share
+        self.reference = max(self.capacity, self.reference)
+
+    def step(self, now: float) -> None:
+        """One period has gone by."""
+        self.reference = max(self.capacity, self.reference * math.exp(-PERIOD_MS / FLEET_MEMORY_MS))
+        self.sends *= math.exp(-PERIOD_MS / REPORT_MEMORY_MS)
+        if self.cold:
+            self.sort(now)
+
+    def warmth(self, now: float, backend: Backend) -> float:
+        """The share of its capacity that a server surely has by now."""
+        age, warm_up = now - backend.entry.started_ms, self.settings.warm_up_ms
+        if not backend.entry.started_ms or age >= warm_up:
+            return 1.0
+        return self.settings.cold_from + (1 - self.settings.cold_from) * max(0.0, age) / warm_up
+
+    @staticmethod
+    def slow(now: float, backend: Backend) -> float:
+        return 1 + (backend.slow - 1) * math.exp((backend.seen_ms - now) / SLOW_MEMORY_MS)
+
+    def failing(self, now: float, backend: Backend, name: str) -> float:
+        """The share of a class that a server fails; other classes' stands in for what is not known."""
+        if not backend.bad:
+            return 0.0
+        fade = math.exp((backend.seen_ms - now) / FAIL_MEMORY_MS)
+        overall = fade * sum(backend.bad.values()) / (fade * sum(backend.seen.values()) + 2)
+        return (fade * backend.bad.get(name, 0.0) + overall) / (fade * backend.seen.get(name, 0.0) + 1)
+
+    def choose(self, now: float, request: Request, group: list[Backend] | None) -> Backend | None:
+        """A server for one more attempt. `group`: the only ones that rule 2 allows, where it binds."""
+        warm = self.warm if group is None else [backend for backend in self.warm if backend in group]
+        name, best, best_cost = request.kind.name, None, math.inf
+        if self.cold and now >= request.toss_ms:
+            # Danger: a cold server falls over for good when all gateways overdo it. So chance decides, once
+            # for each attempt: over all gateways it gets the part that its warmth is of the fleet of late.
+            request.toss_ms = now + TOSS_MS
+            toss = self.rng.random() * self.reference
+            for backend in self.cold:
+                toss -= self.warmth(now, backend)
+                if toss < 0:
+                    barred = backend in request.tried or group is not None and backend not in group
+                    if not barred and self.failing(now, backend, name) < COLD_FAILING:
+                        return backend
+                    break
+        # Who seldom sends to each compares few: its news is old or known to all, who would crowd the best.
+        count = math.ceil(LEAST_CHOICE + CHOICE_PER_SEND * self.sends / max(1, len(warm)))
+        pool = [backend for backend in warm if backend not in request.tried] or warm
+        for backend in self.rng.sample(pool, count) if count < len(pool) else pool:
+            others = backend.others * math.exp(max(-50.0, (backend.report_ms - now) / REPORT_MEMORY_MS))
+            cost = (1 + backend.out + others) * self.slow(now, backend) / max(0.01, backend.entry.weight)
+            fragile = 2 if request.kind.repeat is Repeat.UNSAFE else 1
+            cost *= 1 + fragile * FAIL_WEIGHT * self.failing(now, backend, name) ** 2
+            cost *= 1.0 if backend.entry.zone == self.settings.zone else ZONE_COST
+            cost *= self.rng.uniform(1.0, 1.1)
+            if cost < best_cost:
+                best, best_cost = backend, cost
+        return best
+
+    def report(self, now: float, backend: Backend, load: tuple[float, ...]) -> None:
+        values = dict(zip(self.settings.report_fields, load, strict=False))
+        busy = UTIL_LOAD * max(0.0, min(1.0, values.get("util", 0.0)))
+        backend.others = max(0.0, values["inflight"] - backend.out) if "inflight" in values else busy
+        backend.report_ms = now
+
+    def learn(self, now: float, backend: Backend, name: str, ratio: float, weight: float) -> None:
+        """One outcome: its time against the usual, or inf where it failed. Full is a failure too: what
+        answers fast without serving looks idle and draws all there is."""
+        fade, backend.slow = math.exp((backend.seen_ms - now) / FAIL_MEMORY_MS), self.slow(now, backend)
+        backend.seen = {other: count * fade for other, count in backend.seen.items()}
+        backend.bad = {other: count * fade for other, count in backend.bad.items()}
+        backend.seen[name] = backend.seen.get(name, 0.0) + weight
+        if ratio == math.inf:
+            backend.bad[name] = backend.bad.get(name, 0.0) + weight
+        elif ratio > HEDGE_TIMES:  # it was taken for silence, and is not
+            backend.bad[name] = max(0.0, backend.bad.get(name, 0.0) - weight)
+        if ratio < math.inf:  # against the fleet's mean: a slowdown of all blames none
+            backend.slow += (min(SLOW_MOST, ratio) - backend.slow) * SLOW_GAIN * weight
+        backend.seen_ms = now
+        if weight > HEARD_WEIGHT:  # first-hand: worth telling
+            seen = sighting(backend.entry.id, self.names.index(name), ratio)
+            self.sightings = [*self.sightings[1 - MAX_SIGHTINGS:], (now, seen)]
+
+    def hear(self, now: float, sightings: tuple[Sighting, ...]) -> None:
+        """What a peer saw weighs the less the more we see ourselves, or all would flee and crowd alike."""
+        weight = HEARD_WEIGHT / (1 + CHOICE_PER_SEND * self.sends / max(1, len(self.warm)))
+        for seen in sightings:
+            backend = self.by_tag.get(seen.server)
+            if backend is not None and seen.class_index < len(self.names):
+                self.learn(now, backend, self.names[seen.class_index], ratio_of(seen), weight)
+
+
+class Controller:
+    """One gateway's decisions. The same events give the same actions."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.rng = settings, random.Random(seed)
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.plans = {plan.name: plan for plan in settings.plans}
+        self.window, self.servers = Window(settings.gateways), Servers(settings, self.rng, list(self.classes))
+        self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - ANSWER_PART), 1 / len(settings.classes))
+                       for kind in settings.classes}
+        self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
+        self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
+        self.quota = Quota(settings, self.rng, self.plan_at, self.on_answer, ASK_START_MS,
+                           self.rng.randrange(1 << 16))
+        self.requests: dict[int, Request] = {}
+        self.held: list[Request] = []
+        self.attempts: dict[tuple[int, int], tuple[Backend, str]] = {}
+        self.agenda: list[tuple[float, int, str, int]] = []
+        self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
+        self.actions: list[Action] = []
+
+    def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
+        """Take in what happened at this time and return what to do."""
+        first, self.stalled = self.now < 0, 0 <= self.now < now_ms - STALL_PERIODS * PERIOD_MS
+        self.now, self.actions = now_ms, list[Action]()
+        left: list[Backend] = []
+        if first:
+            self.plan_at(now_ms, "period")
+            self.plan_at(now_ms, "subscribe")
+        for event in events:
+            match event:
+                case Outcome():
+                    self.on_outcome(event)
+                case Arrival():
+                    self.on_arrival(event)
+                case Started() if event.id in self.requests:
+                    self.requests[event.id].streaming = True
+                    self.cancel_others(self.requests[event.id], event.attempt)
+                case ClientGone() if event.id in self.requests:
+                    self.close(self.requests[event.id])
+                case Heard():
+                    self.on_heard(event)
+                case Fleet() if not event.failed:
+                    left += self.servers.update(now_ms, event)
+                    self.window.set_limit(self.servers.capacity)
+                case Fleet():
+                    self.plan_at(now_ms + self.settings.ask_within_ms / 4, "subscribe")
+        # A server that leaves may be dead before it has answered: safe work out there is sent elsewhere too.
+        for request in list(self.requests.values()) if left and self.settings.second_copies else ():
+            at_risk = len(request.out) == 1 and next(iter(request.out.values())) in left
+            if at_risk and request.kind.repeat is Repeat.SAFE and not request.streaming:
+                self.again(request)
+        while self.agenda and self.agenda[0][0] <= now_ms + CLOCK_GRAIN_MS:
+            _, _, what, number = heapq.heappop(self.agenda)
+            self.due(what, number)
+        self.release()
+        seen = [seen for ms, seen in self.servers.sightings if now_ms - ms <= SIGHTING_MS]
+        for gateway, items in self.quota.post(now_ms) if self.quota.outbox else ():
+            self.actions.append(Tell(gateway, encode(self.quota.boot, self.window.room, items, seen)))
+        return self.actions
+
+    def plan_at(self, at_ms: float, what: str, number: int = -1) -> None:
+        """Put a thing on the agenda; one wake-up each, since they cannot be withdrawn."""
+        self.serial += 1
+        heapq.heappush(self.agenda, (at_ms, self.serial, what, number))
+        self.actions.append(Wake(max(0.0, at_ms - self.now), "agenda"))
+
+    def due(self, what: str, number: int) -> None:
+        request = self.requests.get(number)
+        if what == "period":
+            self.plan_at(self.now + PERIOD_MS, "period")
+            self.step_shares()
+            self.quota.heard *= math.exp(-PERIOD_MS / TALKING_MS)
+            self.servers.step(self.now)
+            self.window.step(self.now, self.servers.capacity)
+        elif what == "store":
+            self.quota.stores[number].wake_ms = math.inf
+            self.quota.serve(self.now, number)
+        elif what == "subscribe":
+            self.actions += [Subscribe()] * self.settings.must_subscribe
+        elif request is None or request.streaming:
+            return
+        elif what == "ask":
+            if request.waiting and self.quota.unanswered(self.now, request):
+                self.let_in(request)
+        elif what == "hedge":  # a second copy for an attempt that takes too long, while there is room
+            for backend in request.out.values() if not self.stalled else ():  # silence is a failure too
+                self.servers.learn(self.now, backend, request.kind.name, math.inf, SUSPECT)
+            room = self.settings.second_copies and self.window.mean_out < HEDGE_ROOM * self.window.limit
+            if room and len(request.out) == 1:
+                self.again(request)
+        elif what == "due" or request.attempts == 0:
+            # The guard of rule 1: an answer before the client's time is up. And what can no longer be
+            # answered in time is refused while a retry may help.
+            self.refuse_or_fail(request)
+
+    def step_shares(self) -> None:
+        for name, share in self.shares.items():
+            waits = self.waits[name]
+            if len(waits) < FEW_SAMPLES and self.held:
+                waits = waits + [self.now - held.came_ms for held in self.held if held.kind.name == name]
+            share.step(sum(waits) / len(waits) if waits else 0.0)
+            self.waits[name] = []
+
+    def on_heard(self, event: Heard) -> None:
+        """What another gateway tells; bytes that cannot be read and unknown senders change nothing."""
+        news = decode(event.data)
+        if news is None or event.sender == self.settings.number or event.sender >= self.settings.gateways:
+            return
+        self.quota.heard_ms[event.sender], self.quota.heard = self.now, self.quota.heard + 1
+        self.window.fleet_room += (news.room - self.window.fleet_room) * FLEET_GAIN
+        if not self.stalled:
+            self.servers.hear(self.now, news.sightings)
+        self.quota.silent.discard(event.sender)
+        for item in news.items:
+            self.quota.hear(self.now, event.sender, news.boot, item)
+
+    def on_arrival(self, arrival: Arrival) -> None:
+        kind, plan = self.classes.get(arrival.class_name), self.plans.get(arrival.plan_name)
+        if kind is None or plan is None or arrival.due_ms <= self.now or arrival.id in self.requests:
+            self.actions.append(Refuse(arrival.id))
+            return
+        account = self.quota.account(self.now, arrival, plan)
+        account.asked += arrival.units
+        # An answer just after the aim is worth little or nothing, so waiting must leave time for the answer.
+        aim_ms, worth = self.now + kind.aim_ms, kind.worth * plan.value
+        request = self.requests[arrival.id] = Request(arrival, kind, plan, account, self.now, aim_ms, worth)
+        self.plan_at(arrival.due_ms - 2 * self.settings.tick_ms, "due", arrival.id)
+        last = arrival.due_ms if kind.late_worth > 0 else min(arrival.due_ms, request.aim_ms)
+        impatient = self.now + ANSWER_PART * (last - self.now)  # it leaves less than an answer usually takes
+        self.plan_at(max(last - self.answer_time(kind), impatient), "hopeless", arrival.id)
+        if self.quota.request(self.now, request):
+            self.let_in(request)
+
+    def on_answer(self, request: Request, granted: bool) -> None:
+        """A home's word. What it makes wait goes on beyond its quota where that pays."""
+        plan = request.plan
+        if granted:
+            self.let_in(request)
+        elif plan.over_worth > plan.over_cost and not plan.ceiling_per_s:
+            self.quota.asking.pop(request.serial)
+            request.inside, request.rank = False, request.rank * plan.over_worth
+            self.let_in(request)
+
+    def let_in(self, request: Request) -> None:
+        request.waiting, request.held, request.account.out = False, True, request.account.out + 1
+        self.held.append(request)
+
+    def release(self) -> None:
+        """Send on what is held: all of it below the cap; at the cap by shares, then by worth alone."""
+        # Of equal worth the newest goes: the oldest first would have all of them near their aims, many late.
+        if not self.held or self.window.free() < 1:
+            return
+        cap = self.window.limit
+        self.held.sort(key=lambda request: (not request.inside, -request.rank, -request.came_ms))
+        if len(self.held) > self.window.free():
+            total = max(1.0, sum(share.share for share in self.shares.values()))
+            left = {name: own.share / total * cap for name, own in self.shares.items()}
+            for _, name in self.attempts.values():
+                left[name] -= 1
+            first, rest = [], []
+            for request in self.held:
+                left[request.kind.name] -= 1
+                (first if left[request.kind.name] >= 0 and request.inside else rest).append(request)
+            self.held = first + rest
+        busy = self.window.mean_out >= OVER_ROOM * cap
+        self.held = [request for request in self.held if self.window.free() < 1
+                     or busy and not request.inside or not self.send(request)]
+
+    def send(self, request: Request) -> bool:
+        """One more attempt, where a server may take it."""
+        backend = self.servers.choose(self.now, request, self.allowed(request))
+        if backend is None or request.attempts >= self.settings.max_attempts:
+            return False
+        number = request.arrival.id
+        if request.attempts == 0:
+            self.waits[request.kind.name].append(self.now - request.came_ms)
+            self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
+            request.held, request.toss_ms = False, 0.0
+        self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
+        self.attempts[number, request.attempts] = (backend, request.kind.name)
+        request.out[request.attempts] = backend
+        request.tried.append(backend)
+        if not request.uncertain:
+            request.anchor, request.anchor_ms = backend, self.now
+        request.attempts, request.uncertain = request.attempts + 1, request.uncertain + 1
+        backend.out, self.servers.sends = backend.out + 1, self.servers.sends + 1
+        self.window.count(self.now, 1)
+        patience = max(HEDGE_LEAST_MS, HEDGE_TIMES * self.usual[request.kind.name])
+        self.plan_at(self.now + patience, "hedge", number)
+        return True
+
+    def allowed(self, request: Request) -> list[Backend] | None:
+        """The only servers that rule 2 (its group and window) leaves to this request now; None for all."""
+        kind, anchor = request.kind, request.anchor
+        if anchor is None or not request.uncertain or kind.repeat is Repeat.SAFE:
+            return None
+        left = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
+        if kind.repeat is Repeat.UNSAFE or left <= 0:
+            return []
+        same, group = anchor.entry, kind.scope
+        return None if group is Scope.ALL else [
+            backend for backend in self.servers.warm + self.servers.cold if backend.entry.zone == same.zone
+            and (group is Scope.ZONE or backend.entry.cell == same.cell)]
+
+    def answer_time(self, kind: RequestClass) -> float:
+        """What an attempt is taken to need. Bounded: past the aim all would be refused, and nothing heal."""
+        return min(SAFE_TIMES * self.usual[kind.name], ANSWER_PART * kind.aim_ms)
+
+    def again(self, request: Request) -> bool:
+        """A further attempt, where it can still be in time and the budget allows it."""
+        late = self.now + self.answer_time(request.kind) > min(request.aim_ms, request.arrival.due_ms)
+        if late or self.budget < 1 or not self.send(request):
+            return False
+        self.budget -= 1
+        return True
+
+    def on_outcome(self, event: Outcome) -> None:
+        if (event.id, event.attempt) not in self.attempts:
+            return
+        backend, class_name = self.attempts.pop((event.id, event.attempt))
+        request = self.requests.get(event.id)
+        backend.out, full = backend.out - 1, event.result is Result.FULL
+        self.window.count(self.now, -1)
+        self.window.full, self.window.ended = self.window.full + full, self.window.ended + 1
+        usual, ratio = self.usual[class_name], math.inf
+        if event.load:
+            self.servers.report(self.now, backend, event.load)
+        if event.result is Result.OK:
+            self.window.answered_ms += self.classes[class_name].aim_ms
+            ratio = event.took_ms / usual
+            self.usual[class_name] += (event.took_ms - usual) * USUAL_GAIN * (not self.stalled)
+        # After a standstill our own pause would be taken for the server's slowness.
+        if event.result not in (Result.CANCELLED, Result.MOOT) and not self.stalled:
+            self.servers.learn(self.now, backend, class_name, ratio, 1.0)
+        if request is None:
+            return
+        request.out.pop(event.attempt, None)
+        request.uncertain -= event.result.never_ran
+        if event.final:
+            self.close(request)
+        elif not request.out and not self.again(request):
+            self.refuse_or_fail(request)
+
+    def refuse_or_fail(self, request: Request) -> None:
+        """The final answer. A refusal says that a retry is harmless, so only where that is certain."""
+        keyed = request.kind.repeat is Repeat.KEYED and request.kind.scope is Scope.ALL
+        if request.kind.repeat is Repeat.SAFE or keyed or not request.uncertain:
+            advice = max(TELL_MS, request.arrival.units * 1000 / (request.plan.rate_per_s or math.inf))
+            self.actions.append(Refuse(request.arrival.id, min(advice, self.settings.max_retry_after_ms)))
+        else:
+            self.actions.append(Fail(request.arrival.id))
+        self.close(request)
+
+    def close(self, request: Request) -> None:
+        """The request has ended: nothing more goes out for it, and copies still out are called off."""
+        self.requests.pop(request.arrival.id, None)
+        request.account.out -= not request.waiting
+        if request.held:
+            self.held.remove(request)
+        self.quota.close(self.now, request)
+        self.cancel_others(request, -1)
+
+    def cancel_others(self, request: Request, keep: int) -> None:
+        copies = request.out if self.settings.may_cancel else ()
+        self.actions.extend(Cancel(request.arrival.id, n) for n in copies if n != keep)
--- /dev/null
+++ b/anisefront/simhost.py
@@ -0,0 +1,384 @@
+"""The simulator's wire: reads batches, hosts one Controller an instance, writes the replies.
+
+Nothing here decides anything. What cannot be read ends the process with one plain message.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any, TextIO
+
+from anisefront import interface as face
+from anisefront.control import Controller
+
+_REPEATS = {"retryable": face.Repeat.SAFE, "dedup": face.Repeat.KEYED, "fragile": face.Repeat.UNSAFE}
+_STATES = {"Running": face.State.READY, "Stopping": face.State.DRAINING, "Deleted": face.State.GONE}
+_REPEATED_BIT = 2
+
+
+class WireError(Exception):
+    """A line that cannot be read: names the message and the field."""
+
+
+class ModuleFault(Exception):
+    """The module raised: the instance and what was said."""
+
+
+# ---- values -------------------------------------------------------------------------------------
+
+
+def _number(text: str) -> float:
+    if text == "-":
+        return 0.0
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(text)
+    return value
+
+
+def _whole(text: str) -> int:
+    return 0 if text == "-" else int(text)
+
+
+def _natural(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise ValueError(text)
+    return value
+
+
+def _word(text: str) -> str:
+    if not text or text == "-":
+        raise ValueError(text)
+    return text
+
+
+def _text(text: str) -> str:
+    return text
+
+
+def _flag(text: str) -> bool:
+    if text not in ("0", "1", "-"):
+        raise ValueError(text)
+    return text == "1"
+
+
+def _bytes(text: str) -> bytes:
+    return b"" if text == "-" else bytes.fromhex(text)
+
+
+def _row(text: str) -> tuple[float, ...]:
+    return () if text in ("-", "") else tuple(_number(part) for part in text.split(","))
+
+
+def _result(text: str) -> face.Result:
+    return face.Result(text)
+
+
+def _mode(text: str) -> str:
+    if text not in ("delta", "full", "cached", "failed"):
+        raise ValueError(text)
+    return text
+
+
+def _state(text: str) -> face.State:
+    return _STATES[text]
+
+
+Reader = Callable[[str], Any]
+# The fields of each message, in the order of the wire.
+_FIELDS: dict[str, tuple[tuple[str, Reader], ...]] = {
+    "SYNC": (("clock", _number),),
+    "YOUR_TURN": (),
+    "SWITCH_TO": (("gatekeeper", _natural),),
+    "CONFIGURE": (("salt", _whole), ("info", _text)),
+    "KILL": (),
+    "FLEET": (("mode", _mode), ("rev", _whole), ("rows", _whole)),
+    "WORKER": (("worker", _word), ("zone", _text), ("sku", _text), ("pod", _whole), ("health", _state),
+               ("share", _number), ("onlineSinceMs", _number)),
+    "REQUEST": (("requestId", _natural), ("setFrom", _number), ("doors", _number), ("sizeUnits", _number),
+                ("dueMs", _number), ("stateBits", _whole), ("member", _word), ("category", _word),
+                ("gradeOfService", _word)),
+    "ACK_FIRST": (("requestId", _natural), ("worker", _word), ("rttMs", _number), ("roundNo", _natural)),
+    "VERDICT": (("requestId", _natural), ("roundNo", _natural), ("actual", _number), ("worker", _word),
+                ("rttMs", _number), ("result", _result), ("final", _flag), ("quotaUse", _whole),
+                ("load", _row)),
+    "CLIENT_GONE": (("requestId", _natural),),
+    "FIRED": (("name", _word),),
+    "PONG": (("worker", _word), ("rttMs", _number), ("result", _result), ("load", _row)),
+    "FROM_PEER": (("originPeer", _natural), ("data", _bytes)),
+    "LEDGER_REPLY": (("nowAt", _number), ("result", _result), ("rttMs", _number), ("counter", _word)),
+}
+_LAST_IS_TEXT = {"CONFIGURE"}
+
+
+def _values(name: str, parts: list[str]) -> list[Any]:
+    """The values of one message."""
+    fields = _FIELDS[name]
+    if name in _LAST_IS_TEXT and len(parts) > len(fields):
+        parts = [*parts[:len(fields) - 1], "\t".join(parts[len(fields) - 1:])]
+    if len(parts) != len(fields):
+        raise WireError(f"{name}: {len(parts)} fields where {len(fields)} are due")
+    values = []
+    for (field, read), part in zip(fields, parts, strict=True):
+        try:
+            values.append(read(part))
+        except (ValueError, KeyError) as problem:
+            raise WireError(f"{name}: field {field}: cannot read {part[:80]!r}") from problem
+    return values
+
+
+# ---- settings -----------------------------------------------------------------------------------
+
+
+class _Table:
+    """A JSON object of the settings, which names the key that is missing or wrong."""
+
+    def __init__(self, value: Any, path: str) -> None:
+        if not isinstance(value, dict):
+            raise WireError(f"CONFIGURE: field {path}: an object is due")
+        self.value, self.path = value, path
+
+    def _get(self, key: str, kinds: tuple[type, ...], fallback: Any) -> Any:
+        value = self.value.get(key, fallback)
+        if value is None:
+            raise WireError(f"CONFIGURE: field {self.path}.{key} is missing")
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise WireError(f"CONFIGURE: field {self.path}.{key}: cannot read {value!r}")
+        return value
+
+    def number(self, key: str, fallback: float | None = None) -> float:
+        value = float(self._get(key, (int, float), fallback))
+        if not math.isfinite(value):
+            raise WireError(f"CONFIGURE: field {self.path}.{key}: cannot read {value!r}")
+        return value
+
+    def text(self, key: str, fallback: str | None = None) -> str:
+        return self._get(key, (str,), fallback)
+
+    def flag(self, key: str, fallback: bool | None = None) -> bool:
+        return bool(self._get(key, (bool, int), fallback))
+
+    def table(self, key: str, fallback: dict[str, Any] | None = None) -> _Table:
+        return _Table(self._get(key, (dict,), fallback), f"{self.path}.{key}")
+
+    def rows(self, key: str) -> list[_Table]:
+        rows = self._get(key, (list,), None)
+        return [_Table(row, f"{self.path}.{key}[{n}]") for n, row in enumerate(rows)]
+
+    def words(self, key: str) -> tuple[str, ...]:
+        return tuple(str(word) for word in self._get(key, (list,), []))
+
+
+def _request_class(row: _Table) -> face.RequestClass:
+    repeat = row.text("repeat")
+    if repeat not in _REPEATS:
+        raise ValueError(f"{row.path}.repeat: {repeat!r} is no kind of repeat")
+    scope = row.text("keyScope", "all")
+    if scope not in ("all", "zone", "cell"):
+        raise ValueError(f"{row.path}.keyScope: {scope!r} is no group")
+    return face.RequestClass(
+        name=row.text("name"), aim_ms=row.number("aimMs"), deadline_ms=row.number("deadlineMs"),
+        worth=row.number("worth", 1.0), repeat=_REPEATS[repeat], late_worth=row.number("lateWorth", 0.0),
+        scope=face.Scope(scope), window_ms=row.number("dedupWindowMs", 0.0),
+        streamed=row.flag("streamed", False), aim_stretch=row.number("aimStretch", 0.0))
+
+
+def _plan(row: _Table) -> face.Plan:
+    return face.Plan(
+        name=row.text("name"), rate_per_s=row.number("perSecond", 0.0), burst=row.number("storeSize", 0.0),
+        max_out=int(row.number("concurrency", 0.0)), value=row.number("valueFactor", 1.0),
+        over_worth=row.number("overWorth", 0.0), over_cost=row.number("overrunCost", 0.0),
+        ceiling_per_s=row.number("hardRate", 0.0), ceiling_burst=row.number("hardBurst", 0.0),
+        ceiling_slack=row.number("capSlack", 0.0))
+
+
+def settings_from(info: str) -> face.Settings:
+    """The settings in the text of a CONFIGURE message; keys that are not known are skipped."""
+    try:
+        top = _Table(json.loads(info), "info")
+    except ValueError as problem:
+        raise WireError("CONFIGURE: field info: no JSON") from problem
+    rules, limits = top.table("rules"), top.table("limits")
+    domain, report = top.table("domain", {}), top.table("report", {})
+    prices = top.table("penalties", {})
+    return face.Settings(
+        gateways=int(top.number("balancers")), number=int(top.number("myNumber")),
+        zone=top.text("locality", ""),
+        classes=tuple(_request_class(row) for row in top.rows("classes")),
+        plans=tuple(_plan(row) for row in top.rows("packages")),
+        warm_up_ms=rules.number("warmUpMs"), cold_from=rules.number("coldFrom"),
+        fall_multiple=rules.number("fallMultiple"), fall_window_ms=rules.number("tipAfterMs"),
+        ask_within_ms=rules.number("askWithinMs", 10_000.0),
+        max_attempts=int(limits.number("maxAttempts")), tick_ms=top.number("tickMs", 1.0),
+        max_units=domain.number("maxUnits", 1.0), may_cancel=limits.flag("cancel", False),
+        may_tell=limits.flag("mayTell", False), may_probe=limits.flag("probing", False),
+        second_copies=limits.flag("secondCopies", False),
+        must_subscribe=top.text("discovery", "automatic") == "subscribe",
+        settles=domain.flag("postPaid", False),
+        max_retry_after_ms=limits.number("maxRetryAfterMs", 0.0) if limits.flag("retryAfter", False) else 0.0,
+        inbox_per_s=domain.number("inboxPerS", 0.0), report_how=report.text("how", "none"),
+        report_fields=report.words("fields"), cross_zone_price=prices.number("crossZone", 0.0),
+        peer_price=prices.number("peer", 0.0))
+
+
+# ---- batches ------------------------------------------------------------------------------------
+
+
+def _event(name: str, values: list[Any]) -> face.Event:
+    """The module's event for one message of an instance."""
+    if name == "REQUEST":
+        number, first, spread, units, due, bits, customer, category, plan = values
+        return face.Arrival(number, customer, category, plan, due, units, int(first), int(spread),
+                            bool(bits & _REPEATED_BIT))
+    if name == "VERDICT":
+        number, attempt, actual, worker, took, result, final, used, load = values
+        return face.Outcome(number, attempt, worker, took, result, final, actual, used, load)
+    if name == "ACK_FIRST":
+        number, worker, _took, attempt = values
+        return face.Started(number, attempt, worker)
+    if name == "CLIENT_GONE":
+        return face.ClientGone(values[0])
+    if name == "FIRED":
+        return face.Woken(values[0])
+    if name == "FROM_PEER":
+        return face.Heard(values[0], values[1])
+    if name == "PONG":
+        return face.Probed(*values)
+    return face.Counted(values[3])
+
+
+def _reply(action: face.Action) -> str:
+    """The wire's line for one action."""
+    match action:
+        case face.Send(number, server, allow):
+            return f"HAND_OFF\t{number}\t{server}\t{allow:.3f}"
+        case face.Refuse(number, retry):
+            return f"DENY\t{number}\t{retry:.3f}"
+        case face.Fail(number):
+            return f"FINISH_ERROR\t{number}"
+        case face.Cancel(number, attempt):
+            return f"DROP_ATTEMPT\t{number}\t{attempt}"
+        case face.Wake(after, name):
+            return f"SET_ALARM\t{after:.3f}\t{name}"
+        case face.Tell(receiver, data):
+            return f"NOTIFY\t{receiver}\t{data.hex() or '-'}"
+        case face.Probe(server):
+            return f"INSPECT\t{server}"
+        case face.Subscribe():
+            return "TRACK\t1"
+
+
+class Host:
+    """Many instances that share nothing but this process."""
+
+    def __init__(self, source: Iterator[str], sink: TextIO, complaints: TextIO) -> None:
+        self._source, self._sink, self._complaints = source, sink, complaints
+        self._instances: dict[int, Controller] = {}
+        self._reported: set[str] = set()
+
+    def run(self) -> None:
+        """Serve batches until the input ends."""
+        for line in self._source:
+            name, *parts = line.rstrip("\n").split("\t")
+            if name != "SYNC":
+                if name:
+                    self._skip(name)
+                continue
+            if not self._batch(_values("SYNC", parts)[0]):
+                return
+
+    def _skip(self, name: str) -> None:
+        if name in _FIELDS:
+            raise WireError(f"{name}: out of place")
+        if name not in self._reported:
+            self._reported.add(name)
+            print(f"simhost: message {name[:80]!r} is not known and is skipped", file=self._complaints)
+
+    def _batch(self, now: float) -> bool:
+        """Read one batch to its end and answer it; False when the input ends inside it."""
+        events: dict[int, list[face.Event]] = {}
+        replies: list[str] = []
+        current: int | None = None
+        for line in self._source:
+            name, *parts = line.rstrip("\n").split("\t")
+            if name == "YOUR_TURN":
+                for number in events:
+                    self._turn(number, now, events[number], replies)
+                self._sink.write("".join(reply + "\n" for reply in replies) + "FINISHED\n")
+                self._sink.flush()
+                return True
+            if name not in _FIELDS or name in ("SYNC", "WORKER"):
+                self._skip(name)
+                continue
+            values = _values(name, parts)
+            if name == "SWITCH_TO":
+                current = values[0]
+                continue
+            if current is None:
+                raise WireError(f"{name}: no SWITCH_TO before it")
+            if name == "KILL":
+                self._instances.pop(current, None)
+                events.pop(current, None)
+            elif name == "CONFIGURE":
+                events.pop(current, None)
+                self._start(current, values[0], values[1])
+                events[current] = []
+            elif name == "FLEET":
+                events.setdefault(current, []).append(self._fleet(*values))
+            else:
+                events.setdefault(current, []).append(_event(name, values))
+        return False
+
+    def _fleet(self, mode: str, _rev: int, count: int) -> face.Fleet:
+        servers = []
+        while len(servers) < count:
+            line = next(self._source, None)
+            name, *parts = (line or "").rstrip("\n").split("\t")
+            if name != "WORKER":
+                raise WireError(f"FLEET: field rows: {count} told, {len(servers)} came")
+            worker, zone, _sku, cell, state, weight, started = _values("WORKER", parts)
+            servers.append(face.Server(worker, zone, cell, state, weight, started))
+        return face.Fleet(tuple(servers), complete=mode in ("full", "cached"), failed=mode == "failed")
+
+    def _start(self, number: int, salt: int, info: str) -> None:
+        try:
+            self._instances[number] = Controller(settings_from(info), salt)
+        except ValueError as problem:
+            raise WireError(f"CONFIGURE: field {problem}") from problem
+
+    def _turn(self, number: int, now: float, events: list[face.Event], replies: list[str]) -> None:
+        if number not in self._instances:
+            raise WireError(f"SWITCH_TO: field gatekeeper: {number} was not configured")
+        try:
+            actions = self._instances[number].handle(now, events)
+        except Exception as problem:
+            raise ModuleFault(f"FROM\t{number}\nBUG\tinstance {number}: {type(problem).__name__}: "
+                              f"{' '.join(str(problem).split())}") from problem
+        if actions:
+            replies.append(f"FROM\t{number}")
+            replies.extend(_reply(action) for action in actions)
+
+
+def main() -> int:
+    """Serve standard input; the exit code."""
+    sys.stdin.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
+    try:
+        Host(iter(sys.stdin.readline, ""), sys.stdout, sys.stderr).run()
+    except (WireError, UnicodeDecodeError) as problem:
+        print(f"simhost: {problem}", file=sys.stderr)
+        return 2
+    except ModuleFault as fault:
+        import traceback
+        traceback.print_exception(fault.__cause__, file=sys.stderr)
+        print(f"{fault}\nFINISHED", flush=True)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/anisefront/state.py
@@ -0,0 +1,154 @@
+"""Plain records of the decision module. Nothing is decided here."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from anisefront.interface import Arrival, Plan, RequestClass, Server, Settings
+from anisefront.messages import Item, Sighting
+
+
+@dataclass(slots=True, eq=False)
+class Account:
+    """One customer at this gateway."""
+
+    plan: Plan
+    tag: int
+    spread: int
+    home: int  # the gateway of its set that keeps its store
+    at_ms: float
+    own: float = 0.0  # our bucket; below nothing after a send on credit
+    ceiling: float = 0.0  # our slice of the ceiling
+    asked: float = 0.0  # fading sum of units asked of us
+    total: float = 0.0  # asked of the whole set a second, as the home last told
+    total_ms: float = -math.inf
+    out: int = 0  # requests let in and not ended
+
+
+@dataclass(slots=True, eq=False)
+class Store:
+    """One customer's quota, at its home."""
+
+    plan: Plan
+    level: float
+    at_ms: float
+    ceiling: float = 0.0  # the home's part of the ceiling
+    asked: float = 0.0  # fading sum of units asked by the whole set
+    queue: list[Ask] = field(default_factory=list)
+    leases: dict[tuple[int, int, int], float] = field(default_factory=dict)  # slots taken, until when
+    done: dict[tuple[int, int, int], float] = field(default_factory=dict)  # tries granted or told, when
+    wake_ms: float = math.inf
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """A try that waits at its customer's home."""
+
+    key: tuple[int, int, int]  # gateway, its boot number, serial
+    item: Item
+    worth: float
+    came_ms: float
+    until_ms: float
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    """What is known of one server."""
+
+    entry: Server
+    out: int = 0
+    slow: float = 1.0  # answer times against those of the fleet,
+    seen: dict[str, float] = field(default_factory=dict)  # fading counts of outcomes, by class
+    bad: dict[str, float] = field(default_factory=dict)  # and of failures
+    seen_ms: float = 0.0
+    others: float = 0.0  # load of others, by its last report
+    report_ms: float = -math.inf
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One request, from arrival to its final answer."""
+
+    arrival: Arrival
+    kind: RequestClass
+    plan: Plan
+    account: Account
+    came_ms: float
+    aim_ms: float  # clock time
+    rank: float
+    attempts: int = 0
+    out: dict[int, Backend] = field(default_factory=dict)  # attempts out
+    tried: list[Backend] = field(default_factory=list)
+    uncertain: int = 0  # attempts out or not proved never to have run
+    anchor: Backend | None = None  # server of the first of these, and when it was sent
+    anchor_ms: float = 0.0
+    serial: int = 0  # of its business with the home; 0: none
+    asks: int = 0
+    asked_ms: float = 0.0
+    answered: bool = False  # the home has heard of it
+    paid: float = 0.0  # units drawn from the quota
+    inside: bool = True  # inside the quota
+    waiting: bool = True  # for its quota
+    held: bool = False
+    streaming: bool = False
+    toss_ms: float = 0.0  # not before then may it try for a cold server again
+
+
+@dataclass(slots=True, eq=False)
+class WindowState:
+    """What the cap on attempts out goes by."""
+
+    gateways: int
+    out: int = 0
+    peak: float = 0.0  # the most out of late
+    cut: float = 1.0
+    answered_ms: float = 0.0  # aims of those answered in this period
+    full: float = 0.0  # fading counts of attempts refused as full, and of all that ended
+    ended: float = 0.0
+    room: float = 0.0  # answers a second x time each may take, summed over classes
+    fleet_room: float = 0.0  # the mean of the peers' room, as told
+    mean_out: float = 0.0  # fading mean of those out
+    mean_ms: float = 0.0
+    limit: float = 0.0  # the cap for this period
+
+
+@dataclass(slots=True, eq=False)
+class QuotaState:
+    """What a gateway keeps of its customers' quotas."""
+
+    settings: Settings
+    rng: random.Random
+    plan_at: Callable[[float, str, int], None]  # puts a thing on the agenda
+    answered: Callable[[Request, bool], None]  # takes a home's word on a request
+    rtt_ms: float  # usual time of a home's answer
+    boot: int
+    serial: int = 0
+    accounts: dict[str, Account] = field(default_factory=dict)
+    stores: dict[int, Store] = field(default_factory=dict)  # of which this gateway is the home, by tag
+    asking: dict[int, Request] = field(default_factory=dict)  # by serial
+    outbox: dict[int, list[Item]] = field(default_factory=dict)  # by gateway
+    heard_ms: dict[int, float] = field(default_factory=dict)  # when other gateways last told us anything
+    told_ms: dict[int, float] = field(default_factory=dict)  # and we them
+    heard: float = 0.0  # fading count of messages heard
+    flush_ms: float = 0.0
+    silent: set[int] = field(default_factory=set)  # homes that left a question unanswered
+
+
+@dataclass(slots=True, eq=False)
+class ServersState:
+    """What a gateway keeps of the servers."""
+
+    settings: Settings
+    rng: random.Random
+    names: list[str]  # of the classes
+    known: dict[str, Backend] = field(default_factory=dict)
+    by_tag: dict[int, Backend] = field(default_factory=dict)
+    warm: list[Backend] = field(default_factory=list)  # ready and warm; ready and cold
+    cold: list[Backend] = field(default_factory=list)
+    capacity: float = 0.0  # warmth of those ready in sum, now and of late
+    reference: float = 0.0
+    sends: float = 0.0  # fading count of our sends
+    sightings: list[tuple[float, Sighting]] = field(default_factory=list)
--- /dev/null
+++ b/tests/test_module.py
@@ -0,0 +1,389 @@
+"""The module alone: odd but legal rounds, settings that cannot be right, and one test a failure found."""
+
+import pytest
+from test_rules import settings
+
+from anisefront import messages
+from anisefront.control import CENTRES, Controller, FuzzyShare, Window
+from anisefront.interface import (
+    Arrival,
+    Cancel,
+    ClientGone,
+    Fail,
+    Fleet,
+    Heard,
+    Outcome,
+    Plan,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    Server,
+    Started,
+    State,
+    Subscribe,
+    Tell,
+    Woken,
+)
+
+FLEET = Fleet(tuple(Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(6)))
+
+
+def gateway(**more):
+    return Controller(settings(**more), 1)
+
+
+def ask(number, name="look", plan="rated", due=5000.0, customer="c", units=1):
+    return Arrival(number, customer, name, plan, due, units, 0, 3)
+
+
+def of(kind, actions):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def outcome(send, result, attempt=0, took=50.0, final=None):
+    final = result is Result.OK if final is None else final
+    return Outcome(send.id, attempt, send.server, took, result, final)
+
+
+def test_ordinary_request_is_sent_and_ends():
+    c = gateway()
+    sends = of(Send, c.handle(1000, [FLEET, ask(1)]))
+    assert [send.id for send in sends] == [1]
+    assert not of(Fail, c.handle(1050, [outcome(sends[0], Result.OK)]))
+    assert not c.requests and not c.window.out
+
+
+def test_error_is_tried_again_elsewhere_if_safe_and_failed_if_unsafe():
+    c = gateway()
+    safe, unsafe = of(Send, c.handle(1000, [FLEET, ask(1), ask(2, "debit")]))
+    if safe.id != 1:
+        safe, unsafe = unsafe, safe
+    actions = c.handle(1050, [outcome(safe, Result.ERROR), outcome(unsafe, Result.ERROR)])
+    again = of(Send, actions)
+    assert [send.id for send in again] == [1] and again[0].server != safe.server
+    assert of(Fail, actions) == [Fail(2)]
+
+
+def test_unsafe_is_tried_again_when_it_never_ran():
+    c = gateway()
+    send, = of(Send, c.handle(1000, [FLEET, ask(1, "debit")]))
+    again, = of(Send, c.handle(1010, [outcome(send, Result.FULL)]))
+    assert again.id == 1
+
+
+def test_a_disproved_attempt_does_not_clear_one_that_may_have_run():
+    """An error, then a full at the same server: the first may have run all the same."""
+    c = Controller(settings(may_tell=False), 1)
+    one = Fleet((Server("s0", "z0", 0, State.READY),))
+    send, = of(Send, c.handle(1000, [one, ask(1, "book", due=1900)]))
+    again, = of(Send, c.handle(1010, [outcome(send, Result.ERROR)]))
+    other = Fleet((Server("s0", "z0", 0, State.DRAINING), Server("s9", "z0", 3, State.READY)))
+    actions = c.handle(1020, [other, outcome(again, Result.FULL, 1)])
+    assert not of(Send, actions) and of(Fail, actions) == [Fail(1)]
+
+
+def test_odd_rounds_are_handled():
+    c = gateway()
+    c.handle(1000, [Fleet(()), Fleet((), failed=True), Woken("never asked"), ClientGone(77)])
+    assert of(Refuse, c.handle(1001, [ask(1, "no such class"), ask(2, plan="no such plan")])) == [
+        Refuse(1), Refuse(2)]
+    assert of(Refuse, c.handle(1002, [ask(3, due=900.0)])) == [Refuse(3)]
+    c.handle(1003, [ask(4)])  # no servers: held
+    assert 4 in c.requests
+    send, = of(Send, c.handle(1004, [FLEET]))
+    assert of(Cancel, c.handle(1005, [ClientGone(4)])) == [Cancel(4, 0)]
+    assert c.handle(1006, [ClientGone(4), Started(4, 0, send.server)]) == []
+    c.handle(1007, [outcome(send, Result.OK), outcome(send, Result.OK), outcome(send, Result.ERROR, 3)])
+    assert c.window.out == 0 and not c.requests
+
+
+def test_held_without_servers_is_refused_before_its_time_is_up():
+    c = gateway()
+    c.handle(1000, [Fleet(()), ask(1, due=1600.0), ask(2, "debit", due=1500)])
+    refused = {}
+    for now in range(1004, 1700, 4):
+        refused.update((action.id, now) for action in of(Refuse, c.handle(now, [Woken("agenda")])))
+    assert set(refused) == {1, 2} and refused[1] <= 1600 and refused[2] <= 1500
+
+
+def item(kind, customer="c", serial=1, units=1.0, asked=0.0, class_index=0, plan_index=0):
+    return messages.Item(kind, messages.tag_of(customer), serial, units, asked, class_index, plan_index)
+
+
+def home_of(customer, first=0, spread=3):
+    return first + messages.tag_of(customer) % spread
+
+
+def test_peer_bytes_that_cannot_be_read_change_nothing():
+    c = gateway()
+    c.handle(1000, [FLEET])
+    good = messages.encode(5, 1.0, [item(messages.Kind.SPENT, units=4)], [])
+    odd = [messages.encode(5, 1.0, [item(messages.Kind.SPENT, class_index=15)], []),
+           messages.encode(5, 1.0, [item(messages.Kind.ASK, plan_index=15)], []),
+           messages.encode(5, 1.0, [item(messages.Kind.GRANT), item(messages.Kind.WAIT)], []),
+           messages.encode(5, 1.0, [], [messages.Sighting(77, 15, 15)])]
+    bad_kind = bytearray(good)
+    bad_kind[6] = 99
+    for data in (b"", b"\x00", good[:-1], b"\xff" + good[1:], bytes(300), bytes(bad_kind), *odd):
+        assert not of(Send, c.handle(1001, [Heard(1, data)]))
+    c.handle(1001, [Heard(9, good), Heard(0, good)])
+    assert not c.quota.stores and not c.requests
+    c.handle(1001, [Heard(1, good), Heard(1, good)])  # repeated: counted once
+    assert c.quota.stores[messages.tag_of("c")].level == pytest.approx(12 - 4, abs=0.1)
+
+
+def test_messages_survive_a_round_trip_and_stay_small():
+    items = [item(messages.Kind(1 + n % 6), f"c{n}", n, n / 16, 2.25, n % 16, 3) for n in range(100)]
+    ratios = (0.01, 1.0, 2.0, float("inf"))
+    sightings = [messages.sighting(f"s{n}", n, ratio) for n, ratio in enumerate(ratios)]
+    data = messages.encode(70000, 1.5, items, sightings)
+    news = messages.decode(data)
+    assert len(data) <= messages.MAX_BYTES and news.boot == 70000 & 0xFFFF and news.room == 1.5
+    assert news.items == tuple(items[:messages.MAX_ITEMS]) and news.sightings == tuple(sightings)
+    assert [messages.ratio_of(seen) for seen in news.sightings] == [0.25, 1.0, 2.0, float("inf")]
+
+
+@pytest.mark.parametrize("bad, key", [
+    (dict(classes=()), "classes"), (dict(plans=()), "plans"), (dict(gateways=0), "gateways"),
+    (dict(number=3), "number"), (dict(max_attempts=0), "max_attempts"), (dict(warm_up_ms=-1), "warm_up_ms")])
+def test_settings_that_cannot_be_right_are_named(bad, key):
+    with pytest.raises(ValueError, match=key):
+        settings(**bad)
+
+
+def test_plans_and_classes_that_cannot_be_right_are_named():
+    with pytest.raises(ValueError, match="rate_per_s"):
+        Plan("p", rate_per_s=-1)
+    with pytest.raises(ValueError, match="repeat"):
+        RequestClass("k", 1, 1, 1, "sometimes", scope=Scope.ALL)
+    with pytest.raises(ValueError, match="aim_ms"):
+        RequestClass("k", float("nan"), 1, 1, Repeat.SAFE)
+
+
+def test_fuzzy_surface_is_the_diagonal_table():
+    assert FuzzyShare.infer(0, 0) == pytest.approx(0, abs=1e-9)
+    for error in CENTRES:
+        for change in CENTRES:
+            value = FuzzyShare.infer(error, change)
+            assert value == pytest.approx(-FuzzyShare.infer(-error, -change))
+            assert (value > 0.1) == (error + change > 0) and (value < -0.1) == (error + change < 0)
+
+
+def test_a_late_class_gains_share_and_an_early_one_keeps_it():
+    share = FuzzyShare(500, 0.3)
+    for _ in range(10):
+        share.step(100)
+    assert share.share == 0.3
+    for _ in range(10):
+        share.step(3000)
+    assert share.share > 0.3
+
+
+def test_learned_answer_time_cannot_lock_a_class_out():
+    """Refused on arrival, nothing is answered, so nothing would ever bring the learned time down."""
+    c = gateway()
+    c.handle(1000, [FLEET])
+    c.usual["look"] = 5000.0
+    assert of(Send, c.handle(1001, [ask(1)]))
+
+
+def test_window_is_shared_out_over_gateways():
+    few, many = Window(1), Window(10)
+    for window in (few, many):
+        window.step(0, 20)
+    assert few.limit > 5 * many.limit
+    few.answered_ms = many.answered_ms = 1000
+    few.step(100, 20), many.step(100, 20)
+    assert few.limit > 5 * many.limit
+
+
+def test_a_cap_of_less_than_one_leaves_room_for_chance_but_not_for_a_steady_excess():
+    """At one request a second a count scatters: held to its mean, much would wait for nothing."""
+    window = Window(400)
+    window.step(0, 40)
+    assert window.limit < 2 <= window.free()
+    window.count(0, 3)
+    for now in range(100, 3000, 100):
+        window.step(now, 40)
+    assert window.free() < 0
+
+
+def test_below_the_cap_nothing_is_held_and_at_it_the_worthiest_leave_first():
+    c = gateway(gateways=1)
+    c.handle(1000, [FLEET])
+    calm = [ask(n, customer=f"c{n}") for n in range(1, 200)]
+    first = of(Send, c.handle(1001, calm))
+    assert c.window.limit <= len(first) <= c.window.limit + 2
+    assert len(c.held) == 199 - len(first)
+    c.handle(1002, [ask(500, "feed", customer="a"), ask(501, "book", customer="b")])
+    sent = of(Send, c.handle(1010, [outcome(send, Result.OK) for send in first[:3]]))
+    assert sent[0].id == 501
+
+
+def test_cap_on_attempts_out_is_kept_by_the_home_for_all_gateways():
+    number = home_of("o")
+    c = gateway(number=number)
+    peer = (number + 1) % 3
+    asks = [item(messages.Kind.ASK, "o", n, plan_index=2) for n in (1, 2, 3)]
+    c.handle(1000, [FLEET, Heard(peer, messages.encode(1, 1.0, asks, []))])
+    assert len(of(Send, c.handle(1001, [ask(n, plan="open", customer="o") for n in range(1, 9)]))) == 1
+    free = messages.encode(1, 1.0, [item(messages.Kind.BACK, "o", 2, plan_index=2)], [])
+    assert len(of(Send, c.handle(1002, [Heard(peer, free)]))) == 1
+
+
+def test_home_lends_to_all_gateways_together_no_more_than_the_quota():
+    """Hundreds of gateways with a slice each would pass many quotas; repeats change nothing."""
+    c, tag = gateway(gateways=300, number=7), messages.tag_of("c")
+    c.handle(1000, [FLEET])
+    granted = set()
+    for n in range(300):
+        data = messages.encode(1, 1.0, [item(messages.Kind.ASK, serial=9)], [])
+        if n != 7:
+            for tell in of(Tell, c.handle(1001 + n / 100, [Heard(n, data), Heard(n, data)])):
+                news = messages.decode(tell.data)
+                granted |= {tell.receiver for told in news.items if told.kind is messages.Kind.GRANT}
+    # The class is worth half the worthiest: it leaves a quarter of the burst in store for that one.
+    assert 8 <= len(granted) <= 10 and 3 <= c.quota.stores[tag].level < 4.1
+
+
+def test_a_clients_repeat_leaves_a_reserve_to_first_tries():
+    """Repeats come when most of their aim has gone by; lent to them, the quota is spent on late answers."""
+    granted = {}
+    for kind, worthiest in ((messages.Kind.AGAIN, 0), (messages.Kind.ASK, 1)):
+        c = gateway(gateways=300, number=7)
+        c.handle(1000, [FLEET])
+        asks = [item(kind, serial=n, class_index=worthiest) for n in range(1, 16)]
+        c.handle(1001, [Heard(1, messages.encode(1, 1.0, asks, []))])
+        granted[kind] = len(c.quota.stores[messages.tag_of("c")].done)
+    assert granted[messages.Kind.AGAIN] <= 7 and granted[messages.Kind.ASK] >= 11
+
+
+def test_a_silent_home_is_asked_again_and_then_one_request_goes_on_credit():
+    """A stalled home must not stop a quiet customer, and must not open its quota at every gateway either."""
+    number = (home_of("c") + 1) % 3
+    c = gateway(number=number)
+    events, told, sent = [FLEET, *(ask(n, units=4, due=9000.0) for n in (1, 2, 3))], [], []
+    for now in range(1000, 1500, 4):
+        actions = c.handle(now, [*events, Woken("agenda")])
+        events, told, sent = [], told + of(Tell, actions), sent + of(Send, actions)
+    kinds = [told.kind for tell in told for told in messages.decode(tell.data).items]
+    assert len(sent) == 1 and kinds.count(messages.Kind.ASK) >= 6 and kinds.count(messages.Kind.SPENT) == 1
+
+
+def test_what_was_granted_and_not_used_goes_back():
+    c = gateway(number=(home_of("c") + 1) % 3)
+    tells = of(Tell, c.handle(1000, [Fleet(()), ask(1, units=4)]))
+    asked, = [told for tell in tells for told in messages.decode(tell.data).items]
+    data = messages.encode(1, 1.0, [asked._replace(kind=messages.Kind.GRANT)], [])
+    c.handle(1010, [Heard(home_of("c"), data)])
+    tells = of(Tell, c.handle(1200, [ClientGone(1), Woken("agenda")]))
+    assert [told.kind for tell in tells for told in messages.decode(tell.data).items] == [messages.Kind.BACK]
+
+
+def test_cold_server_is_bounded_over_hundreds_of_gateways_even_after_a_stall():
+    """Rule 4 counts all gateways together: one send from each of 400 would push it over."""
+    cold = Server("cold", "z0", 0, State.READY, 1.0, 50_000.0)
+    count = 0
+    for n in range(400):
+        c = Controller(settings(number=n, gateways=400, may_tell=False), n)
+        c.handle(50_000, [Fleet((*FLEET.servers, cold))])
+        burst = [Arrival(k, f"c{k}", "look", "rated", 53_400.0, 1, n, 1) for k in range(1, 4)]
+        count += sum(send.server == "cold" for send in of(Send, c.handle(52_000, burst)))
+    warm = 400 * 3 / 7
+    assert 0 < count < 0.45 * 2 * warm
+
+
+def test_fast_failer_does_not_attract_load():
+    c = gateway()
+    now, sent, number = 1000.0, [], 0
+    c.handle(now, [FLEET])
+    for _ in range(200):
+        number, now = number + 1, now + 20
+        for send in of(Send, c.handle(now, [ask(number, due=now + 4000, customer=f"c{number}")])):
+            sent.append(send.server)
+            result, took = (Result.ERROR, 2) if send.server == "s1" else (Result.OK, 90)
+            more = c.handle(now + 5, [outcome(send, result, took=took)])
+            for n, retry in enumerate(of(Send, more)):
+                c.handle(now + 10, [outcome(retry, Result.OK, n + 1)])
+    assert sent.count("s1") < len(sent) / 15
+
+
+def test_ceiling_starts_empty_so_that_a_restart_grants_nothing_twice():
+    c = gateway(number=home_of("k"))
+    c.handle(1000, [FLEET])
+    assert not of(Send, c.handle(1001, [ask(1, plan="capped", customer="k")]))
+    assert of(Send, c.handle(1250, [Woken("agenda")]))
+
+
+def test_only_the_home_is_told_and_nothing_without_news():
+    c, told = gateway(number=(home_of("c") + 1) % 3), []
+    c.handle(1000, [FLEET])
+    for now in range(1004, 3000, 4):
+        events = [ask(now, due=now + 1500.0)] if now == 1500 else []
+        told += [tell.receiver for tell in of(Tell, c.handle(now, [*events, Woken("agenda")]))]
+    assert set(told) == {home_of("c")} and len(told) <= 4
+
+
+def test_a_customer_that_repeats_without_end_leaves_room_in_its_homes_inbox():
+    c = gateway(number=(home_of("c") + 1) % 3, inbox_per_s=20)
+    c.handle(1000, [FLEET, ask(1)])
+    wait = messages.encode(1, 1.0, [item(messages.Kind.WAIT, asked=400.0)], [])
+    c.handle(1010, [Heard(home_of("c"), wait)])
+    asked = 0
+    for n in range(400):
+        for tell in of(Tell, c.handle(1012 + n, [ask(n + 2)])):
+            asked += sum(told.kind is messages.Kind.ASK for told in messages.decode(tell.data).items)
+    assert 0 < asked < 100
+
+
+def test_work_for_one_request_does_not_grow_with_the_gateways():
+    """Counted: actions for the same day at 4 and at 400 gateways."""
+    counts = []
+    for gateways in (4, 400):
+        c = gateway(gateways=gateways, number=1)
+        c.handle(1000, [FLEET])
+        total = 0
+        for now in range(1004, 3000, 4):
+            came = Arrival(now, f"c{now}", "look", "rated", now + 1500.0, 1, 0, gateways)
+            total += len(c.handle(now, [*([came] if now % 40 == 0 else []), Woken("agenda")]))
+        counts.append(total)
+    assert counts[1] < 1.5 * counts[0]
+
+
+def test_discovery_that_must_be_asked_is_asked_and_asked_again():
+    c = gateway(must_subscribe=True, ask_within_ms=4000)
+    assert of(Subscribe, c.handle(1000, [FLEET]))
+    c.handle(1010, [Fleet((), failed=True)])
+    assert of(Subscribe, c.handle(2100, [Woken("agenda")]))
+
+
+def test_a_server_that_refuses_at_once_draws_no_load_and_does_not_close_the_window():
+    """It answers in no time, so it looks idle; and its refusals say nothing of the rest of the fleet."""
+    for result in (Result.FULL, Result.CONNECT_FAILED):
+        c = gateway()
+        now, sent = 1000.0, []
+        c.handle(now, [FLEET])
+        for number in range(1, 300):
+            now += 10
+            sends = of(Send, c.handle(now, [ask(number, due=now + 1400, customer=f"c{number}")]))
+            while sends:
+                send = sends.pop()
+                sent.append(send.server)
+                bad = send.server == "s2"
+                attempt = c.requests[send.id].attempts - 1
+                sends += of(Send, c.handle(now + 2, [outcome(send, result if bad else Result.OK, attempt)]))
+        assert sent.count("s2") < len(sent) / 15
+        assert c.window.cut == 1.0
+
+
+def test_a_server_that_restarts_under_its_old_id_keeps_its_count_of_attempts_out():
+    c = gateway()
+    send, = of(Send, c.handle(1000, [FLEET, ask(1)]))
+    old = c.servers.known[send.server].entry
+    back = Server(old.id, old.zone, old.cell, State.READY, 1.0, 1005.0)
+    c.handle(1010, [Fleet((back,), complete=False)])
+    c.handle(1020, [outcome(send, Result.RESET)])
+    assert c.servers.known[send.server].out == 0
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,312 @@
+"""Seeded random event sequences against the module, with an independent check of the five rules."""
+
+import heapq
+import random
+
+import pytest
+
+from anisefront.control import Controller
+from anisefront.interface import (
+    Arrival,
+    Cancel,
+    Fail,
+    Fleet,
+    Heard,
+    Outcome,
+    Plan,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    Server,
+    Settings,
+    Started,
+    State,
+    Tell,
+    Wake,
+    Woken,
+)
+
+TICK, GRACE, SLACK = 4.0, 250.0, 16.0
+
+
+def settings(number=0, gateways=3, **more):
+    """Settings with every kind of repeat and plan."""
+    values = dict(
+        gateways=gateways, number=number, zone="z0", tick_ms=TICK,
+        classes=(
+            RequestClass("look", 600, 1500, 2, Repeat.SAFE),
+            RequestClass("book", 900, 2500, 4, Repeat.KEYED, scope=Scope.CELL, window_ms=1200),
+            RequestClass("hold", 900, 2500, 4, Repeat.KEYED, scope=Scope.ZONE, window_ms=1200),
+            RequestClass("seat", 900, 2500, 4, Repeat.KEYED, scope=Scope.ALL, window_ms=1200),
+            RequestClass("debit", 900, 2500, 3, Repeat.UNSAFE),
+            RequestClass("feed", 900, 2500, 1, Repeat.SAFE, streamed=True),
+        ),
+        plans=(
+            Plan("rated", 4, 12, 0, 1.0, 0.3, 0.1),
+            Plan("capped", 8, 16, 0, 1.5, 0.5, 0.1, ceiling_per_s=16, ceiling_burst=32, ceiling_slack=4),
+            Plan("open", max_out=4, value=1.2, over_cost=1.0),
+        ),
+        warm_up_ms=8000, cold_from=0.25, fall_multiple=3, fall_window_ms=1500, max_attempts=4, max_units=4,
+        may_tell=True, second_copies=True, settles=True, max_retry_after_ms=1000, inbox_per_s=60,
+        report_how="answers", report_fields=("util", "inflight"))
+    values.update(more)
+    return Settings(**values)
+
+
+class Checker:
+    """Keeps its own books of what was sent and answered; raises at the first broken rule."""
+
+    def __init__(self, config):
+        self.config = config
+        self.kinds = {kind.name: kind for kind in config.classes}
+        self.plans = {plan.name: plan for plan in config.plans}
+        self.open, self.sent, self.proved, self.done = {}, {}, {}, set()
+        self.ceilings = {}
+
+    def arrival(self, gateway, arrival):
+        self.open[arrival.id] = (gateway, arrival)
+        self.sent[arrival.id], self.proved[arrival.id] = [], set()
+
+    def killed(self, gateway):
+        for number in [n for n, (owner, _) in self.open.items() if owner == gateway]:
+            del self.open[number]
+            self.done.add(number)
+
+    def unproved(self, number):
+        return [entry for n, entry in enumerate(self.sent[number]) if n not in self.proved[number]]
+
+    def send(self, now, number, server, drained_ms):
+        assert number in self.open, f"rule 1: {number} sent after its end"
+        _, arrival = self.open[number]
+        kind, plan = self.kinds[arrival.class_name], self.plans[arrival.plan_name]
+        assert drained_ms is None or now <= drained_ms + GRACE, "rule 3: sent to a draining server"
+        loose = self.unproved(number)
+        if kind.repeat is Repeat.UNSAFE:
+            assert not loose, "rule 2: an unsafe request went out twice"
+        if kind.repeat is Repeat.KEYED and loose:
+            first_ms, first = loose[0]
+            assert now - first_ms <= kind.window_ms, "rule 2: past the window"
+            if kind.scope is Scope.CELL:
+                assert first.cell == server.cell, "rule 2: another cell"
+            if kind.scope is Scope.ZONE:
+                assert first.zone == server.zone, "rule 2: another zone"
+        if not self.sent[number] and plan.ceiling_per_s:
+            level, at = self.ceilings.get(arrival.customer, (plan.ceiling_burst, now))
+            level = min(plan.ceiling_burst, level + (now - at) / 1000 * plan.ceiling_per_s) - arrival.units
+            assert level >= -plan.ceiling_slack - 1e-6, f"rule 5: {arrival.customer} at {level}"
+            self.ceilings[arrival.customer] = (level, now)
+        self.sent[number].append((now, server))
+
+    def answer(self, now, number, refused):
+        _, arrival = self.open.pop(number)
+        kind = self.kinds[arrival.class_name]
+        assert now <= arrival.due_ms + SLACK, "rule 1: late"
+        if refused and self.unproved(number):
+            all_of_them = kind.repeat is Repeat.KEYED and kind.scope is Scope.ALL
+            assert kind.repeat is Repeat.SAFE or all_of_them, "rule 2: refused though it may have run"
+        self.done.add(number)
+
+
+class Town:
+    """A few gateways, servers that act at random, and a network that loses, delays and repeats."""
+
+    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120):
+        self.rng = random.Random(seed)
+        self.config = settings(gateways=gateways)
+        self.checker = Checker(self.config)
+        self.loss, self.kill, self.rate = loss, kill, rate
+        self.now, self.serial, self.queue, self.log = 1000.0, 0, [], []
+        self.inbox = {n: [] for n in range(gateways)}
+        self.fleet = [Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(8)]
+        self.learned = {n: {} for n in range(gateways)}
+        self.life = {n: 0 for n in range(gateways)}
+        self.gateways, self.tries, self.streams = {}, {}, set()
+        self.cold_sent = {}
+        for n in range(gateways):
+            self.start(n)
+
+    def start(self, n):
+        self.life[n] += 1
+        config = settings(number=n, gateways=len(self.life))
+        self.gateways[n] = Controller(config, self.rng.randrange(1 << 30))
+        self.inbox[n] = [Fleet(tuple(self.fleet))]
+        self.learned[n] = {s.id: self.now for s in self.fleet if s.state is not State.READY}
+
+    def later(self, delay, gateway, event):
+        self.serial += 1
+        heapq.heappush(self.queue, (self.now + delay, self.serial, gateway, self.life[gateway], event))
+
+    def change_fleet(self):
+        n = self.rng.randrange(len(self.fleet))
+        old = self.fleet[n]
+        flip = {State.READY: State.DRAINING, State.DRAINING: State.GONE, State.GONE: State.READY}[old.state]
+        started = self.now if flip is State.READY else old.started_ms
+        self.fleet[n] = Server(old.id, old.zone, old.cell, flip, 1.0, started)
+        for gateway in self.gateways:
+            self.inbox[gateway].append(Fleet((self.fleet[n],), complete=False))
+            if flip is State.READY:
+                self.learned[gateway].pop(old.id, None)
+            else:
+                self.learned[gateway].setdefault(old.id, self.now)
+
+    def arrive(self):
+        gateway = self.rng.randrange(len(self.gateways))
+        self.serial += 1
+        kind = self.rng.choice(self.config.classes)
+        plan = self.rng.choice(self.config.plans)
+        spread = self.rng.choice((2, len(self.gateways)))
+        customer = f"{plan.name}-{self.rng.randrange(4 if plan.max_out else 1)}-{spread}"
+        first = gateway if spread == len(self.gateways) else 0
+        if spread == 2:
+            gateway = self.rng.randrange(2)
+        due = self.now + kind.deadline_ms * self.rng.uniform(0.05, 1)
+        arrival = Arrival(self.serial, customer, kind.name, plan.name, due, self.rng.choice((1, 1, 2, 4)),
+                          0 if spread == 2 else first * 0, spread)
+        self.checker.arrival(gateway, arrival)
+        self.inbox[gateway].append(arrival)
+
+    def act(self, n, action):
+        if isinstance(action, Send):
+            server = next(s for s in self.fleet if s.id == action.server)
+            self.checker.send(self.now, action.id, server, self.learned[n].get(server.id))
+            attempt = len(self.checker.sent[action.id]) - 1
+            result = self.rng.choices(
+                [Result.OK, Result.ERROR, Result.FULL, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET],
+                [70, 8, 8, 6, 4, 4])[0]
+            took = min(self.rng.expovariate(1 / 150), action.allow_ms)
+            took = action.allow_ms if result is Result.TIMEOUT else took
+            self.tries[action.id, attempt] = (n, server, self.now)
+            streamed = self.checker.kinds[self.checker.open[action.id][1].class_name].streamed
+            if streamed and result is Result.OK:
+                self.later(took / 2, n, Started(action.id, attempt, server.id))
+            self.later(took, n, (action.id, attempt, result))
+        elif isinstance(action, (Refuse, Fail)):
+            if action.id in self.checker.open:
+                assert action.id not in self.streams, "rule 1: a started stream was ended"
+                self.checker.answer(self.now, action.id, isinstance(action, Refuse))
+        elif isinstance(action, Cancel):
+            self.later(0.5, n, (action.id, action.attempt, Result.CANCELLED))
+        elif isinstance(action, Wake):
+            self.later(max(action.after_ms, 1e-3), n, Woken(action.name))
+        elif isinstance(action, Tell):
+            assert len(action.data) <= 256
+            copies = 0 if self.rng.random() < self.loss else self.rng.choice((1, 1, 1, 2))
+            for _ in range(copies):
+                data = action.data if self.rng.random() > 0.02 else action.data[:self.rng.randrange(20)]
+                self.later(self.rng.expovariate(1 / 60), action.receiver, Heard(n, data))
+
+    def deliver(self, gateway, event):
+        if not isinstance(event, tuple):
+            if isinstance(event, Started):
+                if event.id not in self.checker.open or (event.id, event.attempt) not in self.tries:
+                    return
+                self.streams.add(event.id)
+            self.inbox[gateway].append(event)
+            return
+        number, attempt, result = event
+        entry = self.tries.pop((number, attempt), None)
+        if entry is None:
+            return
+        _, server, sent_ms = entry
+        if result.never_ran:
+            self.checker.proved[number].add(attempt)
+        if number in self.checker.open and (result is Result.OK or number in self.streams):
+            self.streams.discard(number)
+            due = self.checker.open[number][1].due_ms
+            assert self.now <= due + SLACK or self.checker.kinds[
+                self.checker.open[number][1].class_name].streamed, "rule 1: late"
+            self.checker.open.pop(number)
+            self.checker.done.add(number)
+        final = number not in self.checker.open
+        self.inbox[gateway].append(Outcome(number, attempt, server.id, self.now - sent_ms, result, final,
+                                           self.rng.choice((0, 1, 3)), 0, (0.5, 2.0)))
+
+    def run(self, ms):
+        end = self.now + ms
+        while self.now < end or self.checker.open:
+            self.now += TICK
+            if self.now < end:
+                while self.rng.random() < self.rate * TICK / 1000 / (1 + self.rate * TICK / 1000):
+                    self.arrive()
+                if self.rng.random() < 0.002:
+                    self.change_fleet()
+                if self.rng.random() < self.kill:
+                    self.killed(self.rng.randrange(len(self.gateways)))
+            while self.queue and self.queue[0][0] <= self.now:
+                _, _, gateway, life, event = heapq.heappop(self.queue)
+                if isinstance(event, Heard) or life == self.life[gateway]:
+                    self.deliver(gateway, event)
+            for n, controller in self.gateways.items():
+                events, self.inbox[n] = self.inbox[n], []
+                if events:
+                    actions = controller.handle(self.now, events)
+                    self.log.append((n, self.now, actions))
+                    for action in actions:
+                        self.act(n, action)
+            overdue = [n for n, (_, arrival) in self.checker.open.items()
+                       if arrival.due_ms + SLACK < self.now and n not in self.streams]
+            assert not overdue, f"rule 1: no answer for {overdue[:3]}"
+            assert self.now < end + 60_000
+
+    def killed(self, n):
+        self.checker.killed(n)
+        self.tries = {key: entry for key, entry in self.tries.items() if entry[0] != n}
+        self.start(n)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_over_random_days(seed):
+    town = Town(seed, gateways=2 + seed % 3, loss=(0.1, 0.5, 1.0)[seed % 3])
+    town.run(20_000)
+    assert len(town.checker.done) > 1000
+    assert sum(len(sent) > 1 for sent in town.checker.sent.values()) > 20
+
+
+def test_rules_hold_when_gateways_die_all_the_time():
+    town = Town(99, kill=0.01, rate=300)
+    town.run(15_000)
+    assert max(town.life.values()) > 5
+
+
+def test_same_events_give_same_actions():
+    first, second = Town(7), Town(7)
+    first.run(4000)
+    second.run(4000)
+    assert first.log == second.log
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_cold_server_gets_no_more_than_its_warmth_allows(seed):
+    """Rule 4: a server that starts is sent less than a warm one, by all gateways together, from the start."""
+    rng = random.Random(seed)
+    gateways = {n: Controller(settings(number=n), rng.randrange(1 << 30)) for n in range(3)}
+    now, serial, sends, outs = 50_000.0, 0, [], []
+    fleet = [Server(f"s{n}", "z0", 0, State.READY) for n in range(5)]
+    cold = Server("cold", "z0", 0, State.READY, 1.0, 52_000.0)
+    while now < 56_000:
+        now += TICK
+        for n, controller in gateways.items():
+            events = []
+            if now == 50_004.0:
+                events.append(Fleet(tuple(fleet)))
+            if now == 52_000.0:
+                events.append(Fleet((cold,), complete=False))
+            if rng.random() < 0.12:
+                serial += 1
+                events.append(Arrival(serial, f"c{serial % 400}", "look", "rated", now + 1500, 1, 0, 3))
+            while outs and outs[0][0] <= now and outs[0][1] == n:
+                _, _, number, server = heapq.heappop(outs)
+                events.append(Outcome(number, 0, server, 120.0, Result.OK, True))
+            for action in controller.handle(now, events):
+                if isinstance(action, Send):
+                    sends.append((now, action.server))
+                    heapq.heappush(outs, (now + 120, n, action.id, action.server))
+        outs.sort()
+    for start in range(52_000, 54_500, 100):
+        window = [server for at, server in sends if start <= at < start + 1500]
+        share = 0.25 + 0.75 * (start + 1500 - 52_000) / 8000
+        warm = sum(server != "cold" for server in window) / 5
+        assert window.count("cold") <= share * warm * 1.5 + 3
