Move the reading of the settings into a public module

The gatekeeper needs the settings in the same form as the adapter. They move from simhost.py to settings.py, without the wire's words in their errors; the adapter puts those round them, and what it prints is as before.

--- /dev/null
+++ b/anisefront/settings.py
@@ -0,0 +1,105 @@
+"""The settings: how the object that a gateway is told at its start becomes the module's types.
+
+Shared by the simulator's adapter and the gatekeeper. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from anisefront import interface as face
+
+_REPEATS = {"retryable": face.Repeat.SAFE, "dedup": face.Repeat.KEYED, "fragile": face.Repeat.UNSAFE}
+
+
+class SettingsError(ValueError):
+    """What cannot be right in a configuration: names the key."""
+
+
+class Table:
+    """A JSON object of a configuration, which names the key that is missing or wrong."""
+
+    def __init__(self, value: Any, path: str) -> None:
+        if not isinstance(value, dict):
+            raise SettingsError(f"{path}: an object is due")
+        self.value, self.path = value, path
+
+    def _get(self, key: str, kinds: tuple[type, ...], fallback: Any) -> Any:
+        value = self.value.get(key, fallback)
+        if value is None:
+            raise SettingsError(f"{self.path}.{key} is missing")
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise SettingsError(f"{self.path}.{key}: cannot read {value!r}")
+        return value
+
+    def number(self, key: str, fallback: float | None = None) -> float:
+        value = float(self._get(key, (int, float), fallback))
+        if not math.isfinite(value):
+            raise SettingsError(f"{self.path}.{key}: cannot read {value!r}")
+        return value
+
+    def text(self, key: str, fallback: str | None = None) -> str:
+        return self._get(key, (str,), fallback)
+
+    def flag(self, key: str, fallback: bool | None = None) -> bool:
+        return bool(self._get(key, (bool, int), fallback))
+
+    def table(self, key: str, fallback: dict[str, Any] | None = None) -> Table:
+        return Table(self._get(key, (dict,), fallback), f"{self.path}.{key}")
+
+    def rows(self, key: str) -> list[Table]:
+        rows = self._get(key, (list,), None)
+        return [Table(row, f"{self.path}.{key}[{n}]") for n, row in enumerate(rows)]
+
+    def words(self, key: str) -> tuple[str, ...]:
+        return tuple(str(word) for word in self._get(key, (list,), []))
+
+
+def _request_class(row: Table) -> face.RequestClass:
+    repeat = row.text("repeat")
+    if repeat not in _REPEATS:
+        raise SettingsError(f"{row.path}.repeat: {repeat!r} is no kind of repeat")
+    scope = row.text("keyScope", "all")
+    if scope not in ("all", "zone", "cell"):
+        raise SettingsError(f"{row.path}.keyScope: {scope!r} is no group")
+    return face.RequestClass(
+        name=row.text("name"), aim_ms=row.number("aimMs"), deadline_ms=row.number("deadlineMs"),
+        worth=row.number("worth", 1.0), repeat=_REPEATS[repeat], late_worth=row.number("lateWorth", 0.0),
+        scope=face.Scope(scope), window_ms=row.number("dedupWindowMs", 0.0),
+        streamed=row.flag("streamed", False), aim_stretch=row.number("aimStretch", 0.0))
+
+
+def _plan(row: Table) -> face.Plan:
+    return face.Plan(
+        name=row.text("name"), rate_per_s=row.number("perSecond", 0.0), burst=row.number("storeSize", 0.0),
+        max_out=int(row.number("concurrency", 0.0)), value=row.number("valueFactor", 1.0),
+        over_worth=row.number("overWorth", 0.0), over_cost=row.number("overrunCost", 0.0),
+        ceiling_per_s=row.number("hardRate", 0.0), ceiling_burst=row.number("hardBurst", 0.0),
+        ceiling_slack=row.number("capSlack", 0.0))
+
+
+def settings_from(value: Any, path: str = "info") -> face.Settings:
+    """The settings in an object of JSON; keys that are not known are skipped."""
+    top = Table(value, path)
+    rules, limits = top.table("rules"), top.table("limits")
+    domain, report = top.table("domain", {}), top.table("report", {})
+    prices = top.table("penalties", {})
+    return face.Settings(
+        gateways=int(top.number("balancers")), number=int(top.number("myNumber")),
+        zone=top.text("locality", ""),
+        classes=tuple(_request_class(row) for row in top.rows("classes")),
+        plans=tuple(_plan(row) for row in top.rows("packages")),
+        warm_up_ms=rules.number("warmUpMs"), cold_from=rules.number("coldFrom"),
+        fall_multiple=rules.number("fallMultiple"), fall_window_ms=rules.number("tipAfterMs"),
+        ask_within_ms=rules.number("askWithinMs", 10_000.0),
+        max_attempts=int(limits.number("maxAttempts")), tick_ms=top.number("tickMs", 1.0),
+        max_units=domain.number("maxUnits", 1.0), may_cancel=limits.flag("cancel", False),
+        may_tell=limits.flag("mayTell", False), may_probe=limits.flag("probing", False),
+        second_copies=limits.flag("secondCopies", False),
+        must_subscribe=top.text("discovery", "automatic") == "subscribe",
+        settles=domain.flag("postPaid", False),
+        max_retry_after_ms=limits.number("maxRetryAfterMs", 0.0) if limits.flag("retryAfter", False) else 0.0,
+        inbox_per_s=domain.number("inboxPerS", 0.0), report_how=report.text("how", "none"),
+        report_fields=report.words("fields"), cross_zone_price=prices.number("crossZone", 0.0),
+        peer_price=prices.number("peer", 0.0))
--- a/anisefront/simhost.py
+++ b/anisefront/simhost.py
@@ -13,8 +13,8 @@
 
 from anisefront import interface as face
 from anisefront.control import Controller
+from anisefront.settings import settings_from
 
-_REPEATS = {"retryable": face.Repeat.SAFE, "dedup": face.Repeat.KEYED, "fragile": face.Repeat.UNSAFE}
 _STATES = {"Running": face.State.READY, "Stopping": face.State.DRAINING, "Deleted": face.State.GONE}
 _REPEATED_BIT = 2
 
@@ -131,100 +131,6 @@
     return values
 
 
-# ---- settings -----------------------------------------------------------------------------------
-
-
-class _Table:
-    """A JSON object of the settings, which names the key that is missing or wrong."""
-
-    def __init__(self, value: Any, path: str) -> None:
-        if not isinstance(value, dict):
-            raise WireError(f"CONFIGURE: field {path}: an object is due")
-        self.value, self.path = value, path
-
-    def _get(self, key: str, kinds: tuple[type, ...], fallback: Any) -> Any:
-        value = self.value.get(key, fallback)
-        if value is None:
-            raise WireError(f"CONFIGURE: field {self.path}.{key} is missing")
-        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-            raise WireError(f"CONFIGURE: field {self.path}.{key}: cannot read {value!r}")
-        return value
-
-    def number(self, key: str, fallback: float | None = None) -> float:
-        value = float(self._get(key, (int, float), fallback))
-        if not math.isfinite(value):
-            raise WireError(f"CONFIGURE: field {self.path}.{key}: cannot read {value!r}")
-        return value
-
-    def text(self, key: str, fallback: str | None = None) -> str:
-        return self._get(key, (str,), fallback)
-
-    def flag(self, key: str, fallback: bool | None = None) -> bool:
-        return bool(self._get(key, (bool, int), fallback))
-
-    def table(self, key: str, fallback: dict[str, Any] | None = None) -> _Table:
-        return _Table(self._get(key, (dict,), fallback), f"{self.path}.{key}")
-
-    def rows(self, key: str) -> list[_Table]:
-        rows = self._get(key, (list,), None)
-        return [_Table(row, f"{self.path}.{key}[{n}]") for n, row in enumerate(rows)]
-
-    def words(self, key: str) -> tuple[str, ...]:
-        return tuple(str(word) for word in self._get(key, (list,), []))
-
-
-def _request_class(row: _Table) -> face.RequestClass:
-    repeat = row.text("repeat")
-    if repeat not in _REPEATS:
-        raise ValueError(f"{row.path}.repeat: {repeat!r} is no kind of repeat")
-    scope = row.text("keyScope", "all")
-    if scope not in ("all", "zone", "cell"):
-        raise ValueError(f"{row.path}.keyScope: {scope!r} is no group")
-    return face.RequestClass(
-        name=row.text("name"), aim_ms=row.number("aimMs"), deadline_ms=row.number("deadlineMs"),
-        worth=row.number("worth", 1.0), repeat=_REPEATS[repeat], late_worth=row.number("lateWorth", 0.0),
-        scope=face.Scope(scope), window_ms=row.number("dedupWindowMs", 0.0),
-        streamed=row.flag("streamed", False), aim_stretch=row.number("aimStretch", 0.0))
-
-
-def _plan(row: _Table) -> face.Plan:
-    return face.Plan(
-        name=row.text("name"), rate_per_s=row.number("perSecond", 0.0), burst=row.number("storeSize", 0.0),
-        max_out=int(row.number("concurrency", 0.0)), value=row.number("valueFactor", 1.0),
-        over_worth=row.number("overWorth", 0.0), over_cost=row.number("overrunCost", 0.0),
-        ceiling_per_s=row.number("hardRate", 0.0), ceiling_burst=row.number("hardBurst", 0.0),
-        ceiling_slack=row.number("capSlack", 0.0))
-
-
-def settings_from(info: str) -> face.Settings:
-    """The settings in the text of a CONFIGURE message; keys that are not known are skipped."""
-    try:
-        top = _Table(json.loads(info), "info")
-    except ValueError as problem:
-        raise WireError("CONFIGURE: field info: no JSON") from problem
-    rules, limits = top.table("rules"), top.table("limits")
-    domain, report = top.table("domain", {}), top.table("report", {})
-    prices = top.table("penalties", {})
-    return face.Settings(
-        gateways=int(top.number("balancers")), number=int(top.number("myNumber")),
-        zone=top.text("locality", ""),
-        classes=tuple(_request_class(row) for row in top.rows("classes")),
-        plans=tuple(_plan(row) for row in top.rows("packages")),
-        warm_up_ms=rules.number("warmUpMs"), cold_from=rules.number("coldFrom"),
-        fall_multiple=rules.number("fallMultiple"), fall_window_ms=rules.number("tipAfterMs"),
-        ask_within_ms=rules.number("askWithinMs", 10_000.0),
-        max_attempts=int(limits.number("maxAttempts")), tick_ms=top.number("tickMs", 1.0),
-        max_units=domain.number("maxUnits", 1.0), may_cancel=limits.flag("cancel", False),
-        may_tell=limits.flag("mayTell", False), may_probe=limits.flag("probing", False),
-        second_copies=limits.flag("secondCopies", False),
-        must_subscribe=top.text("discovery", "automatic") == "subscribe",
-        settles=domain.flag("postPaid", False),
-        max_retry_after_ms=limits.number("maxRetryAfterMs", 0.0) if limits.flag("retryAfter", False) else 0.0,
-        inbox_per_s=domain.number("inboxPerS", 0.0), report_how=report.text("how", "none"),
-        report_fields=report.words("fields"), cross_zone_price=prices.number("crossZone", 0.0),
-        peer_price=prices.number("peer", 0.0))
-
-
 # ---- batches ------------------------------------------------------------------------------------
 
 
@@ -346,7 +252,11 @@
 
     def _start(self, number: int, salt: int, info: str) -> None:
         try:
-            self._instances[number] = Controller(settings_from(info), salt)
+            value = json.loads(info)
+        except ValueError as problem:
+            raise WireError("CONFIGURE: field info: no JSON") from problem
+        try:
+            self._instances[number] = Controller(settings_from(value), salt)
         except ValueError as problem:
             raise WireError(f"CONFIGURE: field {problem}") from problem
 
