Put the gatekeeper round the module on real sockets

plumpick/: clients, workers, discovery, peers, and the table of open requests, on uvloop and httptools.

Seen: no kept connection was ever used again, and no worker closed one. Ruled out: workers' Connection: close (none sent), the lists (the processes stayed the same). At fault: keep-alive was asked of httptools after the message; by then it has dropped the flags and takes each answer for one that runs to the end of the connection. It is asked in on_message_complete now, for clients and discovery too (there a client's Connection: close went unseen).

--- a/anisefront/settings.py
+++ b/anisefront/settings.py
@@ -34,7 +34,10 @@
         return value
 
     def number(self, key: str, fallback: float | None = None) -> float:
-        value = float(self._get(key, (int, float), fallback))
+        try:
+            value = float(self._get(key, (int, float), fallback))
+        except OverflowError:  # JSON knows whole numbers of any length
+            value = math.inf
         if not math.isfinite(value):
             raise SettingsError(f"{self.path}.{key}: cannot read {value!r}")
         return value
--- /dev/null
+++ b/plumpick/__init__.py
@@ -0,0 +1,1 @@
+"""plumpick: a gatekeeper on real sockets round the decisions of anisefront."""
--- /dev/null
+++ b/plumpick/__main__.py
@@ -0,0 +1,81 @@
+"""Start, signals and exit of one gatekeeper: `python -m plumpick`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from plumpick.clients import ClientConnection
+from plumpick.config import Config, ConfigError, load
+from plumpick.discovery import Discovery
+from plumpick.gatekeeper import Gatekeeper
+
+FIRST_LIST_S = 0.5  # how long the first whole list is waited for; after that the known one has to do
+STILL_COMING_S = 0.6  # after SIGTERM connections go on coming for up to 0.4 s
+TO_FINISH_S = 600.0  # each request has its guard, so none waits longer
+STEP_S = 0.02
+BACKLOG = 512
+
+log = logging.getLogger("plumpick")
+
+
+async def serve(config: Config) -> None:
+    """Run one gatekeeper until SIGTERM, then finish what it has taken."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    gatekeeper = Gatekeeper(config, loop)
+    gatekeeper.listed(config.known)
+    await gatekeeper.peers.open(loop)
+    discovery = Discovery(config.discovery, gatekeeper.listed)
+    watch = loop.create_task(discovery.run())
+    server = await loop.create_server(lambda: ClientConnection(gatekeeper), *config.listen, backlog=BACKLOG,
+                                      reuse_address=True)
+    try:
+        await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
+    except TimeoutError:
+        log.warning("discovery is silent; starting with the known list")
+    gc.collect()
+    gc.freeze()  # what the start made stays: it need not be looked through again
+    gatekeeper.ready = True
+    log.info("gatekeeper %s is up", config.name)
+
+    await stop.wait()
+    gatekeeper.drain()
+    await asyncio.sleep(STILL_COMING_S)
+    server.close()
+    gatekeeper.close_idle()
+    end = loop.time() + TO_FINISH_S
+    while gatekeeper.busy() and loop.time() < end:
+        await asyncio.sleep(STEP_S)
+    watch.cancel()
+    await asyncio.gather(watch, return_exceptions=True)
+    gatekeeper.peers.close()
+    log.info("gatekeeper %s has finished", config.name)
+
+
+def main() -> int:
+    """The exit code."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as problem:
+        print(f"plumpick: {problem}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config))
+    except OSError as problem:
+        print(f"plumpick: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/plumpick/config.py
@@ -0,0 +1,116 @@
+"""What a gatekeeper is told at its start: environment and JSON. What is malformed is named in one line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from anisefront.interface import Server, Settings, State
+from anisefront.settings import SettingsError, Table, settings_from
+
+Address = tuple[str, int]
+STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used; the text names what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One worker in discovery's list: what the module learns of it, and where it listens."""
+
+    server: Server
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerList:
+    """One answer of discovery: the whole list, or the entries that changed."""
+
+    index: int
+    complete: bool
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything that a gatekeeper is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    dial_timeout_ms: float
+    idle_ms: float
+    known: WorkerList
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+
+
+def address_from(text: Any, path: str) -> Address:
+    """Host and port of 'host:port'."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(f"{path}: {text!r} is no address")
+    return host, int(port)
+
+
+def worker_list_from(value: Any, path: str) -> WorkerList:
+    """A list in discovery's form; raises SettingsError where it cannot be read."""
+    top = Table(value, path)
+    entries = []
+    for row in top.rows("endpoints"):
+        status = row.text("status")
+        if status not in STATES:
+            raise SettingsError(f"{row.path}.status: {status!r} is no status")
+        server = Server(row.text("name"), row.text("zone", ""), int(row.number("group", 0.0)), STATES[status],
+                        row.number("weight", 1.0), row.number("since_ms", 0.0))
+        entries.append(Entry(server, address_from(row.text("address"), f"{row.path}.address")))
+    return WorkerList(int(top.number("index")), top.flag("snapshot", False), tuple(entries))
+
+
+def config_from(value: Any, environment: Mapping[str, str]) -> Config:
+    """The configuration in an object of JSON; the environment stands in for what the object lacks."""
+    top = Table(value, "config")
+    settings = top.table("settings")
+    limits = settings.table("limits")
+    own = settings_from(settings.value, "config.settings")
+    seed = top.text("seed")
+    try:
+        seed_number = int(seed, 16)
+    except ValueError as problem:
+        raise SettingsError(f"config.seed: {seed!r} is no hex number") from problem
+    peers = tuple(address_from(peer, "config.peers") for peer in top.words("peers"))
+    if peers and len(peers) != own.gateways:
+        raise SettingsError(f"config.peers: {len(peers)} for {own.gateways} gatekeepers")
+    peer_listen, peers_all = top.text("peer_listen", ""), top.text("peers_all", "")
+    return Config(
+        name=top.text("name", environment.get("BALANCER_NAME")),
+        listen=address_from(top.text("listen", environment.get("BALANCER_LISTEN")), "config.listen"),
+        discovery=address_from(
+            top.text("discovery", environment.get("BALANCER_DISCOVERY")), "config.discovery"),
+        seed=seed_number, sockets=int(top.table("limits", {}).number("sockets", 1024.0)), settings=own,
+        dial_timeout_ms=limits.number("dialTimeoutMs", 250.0), idle_ms=limits.number("connIdleMs", 15_000.0),
+        known=worker_list_from(top.table("known", {"index": 0, "endpoints": []}).value, "config.known"),
+        peer_listen=address_from(peer_listen, "config.peer_listen") if peer_listen else None, peers=peers,
+        peers_all=address_from(peers_all, "config.peers_all") if peers_all else None)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read the file that BALANCER_CONFIG names."""
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        return config_from(json.loads(Path(path).read_text(encoding="utf-8")), environment)
+    except OSError as problem:
+        raise ConfigError(f"cannot read {path}: {problem.strerror}") from problem
+    except ValueError as problem:  # no UTF-8, no JSON, or a SettingsError
+        raise ConfigError(f"{path}: {problem}") from problem
--- /dev/null
+++ b/plumpick/discovery.py
@@ -0,0 +1,134 @@
+"""Discovery: the whole list at the start, then a watch for changes, for as long as the gatekeeper runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+import httptools
+
+from anisefront.settings import SettingsError
+from plumpick.config import Address, WorkerList, worker_list_from
+
+PATH = "/discovery/hosts"
+CALL_S = 1.0  # for what is answered at once: to connect, and the whole list
+WATCH_MS, WATCH_SPARE_S = 5000, 1.0  # a watch waits so long; one that is so much late is broken
+FIRST_WAIT_S, MOST_WAIT_S = 0.02, 0.5  # between calls that fail
+LEAST_GAP_S = 0.05  # between answers that bring nothing, should they come at once
+MAX_ANSWER = 8 * 1024 * 1024
+
+log = logging.getLogger(__name__)
+
+
+class CallFailed(Exception):
+    """A call of discovery came to nothing; the text tells why."""
+
+
+class _Answer:
+    """What the parser of an answer collects."""
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.complete = self.keep = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_body(self, part: bytes) -> None:
+        self.parts.append(part)
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+        self.keep = self.parser.should_keep_alive()  # the parser knows this here and no later
+
+
+class Discovery:
+    """Watches the list of workers and passes on all that it is told."""
+
+    def __init__(self, address: Address, told: Callable[[WorkerList], None]) -> None:
+        self._address, self._told = address, told
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._quiet = False  # a failure has been logged, and no success since
+        self.listed = asyncio.Event()  # the first whole list has come
+
+    async def run(self) -> None:
+        """Ask and watch until cancelled. Any failure begins again with the whole list."""
+        loop, wait_s = asyncio.get_running_loop(), FIRST_WAIT_S
+        try:
+            while True:
+                try:
+                    news = await self._call(PATH, CALL_S)
+                    if not news.complete:
+                        raise CallFailed("a change came where the whole list was asked for")
+                    self._take(news)
+                    wait_s = FIRST_WAIT_S
+                    while True:
+                        asked_s = loop.time()
+                        index = news.index
+                        news = await self._call(f"{PATH}?since={index}&timeout_ms={WATCH_MS}",
+                                                WATCH_MS / 1000 + WATCH_SPARE_S)
+                        if news.index < index and not news.complete:
+                            raise CallFailed("the version went back")
+                        self._take(news)
+                        if not news.entries and loop.time() - asked_s < LEAST_GAP_S:
+                            await asyncio.sleep(LEAST_GAP_S)
+                except CallFailed as problem:
+                    self._hang_up()
+                    if not self._quiet:
+                        log.warning("discovery: %s", problem)
+                    self._quiet = True
+                    await asyncio.sleep(wait_s)
+                    wait_s = min(MOST_WAIT_S, 2 * wait_s)
+        finally:
+            self._hang_up()
+
+    def _take(self, news: WorkerList) -> None:
+        if news.entries or news.complete:
+            self._told(news)
+        if news.complete:
+            self.listed.set()
+        self._quiet = False
+
+    async def _call(self, target: str, limit_s: float) -> WorkerList:
+        try:
+            async with asyncio.timeout(limit_s):
+                return worker_list_from(json.loads(await self._get(target)), "list")
+        except TimeoutError as problem:
+            raise CallFailed("no answer in time") from problem
+        except SettingsError as problem:
+            raise CallFailed(str(problem)) from problem
+        except (ValueError, RecursionError) as problem:
+            raise CallFailed("an answer that is no JSON") from problem
+        except httptools.HttpParserError as problem:
+            raise CallFailed("an answer that is no HTTP") from problem
+        except OSError as problem:
+            raise CallFailed(f"the connection failed: {problem}") from problem
+
+    async def _get(self, target: str) -> bytes:
+        if self._writer is None:
+            async with asyncio.timeout(CALL_S):
+                self._reader, self._writer = await asyncio.open_connection(*self._address)
+        assert self._reader is not None
+        host = f"{self._address[0]}:{self._address[1]}"
+        self._writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        answer = _Answer()
+        size = 0
+        while not answer.complete:
+            data = await self._reader.read(64 * 1024)
+            size += len(data)
+            if not data:
+                raise CallFailed("the connection ended")
+            if size > MAX_ANSWER:
+                raise CallFailed("an answer without end")
+            answer.parser.feed_data(data)
+        if answer.parser.get_status_code() != 200:
+            raise CallFailed(f"status {answer.parser.get_status_code()}")
+        if not answer.keep:
+            self._hang_up()
+        return b"".join(answer.parts)
+
+    def _hang_up(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
--- /dev/null
+++ b/plumpick/gatekeeper.py
@@ -0,0 +1,229 @@
+"""The gatekeeper: what happens becomes events, the module decides, and its actions are carried out.
+
+Everything that happens in one turn of the loop goes to the module in one call. The table of open requests
+is kept here: a request is in it from its last byte until its one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from anisefront.control import Controller
+from anisefront.interface import (
+    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Probe, Refuse, Repeat, Result,
+    Send, Subscribe, Tell, Wake, Woken,
+)
+from plumpick.clients import MOST_DEADLINE_MS, BadRequest, ClientConnection, call_terms, header, whole_number
+from plumpick.clock import Alarm, Alarms, Clock
+from plumpick.config import Config, WorkerList
+from plumpick.peers import Peers
+from plumpick.workers import Attempt, Workers
+
+MARGIN_MS = 20.0  # the module is told a deadline so much earlier: the wire and our timers take their time
+GUARD_MS = 5.0  # so long before the client gives up it is answered, come what may
+WORKER_PART, CLIENT_PART = 0.45, 0.4  # of the descriptors
+SWEEP_MS = 1000.0
+
+log = logging.getLogger(__name__)
+
+
+class Request:
+    """An open request."""
+
+    __slots__ = ("id", "client", "message", "body", "sends", "guard")
+
+    def __init__(self, number: int, client: ClientConnection, message: bytes, body: bytes) -> None:
+        self.id, self.client, self.message, self.body = number, client, message, body
+        self.sends = 0
+        self.guard: Alarm | None = None
+
+
+class Gatekeeper:
+    """One gatekeeper: the module, its open requests, and the ways to clients, workers and peers."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config, self.settings, self.loop = config, config.settings, loop
+        self.clock = Clock()
+        self.alarms = Alarms(loop, self.clock)
+        self.controller = Controller(config.settings, config.seed)
+        self.workers = Workers(loop, self.clock, self.alarms, idle_ms=config.idle_ms,
+                               dial_timeout_ms=config.dial_timeout_ms,
+                               max_connections=int(config.sockets * WORKER_PART),
+                               report_fields=config.settings.report_fields)
+        self.peers = Peers(config, self.heard)
+        self.clients: set[ClientConnection] = set()
+        self.open: dict[int, Request] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}  # all that are out, also of ended requests
+        self.ready = self.draining = False
+        self._keyed = {kind.name for kind in config.settings.classes if kind.repeat is Repeat.KEYED}
+        self._events: list[Event] = []
+        self._serial = 0
+        self._max_clients = int(config.sockets * CLIENT_PART)
+        self._carry: dict[type[Any], Callable[[Any], None]] = {
+            Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
+            Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore}
+        self.alarms.at(self.clock.now() + SWEEP_MS, self._sweep)
+
+    # -- events
+
+    def notice(self, event: Event) -> None:
+        """Keep an event for the module's next turn, at the end of this turn of the loop."""
+        if not self._events:
+            self.loop.call_soon(self._turn)
+        self._events.append(event)
+
+    def _turn(self) -> None:
+        events, self._events = self._events, []
+        actions: list[Action] = []
+        try:
+            actions = self.controller.handle(self.clock.now(), events)
+        except Exception:  # one bad turn must not end all requests: what it leaves open the guard answers
+            log.exception("the module failed on %d events", len(events))
+        carry = self._carry
+        for action in actions:
+            carry[type(action)](action)
+
+    def listed(self, news: WorkerList) -> None:
+        """Discovery has told something."""
+        self.workers.update(news)
+        self.notice(Fleet(tuple(entry.server for entry in news.entries), news.complete))
+
+    def heard(self, sender: int, data: bytes) -> None:
+        """A peer has told something."""
+        self.notice(Heard(sender, data))
+
+    # -- clients
+
+    def client_came(self, client: ClientConnection) -> None:
+        self.clients.add(client)
+        if len(self.clients) > self._max_clients:
+            for other in self.clients:  # an idle one makes room; else the new one has to go
+                if other is not client and other.request is None and not other.begun_ms and not other.ending:
+                    other.close_if_idle()
+                    return
+            client.refuse(503)
+
+    def client_left(self, client: ClientConnection, request: Request | None) -> None:
+        self.clients.discard(client)
+        if request is not None and self._close(request):
+            self.notice(ClientGone(request.id))
+
+    def take(self, client: ClientConnection) -> Request:
+        """A whole request has come in: from here on it is owed one final answer."""
+        now, headers = self.clock.now(), client.headers
+        request_id, customer = header(headers, b"x-request-id"), header(headers, b"x-api-key")
+        plan, deadline = header(headers, b"x-tier"), header(headers, b"x-deadline-ms")
+        due_ms = now + whole_number(deadline, 1, MOST_DEADLINE_MS)
+        terms = header(headers, b"x-call-terms")
+        units, spread, first = call_terms(terms, self.settings.gateways, self.settings.max_units)
+        method, url = client.parser.get_method(), client.url
+        if not url.startswith(b"/"):
+            raise BadRequest("the target is no path")
+        name = url[1:].partition(b"?")[0].partition(b"/")[0].decode("latin-1")
+        key = headers.get(b"idempotency-key")
+        if name in self._keyed and not key:
+            raise BadRequest("idempotency-key is missing")
+        body = b"".join(client.body)
+        parts = [method, b" ", url, b" HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: ", request_id]
+        if key:
+            parts += (b"\r\nIdempotency-Key: ", key)
+        if b"content-type" in headers:
+            parts += (b"\r\nContent-Type: ", headers[b"content-type"])
+        if body or method != b"GET":
+            parts.append(b"\r\nContent-Length: %d" % len(body))
+        parts.append(b"\r\nX-Deadline-Ms: ")
+        self._serial += 1
+        request = Request(self._serial, client, b"".join(parts), body)
+        request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+        self.open[request.id] = request
+        self.notice(Arrival(request.id, customer.decode("latin-1"), name, plan.decode("latin-1"),
+                            due_ms - MARGIN_MS, units, first, spread, headers.get(b"x-retry") == b"1"))
+        return request
+
+    def _close(self, request: Request) -> bool:
+        """Take a request off the table; False if it has had its final answer before."""
+        if self.open.pop(request.id, None) is None:
+            return False
+        if request.guard is not None:
+            request.guard.cancel()
+        return True
+
+    def _overdue(self, request: Request) -> None:
+        """The last guard: the module has not answered, and the client is about to give up."""
+        if self._close(request):
+            request.client.answer(504)
+            self.notice(ClientGone(request.id))
+
+    # -- actions
+
+    def _send(self, action: Send) -> None:
+        request = self.open.get(action.id)
+        if request is None:  # the module can't know it: it ended in between
+            self.notice(Outcome(action.id, 0, action.server, 0.0, Result.MOOT, True))
+            return
+        number, request.sends = request.sends, request.sends + 1
+        message = b"%s%d\r\n\r\n%s" % (request.message, max(1, int(action.allow_ms)), request.body)
+        attempt = Attempt(request.id, number, action.server, message, self._ended)
+        self.attempts[request.id, number] = attempt
+        self.workers.start(attempt, action.allow_ms)
+
+    def _ended(self, attempt: Attempt, result: Result, body: bytes, kind: bytes,
+               load: tuple[float, ...]) -> None:
+        """One attempt has its outcome. The first good one is the request's final answer."""
+        del self.attempts[attempt.request_id, attempt.number]
+        request = self.open.get(attempt.request_id)
+        if request is not None and result is Result.OK:
+            self._close(request)
+            request.client.answer(200, body, kind)
+        self.notice(Outcome(attempt.request_id, attempt.number, attempt.worker,
+                            self.clock.now() - attempt.started_ms, result,
+                            request is None or result is Result.OK, load=load))
+
+    def _refuse(self, action: Refuse) -> None:
+        request = self.open.get(action.id)
+        if request is not None and self._close(request):
+            request.client.answer(503, retry_in_ms=action.retry_in_ms)
+
+    def _fail(self, action: Fail) -> None:
+        request = self.open.get(action.id)
+        if request is not None and self._close(request):
+            request.client.answer(502)
+
+    def _cancel(self, action: Cancel) -> None:
+        attempt = self.attempts.get((action.id, action.attempt))
+        if attempt is not None:
+            attempt.end(Result.CANCELLED)
+
+    def _wake(self, action: Wake) -> None:
+        woken = Woken(action.name)
+        self.alarms.at(self.clock.now() + action.after_ms, lambda: self.notice(woken))
+
+    def _tell(self, action: Tell) -> None:
+        self.peers.tell(action.receiver, action.data)
+
+    def _ignore(self, _action: Action) -> None:
+        """Discovery is watched unasked, and workers may not be probed."""
+
+    # -- housekeeping
+
+    def _sweep(self) -> None:
+        now = self.clock.now()
+        self.alarms.at(now + SWEEP_MS, self._sweep)
+        for client in list(self.clients):
+            client.close_if_stalled(now)
+
+    def drain(self) -> None:
+        """A planned end: serve what comes, but keep no connection."""
+        self.draining, self.ready = True, False
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is open."""
+        for client in list(self.clients):
+            client.close_if_idle()
+
+    def busy(self) -> bool:
+        """Whether anything taken is not answered, or not yet written out; new idle connections close."""
+        self.close_idle()
+        return bool(self.open or self.clients)
--- /dev/null
+++ b/plumpick/workers.py
@@ -0,0 +1,334 @@
+"""Connections to workers, and the attempts on them. Nothing is resent here: each attempt goes out once."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import logging
+import math
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+
+from anisefront.interface import Result, State
+from plumpick.clock import Alarm, Alarms, Clock
+from plumpick.config import Entry, WorkerList
+
+MAX_HEAD, MAX_BODY = 16 * 1024, 64 * 1024
+IDLE_PART = 0.6  # of the time after which a worker closes an idle connection: ours are closed well before
+MAX_PER_WORKER = 128  # connections to one worker, in use or idle
+MAX_IDLE = 24  # idle ones kept to one worker
+SWEEP_MS = 1000.0
+WHOLE_WRITE = 8 * 1024  # a request up to this size fits the empty buffer of any socket
+
+log = logging.getLogger(__name__)
+
+Done = Callable[["Attempt", Result, bytes, bytes, tuple[float, ...]], None]
+
+
+class Attempt:
+    """One request on its way to one worker; ends once, with `done(attempt, result, body, type, load)`."""
+
+    __slots__ = ("request_id", "number", "worker", "message", "started_ms", "done", "connection", "dial",
+                 "alarm", "dial_alarm")
+
+    def __init__(self, request_id: int, number: int, worker: str, message: bytes, done: Done) -> None:
+        self.request_id, self.number, self.worker, self.message = request_id, number, worker, message
+        self.done: Done | None = done
+        self.started_ms = 0.0
+        self.connection: WorkerConnection | None = None
+        self.dial: asyncio.Task[Any] | None = None
+        self.alarm: Alarm | None = None
+        self.dial_alarm: Alarm | None = None
+
+    def end(self, result: Result, body: bytes = b"", kind: bytes = b"", load: tuple[float, ...] = ()) -> None:
+        """Tell the outcome, once, and give up what the attempt still holds."""
+        done, self.done = self.done, None
+        if done is None:
+            return
+        for alarm in (self.alarm, self.dial_alarm):
+            if alarm is not None:
+                alarm.cancel()
+        if self.dial is not None:
+            self.dial.cancel()
+        if self.connection is not None:  # no whole answer has come: the worker learns by the end of it
+            self.connection.abandon()
+        done(self, result, body, kind, load)
+
+
+class WorkerConnection(asyncio.Protocol):
+    """One connection to a worker; it carries one attempt at a time."""
+
+    def __init__(self, pool: Workers, worker: Worker) -> None:
+        self.pool, self.worker = pool, worker
+        self.transport: asyncio.Transport | None = None
+        self.attempt: Attempt | None = None
+        self.idle_since_ms = 0.0
+        self.closed = False
+        self.unsent = False  # the last byte of the request has not been handed to the system
+        self.parser: Any = None
+        self._clear()
+
+    def _clear(self) -> None:
+        self.head_size, self.in_head, self.complete, self.excess = 0, True, False, False
+        self.body: list[bytes] = []
+        self.body_size = 0
+        self.kind = self.load = b""
+        self.not_run = self.keep = False
+
+    # -- the transport's callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        # Only what may not fit the socket at once is watched: see pause_writing.
+        transport.set_write_buffer_limits(high=WHOLE_WRITE)  # type: ignore[attr-defined]
+
+    def pause_writing(self) -> None:
+        """A large request is not out: should the connection break now, the worker never had it whole."""
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None or self.closed:
+            self.abandon()  # nothing was asked: what comes now belongs to no request
+            return
+        if self.in_head:
+            self.head_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.complete:
+                self._fault(Result.ERROR)
+                return
+            self.excess = True
+        if self.complete:
+            self._answered()
+        elif self.body_size > MAX_BODY or self.in_head and self.head_size > MAX_HEAD:
+            self._fault(Result.ERROR)
+
+    def connection_lost(self, _problem: Exception | None) -> None:
+        self._leave()
+        if self.attempt is not None:
+            self._fault(Result.CONNECT_FAILED if self.unsent else Result.RESET)
+
+    # -- the parser's callbacks
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(name) in (6, 9, 12):
+            name = name.lower()
+            if name == b"x-load":
+                self.load = value
+            elif name == b"x-not-run":
+                self.not_run = value == b"1"
+            elif name == b"content-type":
+                self.kind = value
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+
+    def on_body(self, part: bytes) -> None:
+        if not self.complete:
+            self.body_size += len(part)
+            if self.body_size <= MAX_BODY:
+                self.body.append(part)
+
+    def on_message_begin(self) -> None:
+        self.excess = self.complete  # a second answer where one was asked for
+
+    def on_message_complete(self) -> None:
+        if self.parser.get_status_code() < 200:
+            self._clear()  # an interim answer; the real one follows
+        elif not self.excess:
+            self.complete = True
+            # Asked any later, the parser has forgotten the length and takes every answer for the last.
+            self.keep = self.parser.should_keep_alive()
+
+    # -- one attempt
+
+    def carry(self, attempt: Attempt) -> None:
+        """Write the request of the attempt, in one piece."""
+        self._clear()
+        self.parser = httptools.HttpResponseParser(self)
+        self.attempt, attempt.connection = attempt, self
+        self.unsent = False
+        self.transport.write(attempt.message)  # type: ignore[union-attr]
+
+    def _answered(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        assert attempt is not None
+        attempt.connection = None
+        status, load = self.parser.get_status_code(), self.pool.load_from(self.load)
+        body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
+        if self.body_size > MAX_BODY:
+            self.abandon()
+            attempt.end(Result.ERROR, load=load)
+            return
+        if self.excess or not self.keep:
+            self.abandon()
+        else:
+            self.pool.put_back(self)
+        if status == 200:
+            attempt.end(Result.OK, body, self.kind, load)
+        elif status in (503, 504) and self.not_run:
+            attempt.end(Result.FULL, load=load)
+        else:  # also a 503 or 504 that does not say so: it may have run
+            attempt.end(Result.ERROR, load=load)
+
+    def _fault(self, result: Result) -> None:
+        attempt, self.attempt = self.attempt, None
+        self.abandon()
+        if attempt is not None:
+            attempt.connection = None
+            attempt.end(result)
+
+    def abandon(self) -> None:
+        """Close at once, whatever is still to come on it."""
+        self.attempt = None
+        self._leave()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _leave(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.pool.forget(self)
+
+
+class Worker:
+    """One process of a worker, as discovery lists it, with our connections to it."""
+
+    __slots__ = ("entry", "idle", "connections", "dialling")
+
+    def __init__(self, entry: Entry) -> None:
+        self.entry = entry
+        self.idle: list[WorkerConnection] = []  # the most recently used is last
+        self.connections = 0  # open or being opened
+        self.dialling: list[Attempt] = []
+
+    def is_same_process(self, entry: Entry) -> bool:
+        return (self.entry.address == entry.address
+                and self.entry.server.started_ms == entry.server.started_ms)
+
+
+class Workers:
+    """The workers that discovery has named, by name."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, alarms: Alarms, *, idle_ms: float,
+                 dial_timeout_ms: float, max_connections: int, report_fields: tuple[str, ...]) -> None:
+        self._loop, self._clock, self._alarms = loop, clock, alarms
+        self._idle_ms, self._dial_ms = idle_ms * IDLE_PART, dial_timeout_ms
+        self._max, self._fields = max_connections, report_fields
+        self._known: dict[str, Worker] = {}
+        self._connections = 0
+        alarms.at(clock.now() + SWEEP_MS, self._sweep)
+
+    # -- discovery
+
+    def update(self, news: WorkerList) -> None:
+        """Take in a list. What left service or runs anew loses its idle connections and waiting attempts."""
+        if news.complete:
+            listed = {entry.server.id for entry in news.entries}
+            for name in [name for name in self._known if name not in listed]:
+                self._retire(self._known.pop(name))
+        for entry in news.entries:
+            name = entry.server.id
+            worker = self._known.get(name)
+            if worker is not None and (entry.server.state is not State.READY
+                                       or not worker.is_same_process(entry)):
+                self._retire(self._known.pop(name))
+                worker = None
+            if worker is not None:
+                worker.entry = entry
+            elif entry.server.state is State.READY:
+                self._known[name] = Worker(entry)
+
+    def _retire(self, worker: Worker) -> None:
+        """Nothing new goes there. What is on its way may still be answered."""
+        for connection in list(worker.idle):
+            connection.abandon()
+        for attempt in list(worker.dialling):  # not a byte of these was written
+            attempt.end(Result.CONNECT_FAILED)
+
+    def serves(self, worker: Worker) -> bool:
+        return self._known.get(worker.entry.server.id) is worker
+
+    # -- attempts
+
+    def start(self, attempt: Attempt, allow_ms: float) -> None:
+        """Send on a kept connection, or on a new one. The outcome never comes before this returns."""
+        now = self._clock.now()
+        attempt.started_ms = now
+        attempt.alarm = self._alarms.at(now + allow_ms, lambda: attempt.end(Result.TIMEOUT))
+        worker = self._known.get(attempt.worker)
+        if worker is not None and worker.idle:
+            worker.idle.pop().carry(attempt)
+        elif worker is None or worker.connections >= MAX_PER_WORKER or self._connections >= self._max:
+            self._loop.call_soon(attempt.end, Result.CONNECT_FAILED)
+        else:
+            worker.connections += 1
+            self._connections += 1
+            worker.dialling.append(attempt)
+            attempt.dial_alarm = self._alarms.at(now + self._dial_ms,
+                                                 lambda: attempt.end(Result.CONNECT_FAILED))
+            connection = WorkerConnection(self, worker)
+            attempt.dial = self._loop.create_task(
+                self._loop.create_connection(lambda: connection, *worker.entry.address))
+            attempt.dial.add_done_callback(functools.partial(self._dialled, worker, attempt, connection))
+
+    def _dialled(self, worker: Worker, attempt: Attempt, connection: WorkerConnection,
+                 dial: asyncio.Task[Any]) -> None:
+        """A connection has come up, or has not. Called for a cancelled task too, even one never begun."""
+        worker.dialling.remove(attempt)
+        attempt.dial = None
+        problem = None if dial.cancelled() else dial.exception()
+        if problem is not None and not isinstance(problem, OSError):
+            log.error("connecting to %s failed", worker.entry.address, exc_info=problem)
+        if attempt.dial_alarm is not None:
+            attempt.dial_alarm.cancel()
+        usable = not dial.cancelled() and problem is None and not connection.closed
+        if usable and attempt.done is not None and self.serves(worker):
+            connection.carry(attempt)
+        else:  # also when word of a drain came meanwhile: nothing may be written to it any more
+            connection.abandon()
+            attempt.end(Result.CONNECT_FAILED)
+
+    # -- connections
+
+    def put_back(self, connection: WorkerConnection) -> None:
+        worker = connection.worker
+        if connection.closed or not self.serves(worker) or len(worker.idle) >= MAX_IDLE:
+            connection.abandon()
+            return
+        connection.idle_since_ms = self._clock.now()
+        worker.idle.append(connection)
+
+    def forget(self, connection: WorkerConnection) -> None:
+        """The connection has ended, or never came up."""
+        worker = connection.worker
+        worker.connections -= 1
+        self._connections -= 1
+        if connection in worker.idle:
+            worker.idle.remove(connection)
+
+    def _sweep(self) -> None:
+        """Close what has been idle for long, before the worker does: that could cross a request."""
+        now = self._clock.now()
+        self._alarms.at(now + SWEEP_MS, self._sweep)
+        for worker in self._known.values():
+            while worker.idle and now - worker.idle[0].idle_since_ms > self._idle_ms - SWEEP_MS:
+                worker.idle[0].abandon()
+
+    def load_from(self, text: bytes) -> tuple[float, ...]:
+        """The load report in an answer's header; nothing where it lacks a field or cannot be read."""
+        if not text or not self._fields:
+            return ()
+        try:
+            report = json.loads(text)
+            values = tuple(float(report[field]) for field in self._fields)
+        except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
+            return ()
+        return values if all(map(math.isfinite, values)) else ()
