Test the gatekeeper over loopback sockets; count the whole head of a request

98 tests against small fakes: outcomes, connections, drains, what clients send, discovery, peers, the clock, and the program as 'run' starts it. Two of them found faults in the size of a head: one that came whole in one piece was never measured, and the count of one without end was wiped by its own beginning (on_message_begin comes inside the same feed). Header bytes are summed now, and the piece is counted after the parser has had it.

--- a/plumpick/clients.py
+++ b/plumpick/clients.py
@@ -45,6 +45,7 @@
 
     def _clear(self) -> None:
         self.begun_ms, self.size, self.in_head, self.bad, self.keep = 0.0, 0, True, 0, True
+        self.head_size = 0
         self.url = b""
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
@@ -62,12 +63,12 @@
         if self.request is not None:
             self._pipelined()
             return
-        if self.in_head:
-            self.size += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.bad = self.bad or 400
+        if self.in_head:
+            self.size += len(data)
         if self.request is not None:
             if self.bad or self.excess:
                 self._pipelined()
@@ -105,8 +106,11 @@
             self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.excess:
+            return
+        self.head_size += len(name) + len(value)
         name = name.lower()
-        if name in _KNOWN and not self.excess:
+        if name in _KNOWN:
             if name in self.headers:
                 self.bad = self.bad or 400  # two of them: which one counts?
             self.headers[name] = value
@@ -122,7 +126,7 @@
             self.bad = 400
         elif len(length) > 12 or int(length) > MAX_BODY:
             self.bad = 413
-        elif len(self.url) > MAX_HEAD:
+        elif len(self.url) + self.head_size > MAX_HEAD:  # one that came at a stroke, end and all
             self.bad = 431
 
     def on_body(self, part: bytes) -> None:
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -43,11 +43,12 @@
 class Gatekeeper:
     """One gatekeeper: the module, its open requests, and the ways to clients, workers and peers."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
+                 controller: Controller | None = None) -> None:
         self.config, self.settings, self.loop = config, config.settings, loop
         self.clock = Clock()
         self.alarms = Alarms(loop, self.clock)
-        self.controller = Controller(config.settings, config.seed)
+        self.controller = controller or Controller(config.settings, config.seed)
         self.workers = Workers(loop, self.clock, self.alarms, idle_ms=config.idle_ms,
                                dial_timeout_ms=config.dial_timeout_ms,
                                max_connections=int(config.sockets * WORKER_PART),
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,238 @@
+"""Small stand-ins on loopback sockets: clients, workers, discovery and a module that does as it is told."""
+
+import asyncio
+import json
+
+import httptools
+import uvloop
+
+from anisefront.interface import Arrival, Fail, Outcome, Send
+from plumpick.clients import ClientConnection
+from plumpick.config import config_from
+from plumpick.gatekeeper import Gatekeeper
+
+HOST = "127.0.0.1"
+PATIENCE_S = 30.0  # for a whole scenario: only a hang takes so long
+
+
+def run(scenario):
+    """Run one scenario on the loop that the gatekeeper runs on."""
+    uvloop.run(asyncio.wait_for(scenario, PATIENCE_S))
+
+
+def settings(**limits):
+    return {
+        "balancers": 3, "myNumber": 0, "locality": "a", "tickMs": 4.0,
+        "classes": [
+            {"name": "look", "aimMs": 5e3, "deadlineMs": 2e4, "worth": 1.0, "repeat": "retryable"},
+            {"name": "book", "aimMs": 5e3, "deadlineMs": 2e4, "worth": 1.0, "repeat": "dedup",
+             "keyScope": "zone", "dedupWindowMs": 9e3},
+            {"name": "debit", "aimMs": 5e3, "deadlineMs": 2e4, "worth": 1.0, "repeat": "fragile"}],
+        "packages": [{"name": "basic", "perSecond": 50.0, "storeSize": 100.0}],
+        "limits": {"maxAttempts": 3, "cancel": True, "mayTell": True, "dialTimeoutMs": 250.0,
+                   "connIdleMs": 30000.0, **limits},
+        "rules": {"warmUpMs": 9000.0, "coldFrom": 0.2, "fallMultiple": 3.0, "tipAfterMs": 1000.0},
+        "report": {"fields": ["util", "latency_ms"], "how": "answers"}}
+
+
+def entry(name, port, status="ready", since_ms=0):
+    return {"name": name, "address": f"{HOST}:{port}", "zone": "a", "type": "m", "group": 0, "status": status,
+            "weight": 1.0, "since_ms": since_ms}
+
+
+def listing(*entries, index=1, snapshot=True):
+    return {"index": index, "snapshot": snapshot, "endpoints": list(entries)}
+
+
+def config(discovery_port=9, listen_port=1, known=(), **more):
+    """A configuration in the platform's form."""
+    value = {"name": "n0", "listen": f"{HOST}:{listen_port}", "discovery": f"{HOST}:{discovery_port}",
+             "seed": "8c1f30d27a5be964", "limits": {"sockets": 256}, "known": listing(*known),
+             "settings": settings()}
+    value.update(more)
+    return value
+
+
+class Script:
+    """In the module's place: sends each request to one worker, fails it after a bad outcome, keeps events."""
+
+    def __init__(self, worker="w1", allow_ms=20_000.0):
+        self.worker, self.allow_ms = worker, allow_ms
+        self.events, self.to_do = [], []
+        self.came = asyncio.Event()
+
+    def handle(self, _now, events):
+        self.events += events
+        self.came.set()
+        actions, self.to_do = self.to_do, []
+        for event in events:
+            if isinstance(event, Arrival) and self.worker:
+                actions.append(Send(event.id, self.worker, self.allow_ms))
+            if isinstance(event, Outcome) and not event.final:
+                actions.append(Fail(event.id))
+        return actions
+
+    async def event(self, kind):
+        """The first event of a kind that is not taken yet, once it is there."""
+        while True:
+            for event in self.events:
+                if isinstance(event, kind):
+                    self.events.remove(event)
+                    return event
+            self.came.clear()
+            await self.came.wait()
+
+
+class Gate:
+    """A gatekeeper on a port of the system's choice, in this process."""
+
+    def __init__(self, script=None, **more):
+        self.script = script
+        self.keeper = Gatekeeper(config_from(config(**more), {}), asyncio.get_running_loop(), script)
+        self.keeper.listed(self.keeper.config.known)
+        self.server = None
+
+    async def __aenter__(self):
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: ClientConnection(self.keeper), HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.keeper.ready = True
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def client(self):
+        return await Client().open(self.port)
+
+
+def request(request_id="00000000000000aa", path="/look", key=None, body=b"", deadline=10_000, extra=""):
+    """The bytes of a client's request."""
+    method = "POST" if body or key else "GET"
+    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+    return (f"{method} {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request_id}\r\nX-Tier: basic\r\n"
+            f"X-Api-Key: 00000000b4d65521\r\nX-Deadline-Ms: {deadline}\r\n"
+            f"X-Call-Terms: units=1,spread=2,first=0\r\n{length}"
+            + (f"Idempotency-Key: {key}\r\n" if key else "") + extra + "\r\n").encode() + body
+
+
+class Message:
+    """One parsed message, of either side."""
+
+    def __init__(self, parser_kind):
+        self.parser = parser_kind(self)
+        self.headers, self.body, self.url, self.whole = {}, b"", b"", False
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_header(self, name, value):
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, part):
+        self.body += part
+
+    def on_message_complete(self):
+        self.whole = True
+
+
+async def read_message(reader, parser_kind):
+    """The next message; None at the end. One byte at a time, so that nothing of the next is taken."""
+    message = Message(parser_kind)
+    while not message.whole:
+        data = await reader.read(1)
+        if not data:
+            return None
+        message.parser.feed_data(data)
+    return message
+
+
+class Client:
+    """One connection of a client."""
+
+    async def open(self, port):
+        self.reader, self.writer = await asyncio.open_connection(HOST, port)
+        return self
+
+    def send(self, data):
+        self.writer.write(data)
+        return self
+
+    async def answer(self):
+        """(status, headers, body) of the next answer; None when the connection ends first."""
+        message = await read_message(self.reader, httptools.HttpResponseParser)
+        return message and (message.parser.get_status_code(), message.headers, message.body)
+
+    async def ends(self):
+        try:
+            return await self.reader.read() == b""
+        except ConnectionError:
+            return True
+
+    def close(self):
+        self.writer.close()
+
+
+class FakeWorker:
+    """A worker: `asked()` gives the next request with the way to answer it."""
+
+    def __init__(self):
+        self.requests, self.connections, self.port = asyncio.Queue(), 0, 0
+        self.writers = []
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while (message := await read_message(reader, httptools.HttpRequestParser)) is not None:
+                await self.requests.put((message, reader, writer))
+        except ConnectionError:
+            pass
+        await self.requests.put((None, reader, writer))  # the connection has ended
+
+    async def asked(self):
+        message, _, writer = await self.requests.get()
+        return message, writer
+
+
+def answer(status=200, body=b"done", extra=""):
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
+
+
+class FakeDiscovery:
+    """Discovery: gives calls to the test, which answers each by hand."""
+
+    def __init__(self):
+        self.calls = asyncio.Queue()
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while (message := await read_message(reader, httptools.HttpRequestParser)) is not None:
+                await self.calls.put((message.url.decode(), writer))
+        except ConnectionError:
+            pass
+
+    async def called(self):
+        return await self.calls.get()
+
+
+def told(value):
+    return answer(body=json.dumps(value).encode())
--- /dev/null
+++ b/tests/test_gatekeeper.py
@@ -0,0 +1,537 @@
+"""The gatekeeper against small fakes: requests, attempts and their outcomes. The module is scripted."""
+
+import asyncio
+import json
+
+import pytest
+from fakes import HOST, Client, FakeWorker, Gate, Script, answer, config, entry, listing, request, run
+
+from anisefront.interface import (
+    Arrival,
+    Cancel,
+    ClientGone,
+    Fleet,
+    Outcome,
+    Refuse,
+    Result,
+    Send,
+    State,
+    Woken,
+)
+from plumpick.config import config_from, worker_list_from
+from plumpick.workers import MAX_BODY
+
+
+def one_worker(scenario, **script):
+    """Run a scenario with one worker, w1, one gatekeeper and one client."""
+    async def whole():
+        async with FakeWorker() as worker:
+            async with Gate(Script(**script), known=[entry("w1", worker.port)]) as gate:
+                await scenario(worker, gate, await gate.client())
+    run(whole())
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back_unchanged():
+    async def scenario(worker, gate, client):
+        client.send(request("00000000000000ab", "/book/7?x=%20y", key="k1", body=b"\x00\r\nbody"))
+        asked, writer = await worker.asked()
+        assert (asked.parser.get_method(), asked.url) == (b"POST", b"/book/7?x=%20y")
+        assert asked.body == b"\x00\r\nbody" and asked.headers["x-request-id"] == "00000000000000ab"
+        assert asked.headers["idempotency-key"] == "k1" and asked.headers["x-deadline-ms"] == "20000"
+        writer.write(answer(body=b"\x01\r\n\r\nanswer", extra='X-Load: {"util":0.5,"latency_ms":7}\r\n'))
+        status, _, body = await client.answer()
+        assert (status, body) == (200, b"\x01\r\n\r\nanswer")
+        came = await gate.script.event(Arrival)
+        assert (came.class_name, came.plan_name, came.spread) == ("book", "basic", 2)
+        outcome = await gate.script.event(Outcome)
+        assert outcome.result is Result.OK and outcome.final and outcome.load == (0.5, 7.0)
+        assert not gate.keeper.open and not gate.keeper.attempts
+    one_worker(scenario)
+
+
+def test_connections_are_kept_and_used_again():
+    """Seen on the first calm day: keep-alive was asked of the parser too late, and none was kept."""
+    async def scenario(worker, gate, client):
+        for number in range(5):
+            client.send(request(f"{number:016x}"))
+            _, writer = await worker.asked()
+            writer.write(answer())
+            assert (await client.answer())[0] == 200
+        assert worker.connections == 1
+    one_worker(scenario)
+
+
+def test_a_clients_connection_close_is_kept():
+    async def scenario(worker, gate, client):
+        client.send(request(extra="Connection: close\r\n"))
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[1]["connection"] == "close" and await client.ends()
+    one_worker(scenario)
+
+
+@pytest.mark.parametrize("reply, result", [
+    (answer(500), Result.ERROR),
+    (answer(503), Result.ERROR),
+    (answer(504), Result.ERROR),
+    (answer(429), Result.ERROR),
+    (answer(503, extra="X-Not-Run: 1\r\n"), Result.FULL),
+    (answer(504, extra="X-Not-Run: 1\r\n"), Result.FULL),
+    (answer(500, extra="X-Not-Run: 1\r\n"), Result.ERROR),
+    (b"what is this\r\n\r\n", Result.ERROR),
+    (answer(body=bytes(MAX_BODY + 1)), Result.ERROR),
+    (None, Result.RESET),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", Result.RESET),
+])
+def test_outcomes_follow_the_protocol_and_none_is_passed_on_as_it_is(reply, result):
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, writer = await worker.asked()
+        if reply is not None:
+            writer.write(reply)
+        if result is Result.RESET:
+            writer.close()
+        status, _, body = await client.answer()
+        assert (status, body) == (502, b"")  # as the script has it
+        assert (await gate.script.event(Outcome)).result is result
+    one_worker(scenario)
+
+
+def test_a_refused_connection_could_not_connect():
+    async def scenario():
+        async with FakeWorker() as worker:
+            port = worker.port
+        async with Gate(Script(), known=[entry("w1", port)]) as gate:
+            client = await gate.client()
+            assert (await client.send(request()).answer())[0] == 502
+            assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+    run(scenario())
+
+
+def test_a_large_request_that_was_never_whole_at_the_worker_could_not_connect():
+    """What the worker closes on while a part of it is still here has not run."""
+    async def scenario():
+        started = asyncio.Event()
+
+        async def deaf(reader, writer):
+            writer.transport.pause_reading()
+            started.writer = writer
+            started.set()
+
+        loop = asyncio.get_running_loop()
+        server = await asyncio.start_server(deaf, HOST, 0, limit=1)
+        async with Gate(Script(), known=[entry("w1", server.sockets[0].getsockname()[1])]) as gate:
+            client = await gate.client()
+            client.send(request(path="/debit", body=bytes(60_000)))
+            await started.wait()
+            while not gate.keeper.attempts:
+                await gate.script.came.wait()
+            attempt, = gate.keeper.attempts.values()
+            while attempt.connection is None:
+                await asyncio.sleep(0)
+            attempt.connection.pause_writing()  # as the transport tells it while bytes are left
+            loop.call_soon(started.writer.transport.abort)
+            assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+        server.close()
+    run(scenario())
+
+
+def test_a_worker_that_is_not_known_could_not_connect():
+    async def scenario(worker, gate, client):
+        assert (await client.send(request()).answer())[0] == 502
+        assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+    one_worker(scenario, worker="w9")
+
+
+def test_a_silent_worker_times_out_and_its_connection_ends():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        assert (await worker.asked())[0] is not None
+        assert (await client.answer())[0] == 502
+        assert (await gate.script.event(Outcome)).result is Result.TIMEOUT
+        assert (await worker.asked())[0] is None  # the end of the connection
+    one_worker(scenario, allow_ms=30.0)
+
+
+def test_a_connection_that_never_comes_up_is_given_up(monkeypatch):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        async with Gate(Script(), known=[entry("w1", 9)]) as gate:
+            async def never(*_):
+                await loop.create_future()
+            gate.keeper.workers._loop = type("Loop", (), {
+                "create_task": staticmethod(loop.create_task), "create_connection": staticmethod(never)})
+            client = await gate.client()
+            assert (await client.send(request()).answer())[0] == 502
+            assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+            assert gate.keeper.workers._connections == 0
+    run(scenario())
+
+
+def test_a_cancelled_attempt_closes_its_connection_and_a_late_answer_is_dropped():
+    async def scenario(worker, gate, client):
+        client.send(request("0000000000000001"))
+        _, writer = await worker.asked()
+        came = await gate.script.event(Arrival)
+        gate.script.to_do = [Refuse(came.id, 250.0), Cancel(came.id, 0)]
+        gate.keeper.notice(Woken("now"))
+        status, headers, _ = await client.answer()
+        assert status == 503 and headers["retry-after"] == "0.250"
+        assert (await gate.script.event(Outcome)).result is Result.CANCELLED
+        writer.write(answer(body=b"late"))
+        assert (await worker.asked())[0] is None
+        client.send(request("0000000000000002"))
+        _, writer = await worker.asked()
+        writer.write(answer(body=b"second"))
+        assert (await client.answer())[2] == b"second"
+    one_worker(scenario)
+
+
+def test_of_two_copies_the_first_answer_counts():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, first = await worker.asked()
+        came = await gate.script.event(Arrival)
+        gate.script.to_do = [Send(came.id, "w1", 9000.0)]
+        gate.keeper.notice(Woken("hedge"))
+        _, second = await worker.asked()
+        second.write(answer(body=b"second"))
+        assert (await client.answer())[2] == b"second"
+        first.write(answer(body=b"first"))
+        outcomes = [await gate.script.event(Outcome) for _ in range(2)]
+        assert [(done.attempt, done.final) for done in outcomes] == [(1, True), (0, True)]
+        client.send(request("00000000000000ac"))
+        _, writer = await worker.asked()
+        writer.write(answer(body=b"third"))
+        assert (await client.answer())[2] == b"third"
+    one_worker(scenario)
+
+
+def test_a_send_for_a_request_that_has_ended_is_moot():
+    async def scenario(worker, gate, client):
+        gate.script.to_do = [Send(77, "w1", 100.0)]
+        gate.keeper.notice(Woken("late"))
+        assert (await gate.script.event(Outcome)).result is Result.MOOT and worker.connections == 0
+    one_worker(scenario)
+
+
+def test_a_client_that_leaves_is_told_to_the_module():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        await worker.asked()
+        came = await gate.script.event(Arrival)
+        client.close()
+        assert (await gate.script.event(ClientGone)).id == came.id and not gate.keeper.open
+    one_worker(scenario)
+
+
+def test_the_last_guard_answers_before_the_deadline():
+    async def scenario(worker, gate, client):
+        status, _, _ = await client.send(request(deadline=60)).answer()
+        assert status == 504
+        came = await gate.script.event(Arrival)
+        assert (await gate.script.event(ClientGone)).id == came.id
+    one_worker(scenario, worker=None)
+
+
+def test_the_guard_answers_though_the_module_fails():
+    async def scenario(worker, gate, client):
+        gate.script.handle = lambda now, events: 1 / 0
+        assert (await client.send(request(deadline=60)).answer())[0] == 504
+    one_worker(scenario)
+
+
+# ---- connections to workers ---------------------------------------------------------------------
+
+
+async def exchange(worker, client, request_id="00000000000000aa"):
+    client.send(request(request_id))
+    _, writer = await worker.asked()
+    writer.write(answer())
+    assert (await client.answer())[0] == 200
+    return writer
+
+
+def test_an_idle_connection_that_ends_is_dropped_at_once():
+    async def scenario(worker, gate, client):
+        writer = await exchange(worker, client)
+        writer.close()
+        assert (await worker.asked())[0] is None
+        while gate.keeper.workers._connections:
+            await asyncio.sleep(0)
+        await exchange(worker, client)
+        assert worker.connections == 2
+    one_worker(scenario)
+
+
+def test_what_comes_unasked_ends_the_connection():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, writer = await worker.asked()
+        writer.write(answer() + answer(body=b"twice"))
+        assert (await client.answer())[2] == b"done"
+        assert (await worker.asked())[0] is None
+        await exchange(worker, client)
+        assert worker.connections == 2
+    one_worker(scenario)
+
+
+def test_an_interim_answer_is_not_the_answer():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, writer = await worker.asked()
+        writer.write(b"HTTP/1.1 103 Early Hints\r\nX-Not-Run: 1\r\n\r\n" + answer(body=b"real"))
+        assert (await client.answer())[::2] == (200, b"real")
+    one_worker(scenario)
+
+
+@pytest.mark.parametrize("change", [{"status": "draining"}, {"status": "gone"}, {"since_ms": 1000}])
+def test_word_of_a_drain_or_a_restart_drops_idle_connections(change):
+    async def scenario(worker, gate, client):
+        await exchange(worker, client)
+        news = listing(entry("w1", worker.port, **change), index=2, snapshot=False)
+        gate.keeper.listed(worker_list_from(news, "list"))
+        assert (await worker.asked())[0] is None
+    one_worker(scenario)
+
+
+def test_a_worker_absent_from_a_whole_list_gets_nothing_more():
+    async def scenario(worker, gate, client):
+        await exchange(worker, client)
+        gate.keeper.listed(worker_list_from(listing(index=2), "list"))
+        assert (await worker.asked())[0] is None
+        assert (await client.send(request()).answer())[0] == 502
+        fleets = [await gate.script.event(Fleet) for _ in range(2)]
+        assert fleets[1] == Fleet((), complete=True)
+    one_worker(scenario)
+
+
+def test_an_attempt_that_waits_for_a_connection_is_not_written_after_word_of_a_drain():
+    async def scenario(worker, gate, client):
+        loop, opened, go = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+
+        async def slow(factory, host, port):
+            opened.set()
+            await go.wait()
+            return await loop.create_connection(factory, host, port)
+        gate.keeper.workers._loop = type("Loop", (), {
+            "create_task": staticmethod(loop.create_task), "create_connection": staticmethod(slow),
+            "call_soon": staticmethod(loop.call_soon)})
+        client.send(request())
+        await opened.wait()
+        news = listing(entry("w1", worker.port, "draining"), index=2, snapshot=False)
+        gate.keeper.listed(worker_list_from(news, "list"))
+        go.set()
+        assert (await client.answer())[0] == 502
+        assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+        assert worker.requests.empty() and gate.keeper.workers._connections == 0
+    one_worker(scenario)
+
+
+def test_the_connections_to_one_worker_are_capped(monkeypatch):
+    monkeypatch.setattr("plumpick.workers.MAX_PER_WORKER", 1)
+
+    async def scenario(worker, gate, client):
+        client.send(request())
+        await worker.asked()
+        other = await gate.client()
+        assert (await other.send(request("00000000000000ac")).answer())[0] == 502
+        assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+        assert worker.connections == 1
+    one_worker(scenario)
+
+
+def test_connections_are_closed_well_before_the_worker_would():
+    async def scenario(worker, gate, client):
+        await exchange(worker, client)
+        workers = gate.keeper.workers
+        now = workers._clock.now()
+        workers._clock = type("Later", (), {"now": staticmethod(lambda: now + 17_500)})
+        workers._sweep()  # of 30 s the worker allows, 18 s less a sweep are used
+        assert (await worker.asked())[0] is None
+    one_worker(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "no json", "[1,2]", '{"util":0.5}', '{"util":"x","latency_ms":1}',
+                                  '{"util":NaN,"latency_ms":1}', '{"util":1e999,"latency_ms":1}'])
+def test_a_load_report_that_cannot_be_read_is_none(text):
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, writer = await worker.asked()
+        writer.write(answer(extra=f"X-Load: {text}\r\n"))
+        assert (await client.answer())[0] == 200
+        assert (await gate.script.event(Outcome)).load == ()
+    one_worker(scenario)
+
+
+# ---- what clients send --------------------------------------------------------------------------
+
+
+BAD = {
+    "noise": (b"\x00\x01\x02 what\r\n\r\n", 400),
+    "no id": (request().replace(b"X-Request-Id", b"X-Other"), 400),
+    "two ids": (request(extra="X-Request-Id: 00000000000000ff\r\n"), 400),
+    "deadline": (request(deadline="soon"), 400),
+    "deadline below nothing": (request(deadline=-5), 400),
+    "units": (request().replace(b"units=1", b"units=x"), 400),
+    "units not a number": (request().replace(b"units=1", b"units=nan"), 400),
+    "spread": (request().replace(b"spread=2", b"spread=9"), 400),
+    "first": (request().replace(b"first=0", b"first=-1"), 400),
+    "keyed without a key": (request(path="/book"), 400),
+    "length below nothing": (request(body=b"x").replace(b"Length: 1", b"Length: -1"), 400),
+    "length and chunks": (request(body=b"x", extra="Transfer-Encoding: chunked\r\n"), 400),
+    "large body": (request(body=b"x").replace(b"Length: 1", b"Length: 65537"), 413),
+    "large chunks": (request(extra="Transfer-Encoding: chunked\r\n").replace(b"GET", b"POST")
+                     + b"".join(b"4000\r\n" + bytes(0x4000) + b"\r\n" for _ in range(5)), 413),
+    "large head": (request(extra="X-Filler: " + "x" * 40_000 + "\r\n"), 431),
+    "head without end": (b"GET /look HTTP/1.1\r\nX-Filler: " + b"x" * 40_000, 431),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_what_cannot_be_taken_gets_an_error_and_harms_no_other_connection(name):
+    data, status = BAD[name]
+
+    async def scenario(worker, gate, client):
+        other = await gate.client()
+        other.send(request())
+        _, writer = await worker.asked()
+        assert (await client.send(data).answer())[0] == status and await client.ends()
+        writer.write(answer())
+        assert (await other.answer())[0] == 200
+        assert len(gate.keeper.open) == 0 and worker.requests.empty()
+    one_worker(scenario)
+
+
+def test_pipelined_requests_get_the_first_answer_and_then_a_400():
+    async def scenario(worker, gate, client):
+        client.send(request() + request("00000000000000ac"))
+        _, writer = await worker.asked()
+        writer.write(answer(body=b"first"))
+        assert (await client.answer())[::2] == (200, b"first")
+        assert (await client.answer())[0] == 400 and await client.ends()
+        assert worker.requests.empty()
+    one_worker(scenario)
+
+
+def test_more_before_the_answer_is_pipelined_too():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, writer = await worker.asked()
+        client.send(request("00000000000000ac"))
+        request_, = gate.keeper.open.values()
+        while not request_.client.excess:
+            await asyncio.sleep(0)
+        writer.write(answer(body=b"first"))
+        assert (await client.answer())[::2] == (200, b"first")
+        assert (await client.answer())[0] == 400
+    one_worker(scenario)
+
+
+def test_a_request_in_pieces_is_taken_whole():
+    async def scenario(worker, gate, client):
+        for byte in request(path="/debit", body=b"piece"):
+            client.send(bytes([byte]))
+            await client.writer.drain()
+            await asyncio.sleep(0)
+        asked, writer = await worker.asked()
+        assert asked.body == b"piece"
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+    one_worker(scenario)
+
+
+def test_an_open_request_id_may_come_again_and_each_gets_its_own_answer():
+    async def scenario(worker, gate, client):
+        other = await gate.client()
+        client.send(request())
+        _, first = await worker.asked()
+        other.send(request())
+        _, second = await worker.asked()
+        second.write(answer(body=b"second"))
+        assert (await other.answer())[2] == b"second"
+        first.write(answer(body=b"first"))
+        assert (await client.answer())[2] == b"first"
+    one_worker(scenario)
+
+
+def test_a_stalled_request_is_given_up():
+    async def scenario(worker, gate, client):
+        client.send(b"GET /look HTTP/1.1\r\n")
+        while not any(one.begun_ms for one in gate.keeper.clients):
+            await asyncio.sleep(0)
+        one, = gate.keeper.clients
+        one.close_if_stalled(one.begun_ms + 9_000)
+        assert not one.ending
+        one.close_if_stalled(one.begun_ms + 11_000)
+        assert (await client.answer())[0] == 408 and await client.ends()
+    one_worker(scenario)
+
+
+def test_clients_are_capped_and_an_idle_one_makes_room():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        await worker.asked()
+        gate.keeper._max_clients = 2
+        idle = await gate.client()
+        third = await gate.client()
+        assert await idle.ends()
+        third.send(request("00000000000000ac"))
+        await worker.asked()
+        assert (await (await gate.client()).answer())[0] == 503  # all are busy
+        assert len(gate.keeper.open) == 2
+    one_worker(scenario)
+
+
+def test_readiness_is_told_only_when_ready():
+    async def scenario(worker, gate, client):
+        up = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+        gate.keeper.ready = False
+        assert (await client.send(up).answer())[0] == 503
+        gate.keeper.ready = True
+        assert (await client.send(up).answer())[0] == 200
+    one_worker(scenario)
+
+
+# ---- configuration ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("change, name", [
+    ({"listen": "here"}, "config.listen"), ({"seed": "xyz"}, "config.seed"), ({"settings": 3}, "settings"),
+    ({"peers": ["127.0.0.1:1"]}, "config.peers"),
+    ({"known": {"index": 1, "endpoints": [{}]}}, "endpoints[0]"),
+    ({"known": {"index": 10 ** 400, "endpoints": []}}, "index"), ({"discovery": "h:70000"}, "discovery")])
+def test_a_malformed_configuration_is_named(change, name):
+    value = config()
+    value.update(change)
+    with pytest.raises(ValueError, match="config") as told:
+        config_from(json.loads(json.dumps(value)), {})
+    assert name in str(told.value)
+
+
+def test_the_environment_stands_in_for_what_the_file_lacks():
+    value = config()
+    del value["name"], value["listen"], value["discovery"]
+    made = config_from(value, {"BALANCER_NAME": "n7", "BALANCER_LISTEN": f"{HOST}:5",
+                               "BALANCER_DISCOVERY": f"{HOST}:6"})
+    assert (made.name, made.listen, made.discovery) == ("n7", (HOST, 5), (HOST, 6))
+
+
+def test_a_list_in_discoverys_form():
+    news = worker_list_from(listing(entry("w1", 5000, "draining", 77), index=41, snapshot=False), "list")
+    server = news.entries[0].server
+    assert (news.index, news.complete, news.entries[0].address) == (41, False, (HOST, 5000))
+    assert (server.id, server.zone, server.state, server.started_ms) == ("w1", "a", State.DRAINING, 77.0)
+
+
+def test_the_module_serves_a_request_from_end_to_end():
+    """The one scenario with the real module: arrival, quota, choice of worker, answer."""
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(known=[entry("w1", worker.port)]) as gate:
+                client = await Client().open(gate.port)
+                client.send(request())
+                _, writer = await worker.asked()
+                writer.write(answer())
+                assert (await client.answer())[::2] == (200, b"done")
+    run(scenario())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,146 @@
+"""The program as the deploy file's `run` starts it."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tomllib
+
+import pytest
+from fakes import HOST, Client, FakeDiscovery, FakeWorker, answer, config, entry, listing, request, run, told
+
+ROOT = pathlib.Path(__file__).parent.parent
+UP = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def free_port():
+    with socket.create_server((HOST, 0)) as probe:
+        return probe.getsockname()[1]
+
+
+async def start(path, **more):
+    command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    command = command.replace(".venv/bin/python", sys.executable)
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh", "-c", command, cwd=ROOT, env={**os.environ, "BALANCER_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE, **more)
+
+
+async def until_up(port):
+    """The first /up that is answered 200."""
+    while True:
+        try:
+            client = await Client().open(port)
+        except OSError:
+            await asyncio.sleep(0)
+            continue
+        try:
+            told = await client.send(UP).answer()
+        except ConnectionError:
+            continue
+        client.close()
+        if told and told[0] == 200:
+            return
+
+
+async def tell_list(fake, *entries):
+    """Answer the first call with the whole list, and leave the watch open."""
+    _, writer = await fake.called()
+    writer.write(told(listing(*entries)))
+
+
+def with_program(tmp_path, scenario, **more):
+    async def whole():
+        async with FakeDiscovery() as fake, FakeWorker() as worker:
+            port = free_port()
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(config(fake.port, port)))
+            process = await start(path, **more)
+            try:
+                await tell_list(fake, entry("w1", worker.port))
+                await until_up(port)
+                await scenario(process, port, worker, fake, path)
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+    run(whole())
+
+
+def test_sigterm_finishes_what_was_taken_serves_what_comes_and_exits_0(tmp_path):
+    async def scenario(process, port, worker, _fake, _path):
+        kept, idle = await Client().open(port), await Client().open(port)
+        await idle.send(UP).answer()
+        kept.send(request())
+        _, writer = await worker.asked()
+        process.send_signal(signal.SIGTERM)
+        while (await (await Client().open(port)).send(UP).answer())[0] != 503:
+            pass  # it has not had the signal yet
+        late = await Client().open(port)
+        late.send(request("00000000000000ac"))
+        _, late_writer = await worker.asked()
+        late_writer.write(answer(body=b"late"))
+        status, headers, body = await late.answer()
+        assert (status, body, headers["connection"]) == (200, b"late", "close") and await late.ends()
+        assert await idle.ends()  # by now nothing comes any more
+        assert process.returncode is None
+        writer.write(answer(body=b"taken"))
+        assert (await kept.answer())[2] == b"taken" and await kept.ends()
+        assert await process.wait() == 0
+    with_program(tmp_path, scenario)
+
+
+def test_after_a_kill_it_starts_from_nothing_at_the_same_address(tmp_path):
+    async def scenario(process, port, worker, fake, path):
+        client = await Client().open(port)
+        client.send(request())
+        await worker.asked()
+        process.kill()
+        await process.wait()
+        again = await start(path)
+        try:
+            while (await fake.called())[0] != "/discovery/hosts":
+                pass  # the first one's watch
+            # The call of the second is the last one taken; it gives up silence and calls once more.
+            await tell_list(fake, entry("w1", worker.port))
+            await until_up(port)
+        finally:
+            again.kill()
+            await again.wait()
+    with_program(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("text, name", [(None, "cannot read"), ("{", "config.json"), ("[]", "config"),
+                                        ('{"seed":"1"}', "settings")])
+def test_a_configuration_that_cannot_be_used_ends_it_with_one_line(tmp_path, text, name):
+    async def scenario():
+        path = tmp_path / "config.json"
+        if text is not None:
+            path.write_text(text)
+        process = await start(path)
+        _, said = await process.communicate()
+        assert process.returncode == 2 and said.count(b"\n") == 1 and name.encode() in said
+    run(scenario())
+
+
+def test_silent_discovery_does_not_keep_it_from_starting_with_the_known_list(tmp_path):
+    async def whole():
+        async with FakeDiscovery() as fake, FakeWorker() as worker:
+            port = free_port()
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(config(fake.port, port, known=[entry("w1", worker.port)])))
+            process = await start(path)
+            try:
+                await until_up(port)
+                client = await Client().open(port)
+                client.send(request())
+                _, writer = await worker.asked()
+                writer.write(answer())
+                assert (await client.answer())[0] == 200
+            finally:
+                process.kill()
+                await process.wait()
+    run(whole())
--- /dev/null
+++ b/tests/test_surroundings.py
@@ -0,0 +1,197 @@
+"""Discovery, peers and the clock against small fakes."""
+
+import asyncio
+import socket
+
+import pytest
+from fakes import HOST, FakeDiscovery, answer, config, entry, listing, run, told
+
+from plumpick.clock import Alarms, Clock
+from plumpick.config import config_from
+from plumpick.discovery import Discovery
+from plumpick.peers import Peers
+
+WATCH = "/discovery/hosts?since={}&timeout_ms=5000"
+
+
+def watched(scenario):
+    """Run a scenario with a fake discovery, and a queue of what the gatekeeper is told."""
+    async def whole():
+        async with FakeDiscovery() as fake:
+            lists = asyncio.Queue()
+            discovery = Discovery((HOST, fake.port), lists.put_nowait)
+            task = asyncio.get_running_loop().create_task(discovery.run())
+            await scenario(fake, lists, discovery)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+    run(whole())
+
+
+def test_the_whole_list_then_a_watch_from_its_version():
+    async def scenario(fake, lists, discovery):
+        target, writer = await fake.called()
+        assert target == "/discovery/hosts" and not discovery.listed.is_set()
+        writer.write(told(listing(entry("w1", 5001), index=41)))
+        assert (await lists.get()).complete and discovery.listed.is_set()
+        target, writer = await fake.called()
+        assert target == WATCH.format(41)
+        writer.write(told(listing(entry("w1", 5001, "gone"), index=43, snapshot=False)))
+        news = await lists.get()
+        assert not news.complete and news.entries[0].server.state.value == "gone"
+        assert (await fake.called())[0] == WATCH.format(43)
+    watched(scenario)
+
+
+def test_a_watch_that_brings_nothing_goes_on_and_tells_nothing():
+    async def scenario(fake, lists, _discovery):
+        _, writer = await fake.called()
+        writer.write(told(listing(index=41)))
+        await lists.get()
+        for _ in range(2):
+            target, writer = await fake.called()
+            assert target == WATCH.format(41)
+            writer.write(told(listing(index=41, snapshot=False)))
+        await fake.called()
+        assert lists.empty()
+    watched(scenario)
+
+
+@pytest.mark.parametrize("reply", [
+    answer(500), answer(body=b"no json"), answer(body=b"[" * 100_000), answer(body=b"3"), b"noise\r\n\r\n",
+    answer(body=b'{"index":42,"endpoints":[{"name":"w"}]}'), told(listing(index=40, snapshot=False)), None])
+def test_after_an_odd_answer_or_an_end_the_whole_list_is_asked_again(reply):
+    async def scenario(fake, lists, _discovery):
+        _, writer = await fake.called()
+        writer.write(told(listing(index=41)))
+        await lists.get()
+        _, writer = await fake.called()
+        if reply is None:
+            writer.transport.abort()
+        else:
+            writer.write(reply)
+        target, writer = await fake.called()
+        assert target == "/discovery/hosts"
+        writer.write(told(listing(entry("w1", 5001), index=44)))
+        assert (await lists.get()).index == 44
+    watched(scenario)
+
+
+def test_silence_is_survived(monkeypatch):
+    monkeypatch.setattr("plumpick.discovery.CALL_S", 0.05)
+
+    async def scenario(fake, lists, _discovery):
+        for _ in range(3):
+            assert (await fake.called())[0] == "/discovery/hosts"  # and no answer
+
+        async def answer_all():
+            while True:
+                _, writer = await fake.called()
+                writer.write(told(listing(index=7)))
+        answering = asyncio.get_running_loop().create_task(answer_all())
+        assert (await lists.get()).index == 7
+        answering.cancel()
+    watched(scenario)
+
+
+def test_refusals_are_survived():
+    async def scenario():
+        probe = socket.create_server((HOST, 0))
+        port = probe.getsockname()[1]
+        probe.close()
+        lists = asyncio.Queue()
+        discovery = Discovery((HOST, port), lists.put_nowait)
+        failed = asyncio.Event()
+        call = discovery._call
+
+        async def watched_call(*args):
+            try:
+                return await call(*args)
+            finally:
+                failed.set()
+        discovery._call = watched_call
+        task = asyncio.get_running_loop().create_task(discovery.run())
+        await failed.wait()
+        server = await asyncio.start_server(serve_once, HOST, port)
+        assert (await lists.get()).index == 9
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        server.close()
+
+    async def serve_once(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(told(listing(index=9)))
+    run(scenario())
+
+
+# ---- peers --------------------------------------------------------------------------------------
+
+
+def test_peers_hear_each_other_and_no_stranger():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        plugs = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+        for plug in plugs:
+            plug.bind((HOST, 0))
+            plug.setblocking(False)
+        addresses = [f"{HOST}:{plug.getsockname()[1]}" for plug in plugs]
+        own, peer, stranger = plugs
+        own.close()  # the gatekeeper takes this address
+        addresses[2] = f"{HOST}:1"
+        heard = asyncio.Queue()
+        peers = Peers(config_from(config(peer_listen=addresses[0], peers=addresses), {}),
+                      lambda number, data: heard.put_nowait((number, data)))
+        await peers.open(loop)
+        there = (HOST, int(addresses[0].rpartition(":")[2]))
+        stranger.sendto(b"stranger", there)
+        peer.sendto(bytes(257), there)
+        peer.sendto(b"hello", there)
+        assert await heard.get() == (1, b"hello") and heard.empty()
+        peers.tell(1, bytes(257))  # too long: not sent
+        peers.tell(9, b"nobody")
+        peers.tell(-1, b"all")  # no such address in this configuration
+        peers.tell(1, b"back")
+        assert await loop.sock_recv(peer, 300) == b"back"
+        peers.close()
+        peer.close()
+        stranger.close()
+    run(scenario())
+
+
+# ---- the clock ----------------------------------------------------------------------------------
+
+
+def test_alarms_fire_in_order_and_never_early():
+    async def scenario():
+        loop, clock = asyncio.get_running_loop(), Clock()
+        alarms, fired, done = Alarms(loop, clock), [], asyncio.Event()
+        start = clock.now()
+
+        def fire(at_ms):
+            fired.append(at_ms)
+            assert clock.now() >= start + at_ms
+            if at_ms == 30.5:
+                done.set()
+        for at_ms in (30.5, 10.25, 20.0, 0.0):
+            alarms.at(start + at_ms, lambda at_ms=at_ms: fire(at_ms))
+        alarms.at(start + 15, lambda: fire(15)).cancel()
+        await done.wait()
+        assert fired == [0.0, 10.25, 20.0, 30.5]
+    run(scenario())
+
+
+def test_an_alarm_that_fails_does_not_stop_the_others():
+    async def scenario():
+        loop, clock = asyncio.get_running_loop(), Clock()
+        loop.set_exception_handler(lambda *_: None)
+        alarms, done = Alarms(loop, clock), asyncio.Event()
+        alarms.at(clock.now(), lambda: 1 / 0)
+        alarms.at(clock.now(), done.set)
+        await done.wait()
+    run(scenario())
+
+
+def test_the_clock_tells_unix_time_and_only_advances(monkeypatch):
+    clock = Clock()
+    first = clock.now()
+    monkeypatch.setattr("time.time", lambda: 5.0)  # somebody sets the machine's clock back
+    assert clock.now() >= first > 1.6e12
