--- a/plumpick/__main__.py
+++ b/plumpick/__main__.py
@@ -33,7 +33,7 @@
         loop.add_signal_handler(number, stop.set)
     gatekeeper = Gatekeeper(config, loop)
     gatekeeper.listed(config.known)
-    await gatekeeper.peers.open(loop)
+    gatekeeper.peers.open(loop)
     discovery = Discovery(config.discovery, gatekeeper.listed)
     watch = loop.create_task(discovery.run())
     server = await loop.create_server(lambda: ClientConnection(gatekeeper), *config.listen, backlog=BACKLOG,
--- a/plumpick/peers.py
+++ b/plumpick/peers.py
@@ -4,43 +4,58 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 
 from plumpick.config import Address, Config
 
 MAX_BYTES = 256
+READ_AT_ONCE = 32
 
 log = logging.getLogger(__name__)
 
 
-class Peers(asyncio.DatagramProtocol):
-    """Tells and hears other gatekeepers; who sent a datagram is known by its address alone."""
+class Peers:
+    """Tells and hears other gatekeepers; who sent a datagram is known by its address alone.
+
+    On a plain socket: the loop's own datagram transport takes several times as long for each message."""
 
     def __init__(self, config: Config, heard: Callable[[int, bytes], None]) -> None:
         self._config, self._heard = config, heard
         self._numbers = {address: number for number, address in enumerate(config.peers)
                          if number != config.settings.number}
-        self._transport: asyncio.DatagramTransport | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._socket: socket.socket | None = None
 
-    async def open(self, loop: asyncio.AbstractEventLoop) -> None:
+    def open(self, loop: asyncio.AbstractEventLoop) -> None:
         """Listen, where the configuration has peers."""
-        if self._config.peer_listen is not None:
-            await loop.create_datagram_endpoint(lambda: self, local_addr=self._config.peer_listen)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport  # type: ignore[assignment]
-
-    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
-        number = self._numbers.get(address)
-        if number is not None and len(data) <= MAX_BYTES:  # a stranger is no peer, whatever it says
-            self._heard(number, data)
+        if self._config.peer_listen is None:
+            return
+        plug = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            plug.setblocking(False)
+            plug.bind(self._config.peer_listen)
+        except OSError:
+            plug.close()
+            raise
+        self._loop, self._socket = loop, plug
+        loop.add_reader(plug, self._read)
 
-    def error_received(self, problem: OSError) -> None:
-        """A peer that is down: what is sent to it is lost, as any datagram may be."""
+    def _read(self) -> None:
+        """Take in what has come, up to a bound: a flood must not keep the loop from everything else."""
+        assert self._socket is not None
+        for _ in range(READ_AT_ONCE):
+            try:
+                data, address = self._socket.recvfrom(MAX_BYTES + 1)
+            except OSError:  # nothing more, or the echo of a message that a peer could not take
+                return
+            number = self._numbers.get(address)
+            if number is not None and len(data) <= MAX_BYTES:  # a stranger is no peer, whatever it says
+                self._heard(number, data)
 
     def tell(self, receiver: int, data: bytes) -> None:
         """To one gatekeeper by its number, or to all for -1."""
-        if self._transport is None:
+        if self._socket is None:
             return
         if len(data) > MAX_BYTES:
             log.error("a message of %d bytes to gatekeeper %d was not sent", len(data), receiver)
@@ -50,8 +65,13 @@
         if receiver >= 0:
             address = peers[receiver] if receiver < len(peers) else None
         if address is not None:
-            self._transport.sendto(data, address)
+            try:
+                self._socket.sendto(data, address)
+            except OSError:
+                pass  # a peer that is down, or a full buffer: lost, as any datagram may be
 
     def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+        if self._socket is not None and self._loop is not None:
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
--- a/tests/test_surroundings.py
+++ b/tests/test_surroundings.py
@@ -140,7 +140,7 @@
         heard = asyncio.Queue()
         peers = Peers(config_from(config(peer_listen=addresses[0], peers=addresses), {}),
                       lambda number, data: heard.put_nowait((number, data)))
-        await peers.open(loop)
+        peers.open(loop)
         there = (HOST, int(addresses[0].rpartition(":")[2]))
         stranger.sendto(b"stranger", there)
         peer.sendto(bytes(257), there)
