Ask for one wake-up at a time, for what the agenda holds first

Now handle() drops such entries from the head of the agenda and asks for the first that is left. No decision changes: what was dropped did nothing when it came due.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -71,6 +71,7 @@
 HEDGE_ROOM, OVER_ROOM = 0.7, 0.5  # of the window: fuller, and no second copy, nothing beyond a quota goes out
 USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
+OF_REQUESTS = frozenset(("ask", "hedge", "hopeless", "due"))  # what the agenda holds for one request
 CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
 
 
@@ -474,12 +475,15 @@
         self.attempts: dict[tuple[int, int], tuple[Backend, str]] = {}
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
+        self.wake_ms = math.inf  # the wake-up that is asked for
         self.actions: list[Action] = []
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         """Take in what happened at this time and return what to do."""
         first, self.stalled = self.now < 0, 0 <= self.now < now_ms - STALL_PERIODS * PERIOD_MS
         self.now, self.actions = now_ms, list[Action]()
+        if now_ms >= self.wake_ms - CLOCK_GRAIN_MS:
+            self.wake_ms = math.inf
         left: list[Backend] = []
         if first:
             self.plan_at(now_ms, "period")
@@ -511,16 +515,27 @@
             _, _, what, number = heapq.heappop(self.agenda)
             self.due(what, number)
         self.release()
-        seen = [seen for ms, seen in self.servers.sightings if now_ms - ms <= SIGHTING_MS]
-        for gateway, items in self.quota.post(now_ms) if self.quota.outbox else ():
+        posts = self.quota.post(now_ms) if self.quota.outbox else []
+        seen = [seen for ms, seen in self.servers.sightings if now_ms - ms <= SIGHTING_MS] if posts else []
+        for gateway, items in posts:
             self.actions.append(Tell(gateway, encode(self.quota.boot, self.window.room, items, seen)))
+        self.set_wake()
         return self.actions
 
     def plan_at(self, at_ms: float, what: str, number: int = -1) -> None:
-        """Put a thing on the agenda; one wake-up each, since they cannot be withdrawn."""
+        """Put a thing on the agenda."""
         self.serial += 1
         heapq.heappush(self.agenda, (at_ms, self.serial, what, number))
-        self.actions.append(Wake(max(0.0, at_ms - self.now), "agenda"))
+
+    def set_wake(self) -> None:
+        """One wake-up, for what comes first: most of the agenda is of requests that end before, and a
+        wake-up for each cannot be withdrawn and costs a turn."""
+        agenda = self.agenda
+        while agenda[0][2] in OF_REQUESTS and agenda[0][3] not in self.requests:
+            heapq.heappop(agenda)
+        if agenda[0][0] < self.wake_ms:
+            self.wake_ms = agenda[0][0]
+            self.actions.append(Wake(max(0.0, self.wake_ms - self.now), "agenda"))
 
     def due(self, what: str, number: int) -> None:
         request = self.requests.get(number)
--- a/plumpick/peers.py
+++ b/plumpick/peers.py
@@ -10,7 +10,6 @@
 from plumpick.config import Address, Config
 
 MAX_BYTES = 256
-READ_AT_ONCE = 32
 
 log = logging.getLogger(__name__)
 
@@ -42,16 +41,15 @@
         loop.add_reader(plug, self._read)
 
     def _read(self) -> None:
-        """Take in what has come, up to a bound: a flood must not keep the loop from everything else."""
+        """Take in one datagram; the loop calls again at once if there are more."""
         assert self._socket is not None
-        for _ in range(READ_AT_ONCE):
-            try:
-                data, address = self._socket.recvfrom(MAX_BYTES + 1)
-            except OSError:  # nothing more, or the echo of a message that a peer could not take
-                return
-            number = self._numbers.get(address)
-            if number is not None and len(data) <= MAX_BYTES:  # a stranger is no peer, whatever it says
-                self._heard(number, data)
+        try:
+            data, address = self._socket.recvfrom(MAX_BYTES + 1)
+        except OSError:  # nothing there, or the echo of a message that a peer could not take
+            return
+        number = self._numbers.get(address)
+        if number is not None and len(data) <= MAX_BYTES:  # a stranger is no peer, whatever it says
+            self._heard(number, data)
 
     def tell(self, receiver: int, data: bytes) -> None:
         """To one gatekeeper by its number, or to all for -1."""
