Fire wake-ups on the grid of the module's ticks

The module is made for one turn a tick (tickMs, 4 ms here), in which all that is due comes together; the gatekeeper woke it for each thing by itself. Wake-ups are rounded up to the tick now, never down. Ruled out as a cost: compiling the sources at each start (0.03 s), so the build stays as it is.

--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -199,7 +200,9 @@
 
     def _wake(self, action: Wake) -> None:
         woken = Woken(action.name)
-        self.alarms.at(self.clock.now() + action.after_ms, lambda: self.notice(woken))
+        # On the grid of the module's ticks, so that what is due within one tick takes one turn.
+        due_ms, tick_ms = self.clock.now() + action.after_ms, max(1.0, self.settings.tick_ms)
+        self.alarms.at(math.ceil(due_ms / tick_ms) * tick_ms, lambda: self.notice(woken))
 
     def _tell(self, action: Tell) -> None:
         self.peers.tell(action.receiver, action.data)
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -16,6 +16,7 @@
     Result,
     Send,
     State,
+    Wake,
     Woken,
 )
 from plumpick.config import config_from, worker_list_from
@@ -234,6 +235,18 @@
     one_worker(scenario, worker=None)
 
 
+def test_wake_ups_due_within_one_tick_take_one_turn_and_are_never_early():
+    """Seen in a profile of a calm day: timers fired 1723 times in 3686 turns of the module."""
+    async def scenario(worker, gate, client):
+        keeper, times = gate.keeper, []
+        keeper.clock = type("Still", (), {"now": staticmethod(lambda: 4_000_000.0)})
+        keeper.alarms = type("Kept", (), {"at": staticmethod(lambda at_ms, call: times.append(at_ms))})
+        for after_ms in (0.0, 0.5, 4.0, 4.5):
+            keeper._wake(Wake(after_ms, "agenda"))
+        assert times == [4_000_000.0, 4_000_004.0, 4_000_004.0, 4_000_008.0]
+    one_worker(scenario)
+
+
 def test_the_guard_answers_though_the_module_fails():
     async def scenario(worker, gate, client):
         gate.script.handle = lambda now, events: 1 / 0
