Re-read the configuration on SIGHUP and move the watch of discovery

Now the file is read in a thread; one that cannot be used changes nothing and is logged; discovery's address moves, which drops whatever is under way at the old one and begins with the whole list. A second signal meanwhile, and SIGTERM after, are tested on the real program. Also: one unreadable entry of discovery's list is left out, where it spoiled the list before (config.worker_list_from); a fault of ours in the watch no longer ends the watch for good without a word.

--- a/anisefront/settings.py
+++ b/anisefront/settings.py
@@ -51,9 +51,11 @@
     def table(self, key: str, fallback: dict[str, Any] | None = None) -> Table:
         return Table(self._get(key, (dict,), fallback), f"{self.path}.{key}")
 
+    def items(self, key: str) -> list[Any]:
+        return self._get(key, (list,), None)
+
     def rows(self, key: str) -> list[Table]:
-        rows = self._get(key, (list,), None)
-        return [Table(row, f"{self.path}.{key}[{n}]") for n, row in enumerate(rows)]
+        return [Table(row, f"{self.path}.{key}[{n}]") for n, row in enumerate(self.items(key))]
 
     def words(self, key: str) -> tuple[str, ...]:
         return tuple(str(word) for word in self._get(key, (list,), []))
--- a/plumpick/__main__.py
+++ b/plumpick/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 
 import uvloop
 
@@ -25,17 +26,36 @@
 log = logging.getLogger("plumpick")
 
 
+async def reload(config: Config, discovery: Discovery, asked: asyncio.Event) -> None:
+    """Read the configuration anew whenever that is asked for. What can change in service is discovery's
+    address; a file that cannot be used changes nothing."""
+    while True:
+        await asked.wait()
+        asked.clear()  # before the file is read: should it change meanwhile, it is read once more
+        try:
+            news = await asyncio.to_thread(load, os.environ)
+        except ConfigError as problem:
+            log.error("the configuration stays as it was: %s", problem)
+            continue
+        log.info("the configuration was read anew: discovery at %s:%d", *news.discovery)
+        if replace(news, discovery=config.discovery, seed=config.seed, known=config.known) != config:
+            log.warning("what else has changed in the configuration takes effect at the next start")
+        discovery.move(news.discovery)
+
+
 async def serve(config: Config) -> None:
     """Run one gatekeeper until SIGTERM, then finish what it has taken."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    reload_asked = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload_asked.set)
     gatekeeper = Gatekeeper(config, loop)
     gatekeeper.listed(config.known)
     gatekeeper.peers.open(loop)
     discovery = Discovery(config.discovery, gatekeeper.listed)
-    watch = loop.create_task(discovery.run())
+    tasks = [loop.create_task(discovery.run()), loop.create_task(reload(config, discovery, reload_asked))]
     server = await loop.create_server(lambda: ClientConnection(gatekeeper), *config.listen, backlog=BACKLOG,
                                       reuse_address=True)
     try:
@@ -55,8 +75,9 @@
     end = loop.time() + TO_FINISH_S
     while gatekeeper.busy() and loop.time() < end:
         await asyncio.sleep(STEP_S)
-    watch.cancel()
-    await asyncio.gather(watch, return_exceptions=True)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
     gatekeeper.peers.close()
     log.info("gatekeeper %s has finished", config.name)
 
@@ -64,6 +85,7 @@
 def main() -> int:
     """The exit code."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is handled: what it asks for comes anyway
     try:
         config = load(os.environ)
     except ConfigError as problem:
--- a/plumpick/config.py
+++ b/plumpick/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -62,17 +62,30 @@
     return host, int(port)
 
 
-def worker_list_from(value: Any, path: str) -> WorkerList:
-    """A list in discovery's form; raises SettingsError where it cannot be read."""
+def entry_from(row: Table) -> Entry:
+    """One entry of a list in discovery's form."""
+    status = row.text("status")
+    if status not in STATES:
+        raise SettingsError(f"{row.path}.status: {status!r} is no status")
+    server = Server(row.text("name"), row.text("zone", ""), int(row.number("group", 0.0)), STATES[status],
+                    row.number("weight", 1.0), row.number("since_ms", 0.0))
+    return Entry(server, address_from(row.text("address"), f"{row.path}.address"))
+
+
+def worker_list_from(value: Any, path: str,
+                     skipped: Callable[[SettingsError], None] | None = None) -> WorkerList:
+    """A list in discovery's form; raises SettingsError where it cannot be read.
+
+    With `skipped`, an entry that cannot be read is told there and left out, which ends its worker's use."""
     top = Table(value, path)
     entries = []
-    for row in top.rows("endpoints"):
-        status = row.text("status")
-        if status not in STATES:
-            raise SettingsError(f"{row.path}.status: {status!r} is no status")
-        server = Server(row.text("name"), row.text("zone", ""), int(row.number("group", 0.0)), STATES[status],
-                        row.number("weight", 1.0), row.number("since_ms", 0.0))
-        entries.append(Entry(server, address_from(row.text("address"), f"{row.path}.address")))
+    for number, row in enumerate(top.items("endpoints")):
+        try:
+            entries.append(entry_from(Table(row, f"{path}.endpoints[{number}]")))
+        except SettingsError as problem:
+            if skipped is None:
+                raise
+            skipped(problem)
     return WorkerList(int(top.number("index")), top.flag("snapshot", False), tuple(entries))
 
 
--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -50,10 +50,34 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._quiet = False  # a failure has been logged, and no success since
+        self._skipped = False  # an entry that cannot be read has been logged
+        self._moved = asyncio.Event()
         self.listed = asyncio.Event()  # the first whole list has come
 
+    def move(self, address: Address) -> None:
+        """From now on ask at another address, beginning with its whole list."""
+        if address != self._address:
+            self._address, self._quiet = address, False
+            self._moved.set()
+
     async def run(self) -> None:
-        """Ask and watch until cancelled. Any failure begins again with the whole list."""
+        """Watch until cancelled, anew whenever the address moves: whatever is under way at the old one, be
+        it a call, a connection that does not come up or a wait, is dropped at once."""
+        while True:
+            self._moved.clear()
+            watch, moved = asyncio.create_task(self._watch()), asyncio.create_task(self._moved.wait())
+            try:
+                await asyncio.wait((watch, moved), return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for task in (watch, moved):
+                    task.cancel()
+                ended, _ = await asyncio.gather(watch, moved, return_exceptions=True)
+            if not self._moved.is_set():  # a fault of ours must not end the watch for good
+                log.error("the watch of discovery failed", exc_info=ended)
+                await asyncio.sleep(MOST_WAIT_S)
+
+    async def _watch(self) -> None:
+        """Ask and watch at one address. Any failure begins again with the whole list."""
         loop, wait_s = asyncio.get_running_loop(), FIRST_WAIT_S
         try:
             while True:
@@ -90,10 +114,16 @@
             self.listed.set()
         self._quiet = False
 
+    def _skip(self, problem: SettingsError) -> None:
+        """One entry that cannot be read is no reason to do without the others."""
+        if not self._skipped:
+            log.warning("discovery: left out: %s", problem)
+        self._skipped = True
+
     async def _call(self, target: str, limit_s: float) -> WorkerList:
         try:
             async with asyncio.timeout(limit_s):
-                return worker_list_from(json.loads(await self._get(target)), "list")
+                return worker_list_from(json.loads(await self._get(target)), "list", self._skip)
         except TimeoutError as problem:
             raise CallFailed("no answer in time") from problem
         except SettingsError as problem:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -93,6 +93,33 @@
     with_program(tmp_path, scenario)
 
 
+def test_sighup_moves_the_watch_and_keeps_what_it_has_if_the_file_is_malformed(tmp_path):
+    async def scenario(process, port, worker, fake, path):
+        first = path.read_text()
+        assert (await fake.called())[0].startswith("/discovery/hosts?since=")
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        while b"stays as it was" not in await process.stderr.readline():
+            pass
+        async with FakeDiscovery() as second, FakeDiscovery() as third, FakeWorker() as other:
+            for new in (second, third):  # the second signal comes while the first move is under way
+                path.write_text(first.replace(f"{HOST}:{fake.port}", f"{HOST}:{new.port}"))
+                process.send_signal(signal.SIGHUP)
+                target, writer = await new.called()
+                assert target == "/discovery/hosts"
+            writer.write(told(listing(entry("w2", other.port), index=7)))
+            assert (await third.called())[0].startswith("/discovery/hosts?since=7")
+            client = await Client().open(port)
+            client.send(request())
+            _, writer = await other.asked()
+            process.send_signal(signal.SIGTERM)
+            writer.write(answer())
+            assert (await client.answer())[0] == 200
+            assert await process.wait() == 0
+        assert worker.requests.empty()
+    with_program(tmp_path, scenario)
+
+
 def test_after_a_kill_it_starts_from_nothing_at_the_same_address(tmp_path):
     async def scenario(process, port, worker, fake, path):
         client = await Client().open(port)
