--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -88,7 +88,8 @@
     """A Mamdani PI-type controller: the wait of one class against its aim moves the class's share."""
 
     def __init__(self, aim_ms: float, share: float) -> None:
-        self.aim_s, self.share, self.last_error = aim_ms / 1000, share, None
+        self.aim_s, self.share = aim_ms / 1000, share
+        self.last_error: float | None = None
 
     def step(self, wait_ms: float) -> None:
         """One period: a late class gains; one under its aim keeps what it has."""
@@ -350,14 +351,20 @@
             if fleet.complete and name not in listed:
                 backend.entry = replace(backend.entry, state=State.GONE)
         for server in fleet.servers:
-            backend = self.known.get(server.id)
-            if backend is None or backend.entry.started_ms != server.started_ms:  # what restarted has no past
-                backend = Backend(server)
-                self.known[server.id] = self.by_tag[server_tag(server.id)] = backend
-            backend.entry = server
+            known = self.known.get(server.id)
+            if known is None or known.entry.started_ms != server.started_ms:  # what restarted has no past
+                known = self.known[server.id] = Backend(server)
+            known.entry = server
+        self.forget()
         self.sort(now)
         return [backend for backend in before if backend.entry.state is not State.READY]
 
+    def forget(self) -> None:
+        """Of servers that have gone nothing is kept, once nothing is out there: ids may be ever new."""
+        self.known = {name: backend for name, backend in self.known.items()
+                      if backend.entry.state is not State.GONE or backend.out}
+        self.by_tag = {server_tag(name): backend for name, backend in self.known.items()}
+
     def sort(self, now: float) -> None:
         """The servers that are ready, by warmth."""
         self.warm, self.cold, self.capacity = [], [], 0.0
@@ -374,6 +381,8 @@
         self.sends *= math.exp(-PERIOD_MS / REPORT_MEMORY_MS)
         if self.cold:
             self.sort(now)
+        if any(backend.entry.state is State.GONE for backend in self.known.values()):
+            self.forget()
 
     def warmth(self, now: float, backend: Backend) -> float:
         """The share of its capacity that a server surely has by now."""
@@ -634,7 +643,8 @@
             left = {name: own.share / total * cap for name, own in self.shares.items()}
             for _, name in self.attempts.values():
                 left[name] -= 1
-            first, rest = [], []
+            first: list[Request] = []
+            rest: list[Request] = []
             for request in self.held:
                 left[request.kind.name] -= 1
                 (first if left[request.kind.name] >= 0 and request.inside else rest).append(request)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -120,6 +120,19 @@
     with_program(tmp_path, scenario)
 
 
+def test_no_thread_of_the_kernel_polls_on_its_account(tmp_path):
+    """Seen in /proc: a thread iou-sqp beside the program took nearly all of its CPU share."""
+    async def scenario(process, port, worker, _fake, _path):
+        client = await Client().open(port)
+        client.send(request())
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+        tasks = pathlib.Path(f"/proc/{process.pid}/task")
+        assert not [name for name in tasks.glob("*/comm") if name.read_text().startswith("iou-")]
+    with_program(tmp_path, scenario)
+
+
 def test_after_a_kill_it_starts_from_nothing_at_the_same_address(tmp_path):
     async def scenario(process, port, worker, fake, path):
         client = await Client().open(port)
