Turn bad clients away before the module, and let no connection stay for nothing

What a request must look like is checked in one place now (forms.py): class, plan, method, key, customer below 2^33, units, set. The id of a request that is open, or has ended within 2 to 4 s, is a 409. Connections of clients have an owner (admission.py): a new one owes a whole request within 2.2 s, half a request holds up a stop for 0.5 s at most, idle ones beyond a few are closed after 2 s, refused ones linger for 1 s without a byte and 5 s in all; over the limit the refused go first, then the longest silent, then the longest idle. After a bad request the error goes out at once, and nothing is read for 50 ms, doubling. Trailers and chunk extensions are bounded; parser and connection no longer wait for the collector.

--- /dev/null
+++ b/plumpick/admission.py
@@ -0,0 +1,89 @@
+"""Which connections of clients may stay: how many, how long without a request, and who goes first.
+
+A connection is in one of three tables, or in none while a request of it is open: it owes a request (it is
+new, or one has begun to come in), it is idle after an answer, or it leaves. Each is in order of time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from plumpick.clients import ClientConnection
+
+OWED_MS = 2200.0  # within so long a request must be whole; clients are owed an error or a close within 3 s
+OWED_AT_END_MS = 500.0  # and when the gatekeeper ends
+SPARED_MS = 2000.0  # for so long an idle connection is left alone
+IDLE_MS = 60_000.0  # after so long it is closed in any case
+LINGER_MS, LINGER_MOST_MS = 1000.0, 5000.0  # what still comes after an error is read; without a byte, in all
+SWEEP_MS = 100.0
+
+
+class Admission:
+    """The connections of clients."""
+
+    def __init__(self, most: int, hard: int, idle: int) -> None:
+        self.most, self.hard, self.idle_kept = most, hard, idle
+        self.all: set[ClientConnection] = set()
+        self._owing: dict[ClientConnection, float] = {}
+        self._idle: dict[ClientConnection, float] = {}
+        self._leaving: dict[ClientConnection, float] = {}
+
+    def __len__(self) -> int:
+        return len(self.all)
+
+    def came(self, client: ClientConnection, now: float) -> bool:
+        """A new connection; False if there is no room at all."""
+        if len(self.all) >= self.hard:
+            return False
+        self.all.add(client)
+        self._owing[client] = now
+        return True
+
+    def left(self, client: ClientConnection) -> None:
+        self.all.discard(client)
+        self._drop(client)
+
+    def _drop(self, client: ClientConnection) -> None:
+        for table in (self._owing, self._idle, self._leaving):
+            table.pop(client, None)
+
+    def begins(self, client: ClientConnection, now: float) -> None:
+        """A request begins to come in. A new connection's time counts from when it came."""
+        self._idle.pop(client, None)
+        self._owing.setdefault(client, now)
+
+    def asked(self, client: ClientConnection) -> None:
+        self._owing.pop(client, None)
+
+    def answered(self, client: ClientConnection, now: float) -> None:
+        self._idle[client] = now
+
+    def leaves(self, client: ClientConnection, now: float) -> None:
+        self._drop(client)
+        self._leaving[client] = now
+
+    def make_room(self) -> None:
+        """Over the limit those go that are of least use: who has been refused, who has been quiet for longest
+        without ever asking, who has been idle for longest. Who has a request open stays."""
+        for table in (self._leaving, self._owing, self._idle):
+            while table and len(self.all) > self.most:
+                client = next(iter(table))
+                self.left(client)
+                client.drop()
+
+    def sweep(self, now: float, ending: bool) -> None:
+        """Close what has had its time."""
+        owed_ms = OWED_AT_END_MS if ending else OWED_MS
+        for client in [one for one, since in self._owing.items() if now - since > owed_ms]:
+            client.give_up()
+        # Clients hold only so many connections: those that asked once and stay would keep the others out.
+        spared_ms = SPARED_MS if len(self._idle) > self.idle_kept else IDLE_MS
+        idle = [one for one, since in self._idle.items() if now - since > spared_ms]
+        for client in idle[:len(self._idle) - self.idle_kept] if spared_ms == SPARED_MS else idle:
+            client.close_if_idle()
+        for client in [one for one, since in self._leaving.items() if now - since > LINGER_MS]:
+            if client.heard and now - client.leaving_ms < LINGER_MOST_MS and not ending:
+                client.heard = False
+                self._leaving[client] = self._leaving.pop(client) + LINGER_MS
+            else:
+                client.drop()
--- a/plumpick/clients.py
+++ b/plumpick/clients.py
@@ -3,32 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from typing import TYPE_CHECKING, Any
 
 import httptools
 
-from plumpick.clock import Alarm
+from plumpick.forms import BadRequest
 
 if TYPE_CHECKING:
     from plumpick.gatekeeper import Gatekeeper, Request
 
 MAX_HEAD, MAX_BODY = 16 * 1024, 64 * 1024
-READ_MS = 10_000.0  # a request that has begun must be whole within so long
-LINGER_MS = 1000.0  # what still comes after an error is read for so long, or the reset would erase the error
-MOST_DEADLINE_MS = 600_000
+MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # of one message as it comes: chunks of a byte each take six
+PAUSE_MS, PAUSE_MOST_MS = 50.0, 1000.0  # after a bad request nothing is read for so long; doubles each time
 
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           409: "Conflict",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
            503: "Service Unavailable", 504: "Gateway Timeout"}
 _KNOWN = {b"x-request-id", b"x-tier", b"x-api-key", b"x-deadline-ms", b"x-call-terms", b"x-retry",
           b"idempotency-key", b"content-type", b"content-length", b"transfer-encoding"}
 
 
-class BadRequest(ValueError):
-    """A request that cannot be read; the text names the part."""
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection of a client, which asks one thing at a time."""
 
@@ -36,20 +31,22 @@
         self.gatekeeper = gatekeeper
         self.transport: asyncio.Transport | None = None
         self.request: Request | None = None  # taken and not answered yet
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: Any = httptools.HttpRequestParser(self)
         self.ending = False  # nothing more is read from it
         self.excess = False  # more came before the answer: pipelined
-        self.linger: Alarm | None = None
-        self.begun_ms = 0.0  # when the message that is coming in began; 0: none is
+        self.begun = False  # a message is coming in
+        self.bad_before = 0  # requests that were turned away,
+        self.paused = False  # and nothing is read because of the last of them
+        self.heard = False  # something came since it was looked at, while it leaves
+        self.leaving_ms = 0.0  # since when it leaves
         self._clear()
 
     def _clear(self) -> None:
-        self.begun_ms, self.size, self.in_head, self.bad, self.keep = 0.0, 0, True, 0, True
+        self.begun, self.size, self.in_head, self.bad, self.keep = False, 0, True, 0, True
         self.head_size = 0
         self.url = b""
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
 
     # -- the transport's callbacks
 
@@ -59,6 +56,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.ending:
+            self.heard = True
             return
         if self.request is not None:
             self._pipelined()
@@ -67,15 +65,16 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.bad = self.bad or 400
-        if self.in_head:
-            self.size += len(data)
+        self.size += len(data)
         if self.request is not None:
             if self.bad or self.excess:
                 self._pipelined()
-        elif self.bad:
-            self.refuse(self.bad)
+        elif self.bad or self.excess:
+            self.refuse(self.bad or 400)
         elif self.in_head and self.size > MAX_HEAD:
             self.refuse(431)
+        elif self.size > MAX_RAW:  # also what the parser passes over, such as extensions of chunks
+            self.refuse(413)
 
     def _pipelined(self) -> None:
         """More has come before the answer. The open request gets its own answer first, then a 400 follows."""
@@ -87,19 +86,19 @@
 
     def connection_lost(self, _problem: Exception | None) -> None:
         self.ending = True
-        if self.linger is not None:
-            self.linger.cancel()
+        self.parser = None  # it holds this connection: the two would wait for the collector
         request, self.request = self.request, None
         self.gatekeeper.client_left(self, request)
 
     # -- the parser's callbacks
 
     def on_message_begin(self) -> None:
-        if self.request is not None or self.bad:
+        if self.request is not None or self.bad or self.paused:
             self.excess = True
             return
         self._clear()
-        self.begun_ms = self.gatekeeper.clock.now()
+        self.begun = True
+        self.gatekeeper.client_begins(self)
 
     def on_url(self, url: bytes) -> None:
         if not self.excess:
@@ -109,6 +108,10 @@
         if self.excess:
             return
         self.head_size += len(name) + len(value)
+        if not self.in_head:  # a trailer says nothing about the request, and must not go on for ever
+            if self.head_size > MAX_HEAD:
+                self.bad = self.bad or 431
+            return
         name = name.lower()
         if name in _KNOWN:
             if name in self.headers:
@@ -132,24 +135,23 @@
     def on_body(self, part: bytes) -> None:
         if self.excess or self.bad:
             return
-        self.body_size += len(part)
-        if self.body_size > MAX_BODY:
+        self.body += part
+        if len(self.body) > MAX_BODY:
             self.bad = 413
-        else:
-            self.body.append(part)
 
     def on_message_complete(self) -> None:
         if self.excess or self.bad:
             return
-        self.begun_ms = 0.0
+        self.begun = False
         self.keep = self.parser.should_keep_alive()  # the parser knows this here and no later
         if self.parser.get_method() == b"GET" and self.url == b"/up":
+            self.gatekeeper.admission.asked(self)
             self._tell_readiness()
             return
         try:
             self.request = self.gatekeeper.take(self)
-        except BadRequest:
-            self.bad = 400
+        except BadRequest as problem:
+            self._turn_away(problem.status)
 
     def _tell_readiness(self) -> None:
         if self.gatekeeper.ready:
@@ -157,6 +159,27 @@
         else:
             self.answer(503, b"not up\n", b"text/plain")
 
+    def _turn_away(self, status: int) -> None:
+        """A whole request that is not in order. The error goes out at once and the connection may stay, but
+        for a while nothing is read from it: some ask the same again at full speed, and are as cheap so."""
+        if not self.keep or self.gatekeeper.draining:
+            self.bad = status
+            return
+        self._clear()
+        transport = self.transport
+        assert transport is not None
+        transport.write(b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n" % (status, REASONS[status].encode()))
+        transport.pause_reading()
+        self.paused = True
+        pause_ms = min(PAUSE_MOST_MS, PAUSE_MS * 2 ** min(self.bad_before, 10))
+        self.bad_before += 1
+        self.gatekeeper.alarms.at(self.gatekeeper.clock.now() + pause_ms, self._read_on)
+
+    def _read_on(self) -> None:
+        self.paused = False
+        if self.transport is not None and not self.transport.is_closing() and not self.excess:
+            self.transport.resume_reading()
+
     # -- answers
 
     def answer(self, status: int, body: bytes = b"", kind: bytes = b"", retry_in_ms: float = 0.0) -> None:
@@ -176,14 +199,14 @@
         self._clear()
         if not close:
             self.transport.write(head + body)
+            self.gatekeeper.client_answered(self)
         elif self.excess:
             bad = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
             head = head.replace(b"Connection: close\r\n", b"")
             self._finish(head + body + bad)
         else:
-            self.ending = True
             self.transport.write(head + body)
-            self.transport.close()
+            self._close()
 
     def refuse(self, status: int) -> None:
         """An error for what cannot be read, and the end of the connection."""
@@ -191,54 +214,41 @@
                      % (status, REASONS[status].encode()))
 
     def _finish(self, data: bytes) -> None:
-        """Write, end our side, and close once the client has ended its own or a while has passed."""
+        """Write and end our side, but read on for a while: a reset would erase the error on its way."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        self.ending = True
+        self._leave()
         transport.write(data)
         transport.write_eof()
         transport.resume_reading()
-        self.linger = self.gatekeeper.alarms.at(self.gatekeeper.clock.now() + LINGER_MS, transport.abort)
+
+    def _close(self) -> None:
+        """Close once all is written; a client that does not read its answer is dropped after a while."""
+        self._leave()
+        self.transport.close()  # type: ignore[union-attr]
+
+    def _leave(self) -> None:
+        self.ending, self.heard = True, False
+        self.leaving_ms = self.gatekeeper.clock.now()
+        self.gatekeeper.admission.leaves(self, self.leaving_ms)
+
+    # -- what the admission asks of it
 
     def close_if_idle(self) -> None:
         """Between requests a connection may be closed; not while one is open or coming in."""
-        if self.request is None and not self.begun_ms and not self.ending:
-            self.ending = True
-            self.transport.close()  # type: ignore[union-attr]
+        if self.request is None and not self.begun and not self.ending:
+            self._close()
 
-    def close_if_stalled(self, now_ms: float) -> None:
-        """A request that has begun and does not end is given up."""
-        if self.begun_ms and self.request is None and not self.ending and now_ms - self.begun_ms > READ_MS:
+    def give_up(self) -> None:
+        """Its time for a whole request is over."""
+        if self.begun:
             self.refuse(408)
+        else:
+            self.close_if_idle()
 
-
-def whole_number(text: bytes, least: int, most: float = math.inf) -> int:
-    """A whole number in plain digits, within bounds."""
-    if not text.isdigit() or len(text) > 15 or not least <= int(text) <= most:
-        raise BadRequest(f"{text[:20]!r} is out of place")
-    return int(text)
-
-
-def call_terms(text: bytes, gateways: int, most_units: float) -> tuple[float, int, int]:
-    """Units, spread and first of X-Call-Terms."""
-    terms: dict[bytes, bytes] = {}
-    for part in text.split(b","):
-        name, _, value = part.strip().partition(b"=")
-        terms[name] = value
-    try:
-        units = float(terms[b"units"])
-        spread, first = terms[b"spread"], terms[b"first"]
-    except (KeyError, ValueError) as problem:
-        raise BadRequest("X-Call-Terms cannot be read") from problem
-    if not 0 < units <= most_units:
-        raise BadRequest("units are out of range")
-    return units, whole_number(spread, 1, gateways), whole_number(first, 0, gateways - 1)
-
-
-def header(headers: dict[bytes, Any], name: bytes) -> bytes:
-    """A header that must be there."""
-    value = headers.get(name)
-    if not value:
-        raise BadRequest(f"{name.decode()} is missing")
-    return value
+    def drop(self) -> None:
+        """Close at once."""
+        self.ending = True
+        if self.transport is not None:
+            self.transport.abort()
--- /dev/null
+++ b/plumpick/forms.py
@@ -0,0 +1,113 @@
+"""What a client's request must look like: what does not is turned away, before the module hears of it."""
+
+from __future__ import annotations
+
+import functools
+import math
+import re
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from anisefront.interface import Repeat, RequestClass, Settings
+
+MOST_CUSTOMER = 1 << 33  # a customer is a number below
+_NUMBER = re.compile(rb"\d{1,9}(?:\.\d{1,9})?")
+_ID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
+_CUSTOMER = re.compile(rb"[0-9A-Fa-f]{16}")
+_KEY = re.compile(rb"[!-~]{1,128}")
+
+
+class BadRequest(ValueError):
+    """A request that is turned away; the text names the part at fault."""
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Form(NamedTuple):
+    """What a request says of itself."""
+
+    id: bytes
+    customer: str
+    kind: RequestClass
+    plan: str
+    wait_ms: float
+    units: float
+    spread: int
+    first: int
+    is_repeat: bool
+    key: bytes | None
+
+
+class Forms:
+    """Reads requests by the settings."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._kinds = {kind.name.encode(): kind for kind in settings.classes}
+        self._plans = {plan.name.encode(): plan.name for plan in settings.plans}
+        # A customer's terms are the same every time; the cache is bounded, and what is odd raises.
+        self._terms = functools.lru_cache(512)(
+            functools.partial(call_terms, gateways=settings.gateways, most_units=settings.max_units))
+
+    def read(self, method: bytes, target: bytes, headers: Mapping[bytes, bytes], has_body: bool) -> Form:
+        """The form of a whole request; raises BadRequest."""
+        if not target.startswith(b"/"):
+            raise BadRequest("the target is no path")
+        kind = self._kinds.get(target[1:].partition(b"?")[0].partition(b"/")[0])
+        if kind is None:
+            raise BadRequest("there is no such class", 404)
+        if method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
+            raise BadRequest("the class has another method", 405)
+        if has_body and method == b"GET":
+            raise BadRequest("a GET with a body")
+        key = headers.get(b"idempotency-key")
+        if kind.repeat is Repeat.KEYED:
+            if key is None or not _KEY.fullmatch(key):
+                raise BadRequest("idempotency-key is missing or malformed")
+        elif key is not None:
+            raise BadRequest("idempotency-key on a class that has none")
+        request_id, customer = header(headers, b"x-request-id"), header(headers, b"x-api-key")
+        if not _ID.fullmatch(request_id):
+            raise BadRequest("x-request-id is malformed")
+        if not _CUSTOMER.fullmatch(customer) or int(customer, 16) >= MOST_CUSTOMER:
+            raise BadRequest("x-api-key is no customer")
+        plan = self._plans.get(header(headers, b"x-tier"))
+        if plan is None:
+            raise BadRequest("there is no such plan")
+        wait_ms = whole_number(header(headers, b"x-deadline-ms"), 1)
+        units, spread, first = self._terms(header(headers, b"x-call-terms"))
+        # Nobody is kept waiting for longer than the class allows, however long the client would.
+        return Form(request_id, customer.decode(), kind, plan, min(wait_ms, kind.deadline_ms), units, spread,
+                    first, headers.get(b"x-retry") == b"1", key)
+
+
+def whole_number(text: bytes, least: int, most: float = math.inf) -> int:
+    """A whole number in plain digits, within bounds."""
+    if not text.isdigit() or len(text) > 15 or not least <= int(text) <= most:
+        raise BadRequest(f"{text[:20]!r} is out of place")
+    return int(text)
+
+
+def call_terms(text: bytes, *, gateways: int, most_units: float) -> tuple[float, int, int]:
+    """Units, spread and first of X-Call-Terms."""
+    terms: dict[bytes, bytes] = {}
+    for part in text.split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name in terms:
+            raise BadRequest("X-Call-Terms names a thing twice")
+        terms[name] = value
+    if not terms.keys() >= {b"units", b"spread", b"first"}:
+        raise BadRequest("X-Call-Terms cannot be read")
+    if not _NUMBER.fullmatch(terms[b"units"]) or not 0 < float(terms[b"units"]) <= most_units:
+        raise BadRequest("units are out of range")
+    return (float(terms[b"units"]), whole_number(terms[b"spread"], 1, gateways),
+            whole_number(terms[b"first"], 0, gateways - 1))
+
+
+def header(headers: Mapping[bytes, bytes], name: bytes) -> bytes:
+    """A header that must be there."""
+    value = headers.get(name)
+    if not value:
+        raise BadRequest(f"{name.decode()} is missing")
+    return value
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -13,19 +13,24 @@
 
 from anisefront.control import Controller
 from anisefront.interface import (
-    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Probe, Refuse, Repeat, Result,
+    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Probe, Refuse, Result,
     Send, Subscribe, Tell, Wake, Woken,
 )
-from plumpick.clients import MOST_DEADLINE_MS, BadRequest, ClientConnection, call_terms, header, whole_number
+from plumpick.admission import SWEEP_MS, Admission
+from plumpick.clients import ClientConnection
 from plumpick.clock import Alarm, Alarms, Clock
 from plumpick.config import Config, WorkerList
+from plumpick.forms import BadRequest, Forms
 from plumpick.peers import Peers
 from plumpick.workers import Attempt, Workers
 
 MARGIN_MS = 20.0  # the module is told a deadline so much earlier: the wire and our timers take their time
 GUARD_MS = 5.0  # so long before the client gives up it is answered, come what may
-WORKER_PART, CLIENT_PART = 0.45, 0.4  # of the descriptors
-SWEEP_MS = 1000.0
+# Parts of the descriptors: of workers; of clients, who hold a third for requests; of clients while those that
+# go have not gone. The rest, 30 of the smallest limit of 256, is for discovery, peers and the loop itself.
+WORKER_PART, CLIENT_PART, CLIENT_HARD_PART = 0.42, 0.38, 0.46
+IDLE_PART = 0.02  # of the descriptors: so many idle connections of clients may stay for long
+REMEMBER_MS = 2000.0  # for once to twice as long an id stays known after its request has ended
 
 log = logging.getLogger(__name__)
 
@@ -33,10 +38,11 @@
 class Request:
     """An open request."""
 
-    __slots__ = ("id", "client", "message", "body", "sends", "guard")
+    __slots__ = ("id", "name", "client", "message", "body", "sends", "guard")
 
-    def __init__(self, number: int, client: ClientConnection, message: bytes, body: bytes) -> None:
-        self.id, self.client, self.message, self.body = number, client, message, body
+    def __init__(self, number: int, name: bytes, client: ClientConnection, message: bytes,
+                 body: bytes) -> None:
+        self.id, self.name, self.client, self.message, self.body = number, name, client, message, body
         self.sends = 0
         self.guard: Alarm | None = None
 
@@ -55,18 +61,22 @@
                                max_connections=int(config.sockets * WORKER_PART),
                                report_fields=config.settings.report_fields)
         self.peers = Peers(config, self.heard)
-        self.clients: set[ClientConnection] = set()
+        self.admission = Admission(int(config.sockets * CLIENT_PART), int(config.sockets * CLIENT_HARD_PART),
+                                   int(config.sockets * IDLE_PART))
+        self.forms = Forms(config.settings)
         self.open: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # all that are out, also of ended requests
         self.ready = self.draining = False
-        self._keyed = {kind.name for kind in config.settings.classes if kind.repeat is Repeat.KEYED}
+        self._names: set[bytes] = set()  # ids of the open requests, and of those ended of late and before
+        self._ended_names: tuple[set[bytes], set[bytes]] = (set(), set())
         self._events: list[Event] = []
         self._serial = 0
-        self._max_clients = int(config.sockets * CLIENT_PART)
+        self._making_room = False
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
             Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore}
         self.alarms.at(self.clock.now() + SWEEP_MS, self._sweep)
+        self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
 
     # -- events
 
@@ -99,55 +109,61 @@
     # -- clients
 
     def client_came(self, client: ClientConnection) -> None:
-        self.clients.add(client)
-        if len(self.clients) > self._max_clients:
-            for other in self.clients:  # an idle one makes room; else the new one has to go
-                if other is not client and other.request is None and not other.begun_ms and not other.ending:
-                    other.close_if_idle()
-                    return
-            client.refuse(503)
+        if not self.admission.came(client, self.clock.now()):
+            client.drop()
+        elif len(self.admission) > self.admission.most and not self._making_room:
+            # Not at once: of those that came in one go, who has a request here is read first, and stays.
+            self._making_room = True
+            self.alarms.at(self.clock.now() + 1.0, self._make_room)
+
+    def _make_room(self) -> None:
+        self._making_room = False
+        self.admission.make_room()
+
+    def client_begins(self, client: ClientConnection) -> None:
+        self.admission.begins(client, self.clock.now())
+
+    def client_answered(self, client: ClientConnection) -> None:
+        self.admission.answered(client, self.clock.now())
 
     def client_left(self, client: ClientConnection, request: Request | None) -> None:
-        self.clients.discard(client)
+        self.admission.left(client)
         if request is not None and self._close(request):
             self.notice(ClientGone(request.id))
 
     def take(self, client: ClientConnection) -> Request:
         """A whole request has come in: from here on it is owed one final answer."""
-        now, headers = self.clock.now(), client.headers
-        request_id, customer = header(headers, b"x-request-id"), header(headers, b"x-api-key")
-        plan, deadline = header(headers, b"x-tier"), header(headers, b"x-deadline-ms")
-        due_ms = now + whole_number(deadline, 1, MOST_DEADLINE_MS)
-        terms = header(headers, b"x-call-terms")
-        units, spread, first = call_terms(terms, self.settings.gateways, self.settings.max_units)
-        method, url = client.parser.get_method(), client.url
-        if not url.startswith(b"/"):
-            raise BadRequest("the target is no path")
-        name = url[1:].partition(b"?")[0].partition(b"/")[0].decode("latin-1")
-        key = headers.get(b"idempotency-key")
-        if name in self._keyed and not key:
-            raise BadRequest("idempotency-key is missing")
-        body = b"".join(client.body)
-        parts = [method, b" ", url, b" HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: ", request_id]
-        if key:
-            parts += (b"\r\nIdempotency-Key: ", key)
+        now, headers, method = self.clock.now(), client.headers, client.parser.get_method()
+        form = self.forms.read(method, client.url, headers, bool(client.body))
+        # One id is one request: a second of that name, of whomever, would pass for a copy of the first.
+        if form.id in self._names or form.id in self._ended_names[0] or form.id in self._ended_names[1]:
+            raise BadRequest("x-request-id is in use", 409)
+        body = bytes(client.body)
+        parts = [method, b" ", client.url, b" HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: ", form.id]
+        if form.key is not None:
+            parts += (b"\r\nIdempotency-Key: ", form.key)
         if b"content-type" in headers:
             parts += (b"\r\nContent-Type: ", headers[b"content-type"])
-        if body or method != b"GET":
+        if method != b"GET":
             parts.append(b"\r\nContent-Length: %d" % len(body))
         parts.append(b"\r\nX-Deadline-Ms: ")
         self._serial += 1
-        request = Request(self._serial, client, b"".join(parts), body)
+        due_ms = now + form.wait_ms
+        request = Request(self._serial, form.id, client, b"".join(parts), body)
         request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
         self.open[request.id] = request
-        self.notice(Arrival(request.id, customer.decode("latin-1"), name, plan.decode("latin-1"),
-                            due_ms - MARGIN_MS, units, first, spread, headers.get(b"x-retry") == b"1"))
+        self._names.add(form.id)
+        self.admission.asked(client)
+        self.notice(Arrival(request.id, form.customer, form.kind.name, form.plan, due_ms - MARGIN_MS,
+                            form.units, form.first, form.spread, form.is_repeat))
         return request
 
     def _close(self, request: Request) -> bool:
         """Take a request off the table; False if it has had its final answer before."""
         if self.open.pop(request.id, None) is None:
             return False
+        self._names.discard(request.name)
+        self._ended_names[0].add(request.name)
         if request.guard is not None:
             request.guard.cancel()
         return True
@@ -215,8 +231,11 @@
     def _sweep(self) -> None:
         now = self.clock.now()
         self.alarms.at(now + SWEEP_MS, self._sweep)
-        for client in list(self.clients):
-            client.close_if_stalled(now)
+        self.admission.sweep(now, self.draining)
+
+    def _forget_names(self) -> None:
+        self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
+        self._ended_names = (set(), self._ended_names[0])
 
     def drain(self) -> None:
         """A planned end: serve what comes, but keep no connection."""
@@ -224,10 +243,10 @@
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is open."""
-        for client in list(self.clients):
+        for client in list(self.admission.all):
             client.close_if_idle()
 
     def busy(self) -> bool:
         """Whether anything taken is not answered, or not yet written out; new idle connections close."""
         self.close_idle()
-        return bool(self.open or self.clients)
+        return bool(self.open or self.admission)
