Look at a kept connection before it is used; bound what a worker may answer

Cause: what came behind an answer was seen only in the same read or when the loop had come to it; a request written meanwhile took it for its answer. Now a kept connection rests for 2 ms and is polled before use: if bytes or its end wait there it is closed, and nothing was sent. Of an answer with more behind, status, load and kind are those of the answer itself (they were the last ones read). A length over the bound is refused by what it says; 1xx share one limit; a load report below nothing or beyond 1e6 is none; a new worker at an old one's address takes its place, and the module is told that the old one is gone.

--- a/plumpick/admission.py
+++ b/plumpick/admission.py
@@ -10,9 +10,13 @@
 if TYPE_CHECKING:
     from plumpick.clients import ClientConnection
 
+# Of the descriptors: all of clients; those and what has not gone yet; idle ones that may stay for long; and
+# what is a crowd of those that ask, as clients hold a third at most for requests.
+MOST_PART, HARD_PART, IDLE_PART, CROWD_PART = 0.38, 0.46, 0.02, 0.26
 OWED_MS = 2200.0  # within so long a request must be whole; clients are owed an error or a close within 3 s
 OWED_AT_END_MS = 500.0  # and when the gatekeeper ends
 SPARED_MS = 2000.0  # for so long an idle connection is left alone
+CROWDED_MS = 250.0  # or this long, while clients hold nearly all the connections that they may
 IDLE_MS = 60_000.0  # after so long it is closed in any case
 LINGER_MS, LINGER_MOST_MS = 1000.0, 5000.0  # what still comes after an error is read; without a byte, in all
 SWEEP_MS = 100.0
@@ -21,8 +25,9 @@
 class Admission:
     """The connections of clients."""
 
-    def __init__(self, most: int, hard: int, idle: int) -> None:
-        self.most, self.hard, self.idle_kept = most, hard, idle
+    def __init__(self, sockets: int) -> None:
+        self.most, self.hard = int(sockets * MOST_PART), int(sockets * HARD_PART)
+        self.idle_kept, self.crowd = int(sockets * IDLE_PART), int(sockets * CROWD_PART)
         self.all: set[ClientConnection] = set()
         self._owing: dict[ClientConnection, float] = {}
         self._idle: dict[ClientConnection, float] = {}
@@ -78,6 +83,12 @@
             client.give_up()
         # Clients hold only so many connections: those that asked once and stay would keep the others out.
         spared_ms = SPARED_MS if len(self._idle) > self.idle_kept else IDLE_MS
+        crowd = len(self.all) - len(self._leaving) - self.crowd
+        if crowd > 0:  # a client that means to ask does so at once
+            quiet = [one for one, since in self._owing.items() if not one.begun and now - since > CROWDED_MS]
+            quiet += [one for one, since in self._idle.items() if now - since > CROWDED_MS]
+            for client in quiet[:crowd]:
+                client.close_if_idle()
         idle = [one for one, since in self._idle.items() if now - since > spared_ms]
         for client in idle[:len(self._idle) - self.idle_kept] if spared_ms == SPARED_MS else idle:
             client.close_if_idle()
--- a/plumpick/clock.py
+++ b/plumpick/clock.py
@@ -63,7 +63,8 @@
         now, heap = self._clock.now(), self._heap
         try:
             while heap and heap[0][0] <= now:
-                call = heapq.heappop(heap)[2].call
+                alarm = heapq.heappop(heap)[2]
+                call, alarm.call = alarm.call, None  # what it calls may hold the alarm in turn
                 if call is not None:
                     call()
         finally:
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -9,12 +9,13 @@
 import logging
 import math
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from anisefront.control import Controller
 from anisefront.interface import (
     Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Probe, Refuse, Result,
-    Send, Subscribe, Tell, Wake, Woken,
+    Send, State, Subscribe, Tell, Wake, Woken,
 )
 from plumpick.admission import SWEEP_MS, Admission
 from plumpick.clients import ClientConnection
@@ -26,10 +27,9 @@
 
 MARGIN_MS = 20.0  # the module is told a deadline so much earlier: the wire and our timers take their time
 GUARD_MS = 5.0  # so long before the client gives up it is answered, come what may
-# Parts of the descriptors: of workers; of clients, who hold a third for requests; of clients while those that
-# go have not gone. The rest, 30 of the smallest limit of 256, is for discovery, peers and the loop itself.
-WORKER_PART, CLIENT_PART, CLIENT_HARD_PART = 0.42, 0.38, 0.46
-IDLE_PART = 0.02  # of the descriptors: so many idle connections of clients may stay for long
+# Of the descriptors. Clients have up to 0.46 (see admission.py); the rest, 30 of the smallest limit of 256,
+# is for discovery, peers and the loop itself.
+WORKER_PART = 0.42
 REMEMBER_MS = 2000.0  # for once to twice as long an id stays known after its request has ended
 
 log = logging.getLogger(__name__)
@@ -61,8 +61,7 @@
                                max_connections=int(config.sockets * WORKER_PART),
                                report_fields=config.settings.report_fields)
         self.peers = Peers(config, self.heard)
-        self.admission = Admission(int(config.sockets * CLIENT_PART), int(config.sockets * CLIENT_HARD_PART),
-                                   int(config.sockets * IDLE_PART))
+        self.admission = Admission(config.sockets)
         self.forms = Forms(config.settings)
         self.open: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # all that are out, also of ended requests
@@ -99,8 +98,10 @@
 
     def listed(self, news: WorkerList) -> None:
         """Discovery has told something."""
-        self.workers.update(news)
-        self.notice(Fleet(tuple(entry.server for entry in news.entries), news.complete))
+        displaced = self.workers.update(news)
+        servers = [entry.server for entry in news.entries]
+        servers += [replace(entry.server, state=State.GONE) for entry in displaced]
+        self.notice(Fleet(tuple(servers), news.complete))
 
     def heard(self, sender: int, data: bytes) -> None:
         """A peer has told something."""
--- a/plumpick/workers.py
+++ b/plumpick/workers.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import math
+import select
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +22,8 @@
 MAX_PER_WORKER = 128  # connections to one worker, in use or idle
 MAX_IDLE = 24  # idle ones kept to one worker
 SWEEP_MS = 1000.0
+REST_MS = 2.0  # a connection is used again after so long: what comes right behind an answer shows by then
+MOST_LOAD = 1e6  # a field of a load report beyond that, or below nothing, is no report
 WHOLE_WRITE = 8 * 1024  # a request up to this size fits the empty buffer of any socket
 
 log = logging.getLogger(__name__)
@@ -69,10 +72,11 @@
         self.closed = False
         self.unsent = False  # the last byte of the request has not been handed to the system
         self.parser: Any = None
+        self.head_size = self.status = 0
         self._clear()
 
     def _clear(self) -> None:
-        self.head_size, self.in_head, self.complete, self.excess = 0, True, False, False
+        self.in_head, self.complete, self.excess, self.too_large = True, False, False, False
         self.body: list[bytes] = []
         self.body_size = 0
         self.kind = self.load = b""
@@ -105,12 +109,13 @@
                 self._fault(Result.ERROR)
                 return
             self.excess = True
-        if self.complete:
+        if self.complete and not self.too_large:
             self._answered()
-        elif self.body_size > MAX_BODY or self.in_head and self.head_size > MAX_HEAD:
+        elif self.too_large or self.in_head and self.head_size > MAX_HEAD:
             self._fault(Result.ERROR)
 
     def connection_lost(self, _problem: Exception | None) -> None:
+        self.parser = None  # it holds this connection: the two would wait for the collector
         self._leave()
         if self.attempt is not None:
             self._fault(Result.CONNECT_FAILED if self.unsent else Result.RESET)
@@ -118,7 +123,9 @@
     # -- the parser's callbacks
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if len(name) in (6, 9, 12):
+        if self.complete or not self.in_head:  # of what comes behind, or a trailer
+            return
+        if len(name) in (6, 9, 12, 14):
             name = name.lower()
             if name == b"x-load":
                 self.load = value
@@ -126,32 +133,44 @@
                 self.not_run = value == b"1"
             elif name == b"content-type":
                 self.kind = value
+            elif name == b"content-length":
+                # Refused by what it says, not by what has come: 3 GB would be read until then.
+                self.too_large = not value.isdigit() or len(value) > 9 or int(value) > MAX_BODY
 
     def on_headers_complete(self) -> None:
         self.in_head = False
 
     def on_body(self, part: bytes) -> None:
-        if not self.complete:
+        if not self.complete and not self.too_large:
             self.body_size += len(part)
-            if self.body_size <= MAX_BODY:
-                self.body.append(part)
+            self.body.append(part)
+            self.too_large = self.body_size > MAX_BODY
 
     def on_message_begin(self) -> None:
         self.excess = self.complete  # a second answer where one was asked for
 
     def on_message_complete(self) -> None:
         if self.parser.get_status_code() < 200:
-            self._clear()  # an interim answer; the real one follows
+            self._clear()  # an interim answer; the real one follows. All of them share one limit on the head
         elif not self.excess:
             self.complete = True
+            self.status = self.parser.get_status_code()  # later it would be that of what comes behind
             # Asked any later, the parser has forgotten the length and takes every answer for the last.
             self.keep = self.parser.should_keep_alive()
 
+    def is_quiet(self) -> bool:
+        """Whether nothing waits on the connection: bytes, or its end. The loop may not have read them yet,
+        and once a request is out they would be taken for its answer, or for a reset that may have run."""
+        watched = select.poll()
+        watched.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)  # type: ignore
+        return not watched.poll(0)
+
     # -- one attempt
 
     def carry(self, attempt: Attempt) -> None:
         """Write the request of the attempt, in one piece."""
         self._clear()
+        self.head_size = 0
         self.parser = httptools.HttpResponseParser(self)
         self.attempt, attempt.connection = attempt, self
         self.unsent = False
@@ -161,12 +180,8 @@
         attempt, self.attempt = self.attempt, None
         assert attempt is not None
         attempt.connection = None
-        status, load = self.parser.get_status_code(), self.pool.load_from(self.load)
+        status, load = self.status, self.pool.load_from(self.load)
         body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
-        if self.body_size > MAX_BODY:
-            self.abandon()
-            attempt.end(Result.ERROR, load=load)
-            return
         if self.excess or not self.keep:
             self.abandon()
         else:
@@ -228,8 +243,11 @@
 
     # -- discovery
 
-    def update(self, news: WorkerList) -> None:
-        """Take in a list. What left service or runs anew loses its idle connections and waiting attempts."""
+    def update(self, news: WorkerList) -> list[Entry]:
+        """Take in a list. What left service or runs anew loses its idle connections and waiting attempts.
+
+        The answer is those that are gone though the list does not say so yet: a new worker has their address,
+        and what was sent to them would come to it, cold as it is."""
         if news.complete:
             listed = {entry.server.id for entry in news.entries}
             for name in [name for name in self._known if name not in listed]:
@@ -245,6 +263,14 @@
                 worker.entry = entry
             elif entry.server.state is State.READY:
                 self._known[name] = Worker(entry)
+        heirs = {entry.address: entry.server for entry in news.entries if entry.server.state is State.READY}
+        displaced = []
+        for name, worker in list(self._known.items()):
+            heir = heirs.get(worker.entry.address)
+            if heir is not None and heir.id != name and heir.started_ms >= worker.entry.server.started_ms:
+                self._retire(self._known.pop(name))
+                displaced.append(worker.entry)
+        return displaced
 
     def _retire(self, worker: Worker) -> None:
         """Nothing new goes there. What is on its way may still be answered."""
@@ -264,8 +290,9 @@
         attempt.started_ms = now
         attempt.alarm = self._alarms.at(now + allow_ms, lambda: attempt.end(Result.TIMEOUT))
         worker = self._known.get(attempt.worker)
-        if worker is not None and worker.idle:
-            worker.idle.pop().carry(attempt)
+        kept = self._kept(worker, now) if worker is not None else None
+        if kept is not None:
+            kept.carry(attempt)
         elif worker is None or worker.connections >= MAX_PER_WORKER or self._connections >= self._max:
             self._loop.call_soon(attempt.end, Result.CONNECT_FAILED)
         else:
@@ -279,6 +306,16 @@
                 self._loop.create_connection(lambda: connection, *worker.entry.address))
             attempt.dial.add_done_callback(functools.partial(self._dialled, worker, attempt, connection))
 
+    def _kept(self, worker: Worker, now: float) -> WorkerConnection | None:
+        """The kept connection used last that has rested and on which nothing waits. Where something does, it
+        is closed."""
+        for connection in [one for one in reversed(worker.idle) if now - one.idle_since_ms >= REST_MS]:
+            if connection.is_quiet():
+                worker.idle.remove(connection)
+                return connection
+            connection.abandon()
+        return None
+
     def _dialled(self, worker: Worker, attempt: Attempt, connection: WorkerConnection,
                  dial: asyncio.Task[Any]) -> None:
         """A connection has come up, or has not. Called for a cancelled task too, even one never begun."""
@@ -331,4 +368,4 @@
             values = tuple(float(report[field]) for field in self._fields)
         except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
             return ()
-        return values if all(map(math.isfinite, values)) else ()
+        return values if all(math.isfinite(value) and 0 <= value <= MOST_LOAD for value in values) else ()
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -24,7 +24,7 @@
 from plumpick.admission import SWEEP_MS
 from plumpick.clock import Alarms
 from plumpick.config import config_from, worker_list_from
-from plumpick.workers import MAX_BODY
+from plumpick.workers import MAX_BODY, REST_MS
 
 
 def one_worker(scenario, **script):
@@ -54,8 +54,10 @@
     one_worker(scenario)
 
 
-def test_connections_are_kept_and_used_again():
+def test_connections_are_kept_and_used_again(monkeypatch):
     """Seen on the first calm day: keep-alive was asked of the parser too late, and none was kept."""
+    monkeypatch.setattr("plumpick.workers.REST_MS", 0.0)
+
     async def scenario(worker, gate, client):
         for number in range(5):
             client.send(request(f"{number:016x}"))
@@ -261,6 +263,90 @@
 # ---- connections to workers ---------------------------------------------------------------------
 
 
+@pytest.mark.parametrize("spoilt", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\ndone",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 1000,
+    b"HTTP/1.1 103 Early Hints\r\nLink: " + b"x" * 2000 + b"\r\n\r\n",
+    b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+], ids=["two lengths", "length and chunks", "below nothing", "3 GB", "chunks", "1xx", "large 1xx", "upgrade"])
+def test_a_spoilt_answer_is_a_failed_attempt_and_its_connection_ends(spoilt):
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, writer = await worker.asked()
+        writer.write(spoilt)
+        outcome = asyncio.ensure_future(gate.script.event(Outcome))
+        while not outcome.done():  # an answer of 1xx without end goes on coming
+            if spoilt.startswith(b"HTTP/1.1 10") and not writer.is_closing():
+                writer.write(spoilt)
+            await asyncio.sleep(0)
+        assert outcome.result().result is Result.ERROR
+        assert (await client.answer())[0] == 502
+        assert (await worker.asked())[0] is None
+    one_worker(scenario)
+
+
+def test_what_waits_on_a_kept_connection_is_not_taken_for_the_next_answer():
+    """The second copy is there, and the loop has not read it, when the next request goes out."""
+    async def scenario(worker, gate, client):
+        writer = await exchange(worker, client)
+        workers = gate.keeper.workers
+        connection, = workers._known["w1"].idle
+        connection.idle_since_ms -= REST_MS
+        connection.transport.pause_reading()  # as if the loop had not come to it
+        writer.write(answer(body=b"twice"))
+        while connection.is_quiet():
+            await asyncio.sleep(0)
+        client.send(request())
+        ended, again = await worker.asked(), await worker.asked()
+        _, other = ended if ended[0] is not None else again
+        other.write(answer(body=b"own"))
+        assert (await client.answer())[2] == b"own" and worker.connections == 2
+    one_worker(scenario)
+
+
+def test_a_connection_rests_before_it_is_used_again():
+    """What a worker sends right behind its answer may come a moment later."""
+    async def scenario(worker, gate, client):
+        await exchange(worker, client)
+        workers = gate.keeper.workers
+        connection, = workers._known["w1"].idle
+        since = connection.idle_since_ms
+        assert workers._kept(connection.worker, since + 1.9) is None
+        assert workers._kept(connection.worker, since + 2.1) is connection
+    one_worker(scenario)
+
+
+def test_what_comes_behind_a_good_answer_changes_nothing_of_it():
+    async def scenario(worker, gate, client):
+        client.send(request())
+        _, writer = await worker.asked()
+        load = 'X-Load: {"util":0.5,"latency_ms":7}\r\n'
+        writer.write(answer(extra=load) + answer(500, b"", 'X-Load: {"util":9,"latency_ms":9}\r\n'))
+        assert (await client.answer())[::2] == (200, b"done")
+        outcome = await gate.script.event(Outcome)
+        assert outcome.result is Result.OK and outcome.load == (0.5, 7.0)
+        assert (await worker.asked())[0] is None
+    one_worker(scenario)
+
+
+def test_a_new_worker_at_the_address_of_an_old_one_takes_its_place():
+    """Else what is sent under the old name comes to the new process, on connections of the old one."""
+    async def scenario(worker, gate, client):
+        await exchange(worker, client)
+        await gate.script.event(Fleet)
+        news = listing(entry("w2", worker.port, since_ms=5000), index=2, snapshot=False)
+        gate.keeper.listed(worker_list_from(news, "list"))
+        fleet = await gate.script.event(Fleet)
+        assert [(one.id, one.state) for one in fleet.servers] == [("w2", State.READY), ("w1", State.GONE)]
+        assert (await worker.asked())[0] is None and list(gate.keeper.workers._known) == ["w2"]
+        assert (await client.send(request()).answer())[0] == 502  # the script still names w1
+    one_worker(scenario)
+
+
 async def exchange(worker, client):
     client.send(request())
     _, writer = await worker.asked()
@@ -369,7 +455,9 @@
     one_worker(scenario)
 
 
-@pytest.mark.parametrize("text", ["", "no json", "[1,2]", '{"util":0.5}', '{"util":"x","latency_ms":1}',
+@pytest.mark.parametrize("text", ["", "no json", '{"util":-1,"latency_ms":1}',
+                                  '{"util":0.5,"latency_ms":1e308}',
+                                  "[1,2]", '{"util":0.5}', '{"util":"x","latency_ms":1}',
                                   '{"util":NaN,"latency_ms":1}', '{"util":1e999,"latency_ms":1}'])
 def test_a_load_report_that_cannot_be_read_is_none(text):
     async def scenario(worker, gate, client):
@@ -648,6 +736,24 @@
     one_worker(scenario)
 
 
+def test_in_a_crowd_idle_connections_go_sooner():
+    """Seen: 128 that asked once came within 2 s and held all the connections that clients may hold."""
+    async def scenario(worker, gate, client):
+        gate.keeper.admission.crowd = 1
+        other = await gate.client()
+        for one in (client, other):
+            one.send(request())
+            _, writer = await worker.asked()
+            writer.write(answer())
+            await one.answer()
+        later(gate, 300)
+        assert await client.ends() and len(gate.keeper.admission) == 1
+        later(gate, 300)
+        other.send(request())
+        assert (await worker.asked())[0] is not None
+    one_worker(scenario)
+
+
 def test_a_connection_that_has_ended_leaves_no_cycle_behind():
     async def scenario(worker, gate, client):
         client.send(request())
