Forget customers, servers and agenda entries that are over

Cause of growth (read, then tested): accounts, stores, known, by_tag never shrank, and the agenda kept the entries of ended requests until due. A customer is forgotten once nothing of it is open and its buckets and store are full again (a new one begins with no more than that, so nothing is granted twice), a server once it is gone and nothing is out there. An account is of a customer with its plan and set, a store of a customer with its plan: a request in a usual customer's name with another plan or set fixed these for good before. Seen while testing: without a ceiling the ceiling's bucket only ever falls, so it is not asked whether it is full.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -10,6 +10,7 @@
 import heapq
 import math
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 
 from anisefront.interface import (
@@ -73,6 +74,7 @@
 USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
 OF_REQUESTS = frozenset(("ask", "hedge", "hopeless", "due"))  # what the agenda holds for one request
+TIDY_MS, FORGET_MS, AGENDA_SPARE = 1000.0, 8000.0, 256  # how often what is over is forgotten; after how long
 CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
 
 
@@ -150,6 +152,11 @@
         return self.limit + (CHANCE if self.mean_out < self.limit else 0.0) - self.out
 
 
+def store_name(item: Item) -> int:
+    """The store that an item of business is about: of a customer, and of the plan that is said to be its."""
+    return item.tag << 4 | item.plan_index
+
+
 class Quota(QuotaState):
     """Each customer's bucket fills at the quota times our part of its recent use.
 
@@ -159,11 +166,14 @@
 
     def account(self, now: float, arrival: Arrival, plan: Plan) -> Account:
         """The customer's account, its buckets filled for the time gone by."""
-        account = self.accounts.get(arrival.customer)
+        # Of one customer, what is said of its plan and set belongs together: a request that says otherwise in
+        # its name must not bind the others.
+        name = arrival.customer, plan.name, arrival.spread, arrival.first_gateway
+        account = self.accounts.get(name)
         if account is None:
             spread, tag = max(1, min(arrival.spread, self.settings.gateways)), tag_of(arrival.customer)
             home = (arrival.first_gateway + tag % spread) % self.settings.gateways
-            account = self.accounts[arrival.customer] = Account(plan, tag, spread, home, now)
+            account = self.accounts[name] = Account(plan, tag, spread, home, now)
         gone_s = (now - account.at_ms) / 1000
         account.at_ms = now
         account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
@@ -177,6 +187,27 @@
         account.ceiling = min(plan.ceiling_burst * rest, account.ceiling + plan.ceiling_per_s * rest * gone_s)
         return account
 
+    def forget(self, now: float, open_requests: Iterable[Request]) -> None:
+        """Forget customers of whom nothing is open and whose buckets and stores are full again: they begin
+        anew with no more than that, so no quota is granted twice."""
+        open_now = {id(request.account) for request in open_requests}
+        for name, account in list(self.accounts.items()):
+            plan, gone_s = account.plan, (now - account.at_ms) / 1000
+            idle = gone_s * 1000 > FORGET_MS and id(account) not in open_now and not account.out
+            rate, ceiling = plan.rate_per_s / account.spread, plan.ceiling_per_s * (1 - HOME_CEILING)
+            if idle and account.own + rate * gone_s >= 0 and (
+                    not ceiling or account.ceiling + ceiling / account.spread * gone_s
+                    >= plan.ceiling_burst * (1 - HOME_CEILING) / account.spread):
+                del self.accounts[name]
+        for key, store in list(self.stores.items()):
+            plan, gone_s = store.plan, (now - store.at_ms) / 1000
+            idle = gone_s * 1000 > FORGET_MS and not store.queue and store.wake_ms == math.inf
+            if idle and store.level + plan.rate_per_s * gone_s >= plan.burst and (
+                    not plan.ceiling_per_s or store.ceiling + plan.ceiling_per_s * HOME_CEILING * gone_s
+                    >= plan.ceiling_burst * HOME_CEILING) and all(
+                    until <= now for until in store.leases.values()):
+                del self.stores[key]
+
     def request(self, now: float, request: Request) -> bool:
         """May this try go on? Where the bucket here lacks units, its home is asked."""
         account, plan, units = request.account, request.plan, request.arrival.units
@@ -273,7 +304,10 @@
 
     def at_home(self, now: float, key: tuple[int, int, int], item: Item) -> None:
         plan, kind = self.settings.plans[item.plan_index], self.settings.classes[item.class_index]
-        store = self.stores.setdefault(item.tag, Store(plan, plan.burst, now))
+        name = store_name(item)
+        store = self.stores.get(name)
+        if store is None:
+            store = self.stores[name] = Store(plan, plan.burst, now)
         queued = any(ask.key == key for ask in store.queue)
         asked = item.kind in (Kind.ASK, Kind.AGAIN)
         if asked and key in store.done:
@@ -283,7 +317,7 @@
             worth = kind.worth if item.kind is Kind.ASK else 0.0
             ask = Ask(key, item, worth, now, now + kind.aim_ms * (1 - ANSWER_PART))
             store.queue.append(ask)
-            self.serve(now, item.tag)
+            self.serve(now, name)
             if ask in store.queue:
                 self.reply(now, Kind.WAIT, key, item, store)
         elif item.kind is Kind.SPENT and key not in store.done:
@@ -293,11 +327,11 @@
         elif item.kind is Kind.BACK:
             if store.leases.pop(key, None) is None and key in store.done and not plan.max_out:
                 store.level = min(plan.burst, store.level + item.units)
-            self.serve(now, item.tag)
+            self.serve(now, name)
 
-    def serve(self, now: float, tag: int) -> None:
+    def serve(self, now: float, name: int) -> None:
         """Lend to those that wait, the worthiest first, of equal worth the newest."""
-        store, top = self.stores[tag], max(kind.worth for kind in self.settings.classes) or 1.0
+        store, top = self.stores[name], max(kind.worth for kind in self.settings.classes) or 1.0
         gone_s, plan = (now - store.at_ms) / 1000, store.plan
         store.at_ms = now
         store.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
@@ -321,7 +355,7 @@
             if wait_s > 0:
                 if not now < store.wake_ms <= now + wait_s * 1000 + PERIOD_MS:
                     store.wake_ms = now + wait_s * 1000 + self.settings.tick_ms
-                    self.plan_at(store.wake_ms, "store", tag)
+                    self.plan_at(store.wake_ms, "store", name)
                 return
             store.queue.pop()
             self.book(now, store, ask.key, ask.item, ask.item.units)
@@ -486,6 +520,7 @@
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
         self.wake_ms = math.inf  # the wake-up that is asked for
+        self.tidy_ms = 0.0
         self.actions: list[Action] = []
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
@@ -554,6 +589,9 @@
             self.step_shares()
             self.quota.heard *= math.exp(-PERIOD_MS / TALKING_MS)
             self.servers.step(self.now)
+            if self.now >= self.tidy_ms:
+                self.tidy_ms = self.now + TIDY_MS
+                self.tidy()
             self.window.step(self.now, self.servers.capacity)
         elif what == "store":
             self.quota.stores[number].wake_ms = math.inf
@@ -576,6 +614,14 @@
             # answered in time is refused while a retry may help.
             self.refuse_or_fail(request)
 
+    def tidy(self) -> None:
+        """Forget what is over: customers, and what the agenda holds for requests that have ended."""
+        self.quota.forget(self.now, self.requests.values())
+        if len(self.agenda) > AGENDA_SPARE + len(OF_REQUESTS) * len(self.requests):
+            self.agenda = [entry for entry in self.agenda
+                           if entry[2] not in OF_REQUESTS or entry[3] in self.requests]
+            heapq.heapify(self.agenda)
+
     def step_shares(self) -> None:
         for name, share in self.shares.items():
             waits = self.waits[name]
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -126,8 +126,8 @@
     rtt_ms: float  # usual time of a home's answer
     boot: int
     serial: int = 0
-    accounts: dict[str, Account] = field(default_factory=dict)
-    stores: dict[int, Store] = field(default_factory=dict)  # of which this gateway is the home, by tag
+    accounts: dict[tuple[str, str, int, int], Account] = field(default_factory=dict)
+    stores: dict[int, Store] = field(default_factory=dict)  # of which this gateway is the home, by store_name
     asking: dict[int, Request] = field(default_factory=dict)  # by serial
     outbox: dict[int, list[Item]] = field(default_factory=dict)  # by gateway
     heard_ms: dict[int, float] = field(default_factory=dict)  # when other gateways last told us anything
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -4,7 +4,7 @@
 from test_rules import settings
 
 from anisefront import messages
-from anisefront.control import CENTRES, Controller, FuzzyShare, Window
+from anisefront.control import CENTRES, FORGET_MS, Controller, FuzzyShare, Window, store_name
 from anisefront.interface import (
     Arrival,
     Cancel,
@@ -133,7 +133,7 @@
     c.handle(1001, [Heard(9, good), Heard(0, good)])
     assert not c.quota.stores and not c.requests
     c.handle(1001, [Heard(1, good), Heard(1, good)])  # repeated: counted once
-    assert c.quota.stores[messages.tag_of("c")].level == pytest.approx(12 - 4, abs=0.1)
+    assert c.quota.stores[store_name(item(messages.Kind.ASK))].level == pytest.approx(12 - 4, abs=0.1)
 
 
 def test_messages_survive_a_round_trip_and_stay_small():
@@ -237,7 +237,7 @@
 
 def test_home_lends_to_all_gateways_together_no_more_than_the_quota():
     """Hundreds of gateways with a slice each would pass many quotas; repeats change nothing."""
-    c, tag = gateway(gateways=300, number=7), messages.tag_of("c")
+    c = gateway(gateways=300, number=7)
     c.handle(1000, [FLEET])
     granted = set()
     for n in range(300):
@@ -247,7 +247,7 @@
                 news = messages.decode(tell.data)
                 granted |= {tell.receiver for told in news.items if told.kind is messages.Kind.GRANT}
     # The class is worth half the worthiest: it leaves a quarter of the burst in store for that one.
-    assert 8 <= len(granted) <= 10 and 3 <= c.quota.stores[tag].level < 4.1
+    assert 8 <= len(granted) <= 10 and 3 <= c.quota.stores[store_name(item(messages.Kind.ASK))].level < 4.1
 
 
 def test_a_clients_repeat_leaves_a_reserve_to_first_tries():
@@ -258,7 +258,7 @@
         c.handle(1000, [FLEET])
         asks = [item(kind, serial=n, class_index=worthiest) for n in range(1, 16)]
         c.handle(1001, [Heard(1, messages.encode(1, 1.0, asks, []))])
-        granted[kind] = len(c.quota.stores[messages.tag_of("c")].done)
+        granted[kind] = len(c.quota.stores[store_name(asks[0])].done)
     assert granted[messages.Kind.AGAIN] <= 7 and granted[messages.Kind.ASK] >= 11
 
 
@@ -274,6 +274,49 @@
     assert len(sent) == 1 and kinds.count(messages.Kind.ASK) >= 6 and kinds.count(messages.Kind.SPENT) == 1
 
 
+def test_a_customer_is_forgotten_only_when_its_quota_is_full_again_and_nothing_of_it_is_open():
+    """Customers who come once would be kept for ever; one forgotten too early would be granted twice."""
+    c = gateway(gateways=1, number=0)
+    c.handle(1000, [FLEET])
+    sends = of(Send, c.handle(1001, [ask(n) for n in range(12)]))  # all of its burst; one stays open
+    c.handle(1002, [outcome(send, Result.OK) for send in sends[1:]])
+    last = len(sends)
+    assert last >= 9 and len(c.quota.accounts) == len(c.quota.stores) == 1
+    wait_s = 12 / c.plans["rated"].rate_per_s
+    c.quota.forget(1000 + wait_s * 500, c.requests.values())
+    assert len(c.quota.accounts) == len(c.quota.stores) == 1  # half full
+    late = 1000 + max(wait_s * 1000, FORGET_MS) + 5000
+    while c.agenda[0][0] < 2000:  # what waits for the store is served or gone by then
+        c.handle(c.agenda[0][0], [])
+    c.quota.forget(late, c.requests.values())
+    assert len(c.quota.accounts) == 1  # its request is open
+    for request in list(c.requests.values()):
+        c.close(request)
+    c.quota.forget(late + FORGET_MS, c.requests.values())
+    assert not c.quota.accounts and not c.quota.stores
+
+
+def test_another_plan_or_set_in_a_customers_name_binds_nothing_of_its_own():
+    c = gateway(gateways=1, number=0)
+    c.handle(1000, [FLEET, ask(1, plan="open"), ask(2)])
+    assert sorted(account.plan.name for account in c.quota.accounts.values()) == ["open", "rated"]
+
+
+def test_servers_that_have_gone_and_entries_of_ended_requests_are_forgotten():
+    c = gateway(gateways=1, number=0)
+    c.handle(1000, [FLEET])
+    sends = of(Send, c.handle(1001, [ask(n, due=600_000.0) for n in range(9)]))
+    c.handle(1002, [Fleet(())])
+    assert set(c.servers.known) == {send.server for send in sends}
+    c.handle(1003, [outcome(send, Result.OK) for send in sends])
+    for n in range(20):
+        c.handle(1100 + 100 * n, [])
+    assert not c.servers.known and not c.servers.by_tag
+    c.agenda += [(600_000.0 + n, n, "due", 7) for n in range(1000)]
+    c.tidy()
+    assert len(c.agenda) < 300
+
+
 def test_what_was_granted_and_not_used_goes_back():
     c = gateway(number=(home_of("c") + 1) % 3)
     tells = of(Tell, c.handle(1000, [Fleet(()), ask(1, units=4)]))
