Deny at the home what cannot have its quota in time; tell faults of events apart

Now the home answers DENY for what cannot have its turn in time by what the store lacks and who is before it, and a gateway stops waiting when its home does. One bad event no longer loses the others of its turn: the module keeps the fault of each; the adapter ends on it as before, the gatekeeper logs one in 10 s.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -73,7 +73,7 @@
 HEDGE_ROOM, OVER_ROOM = 0.7, 0.5  # of the window: fuller, and no second copy, nothing beyond a quota goes out
 USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
-OF_REQUESTS = frozenset(("ask", "hedge", "hopeless", "due"))  # what the agenda holds for one request
+OF_REQUESTS = frozenset(("ask", "expired", "hedge", "hopeless", "due"))  # on the agenda for one request
 TIDY_MS, FORGET_MS, AGENDA_SPARE = 1000.0, 8000.0, 256  # how often what is over is forgotten; after how long
 CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
 
@@ -285,7 +285,7 @@
         return [(other, self.outbox.pop(other)[:MAX_ITEMS]) for other in ready]
 
     def hear(self, now: float, sender: int, boot: int, item: Item) -> None:
-        if item.kind not in (Kind.GRANT, Kind.WAIT):
+        if item.kind not in (Kind.GRANT, Kind.WAIT, Kind.DENY):
             if item.plan_index < len(self.settings.plans) and item.class_index < len(self.settings.classes):
                 self.at_home(now, (sender, boot, item.serial), item)
             return
@@ -298,8 +298,13 @@
         if request.asks == 1 and not request.answered:
             self.rtt_ms += (now - request.asked_ms - self.rtt_ms) * USUAL_GAIN
         request.answered = True
-        if not request.paid:
+        if item.kind is Kind.DENY:
+            self.denied(request)
+        elif not request.paid:
             request.paid = request.arrival.units * (item.kind is Kind.GRANT)
+            if not request.paid:  # its home drops it then, so nothing is waited for any longer
+                kept_ms = request.kind.aim_ms * (1 - ANSWER_PART)
+                self.plan_at(request.asked_ms + kept_ms, "expired", request.arrival.id)
             self.answered(request, item.kind is Kind.GRANT)
 
     def at_home(self, now: float, key: tuple[int, int, int], item: Item) -> None:
@@ -353,7 +358,9 @@
             if plan.max_out and len(store.leases) >= plan.max_out:
                 wait_s = max(wait_s, (min(store.leases.values()) - now) / 1000)
             if wait_s > 0:
-                if not now < store.wake_ms <= now + wait_s * 1000 + PERIOD_MS:
+                if plan.rate_per_s and not plan.max_out:
+                    self.deny(now, store, top)
+                if store.queue and not now < store.wake_ms <= now + wait_s * 1000 + PERIOD_MS:
                     store.wake_ms = now + wait_s * 1000 + self.settings.tick_ms
                     self.plan_at(store.wake_ms, "store", name)
                 return
@@ -361,6 +368,20 @@
             self.book(now, store, ask.key, ask.item, ask.item.units)
             self.reply(now, Kind.GRANT, ask.key, ask.item, store)
 
+    def deny(self, now: float, store: Store, top: float) -> None:
+        """Who can't have its turn in time, by what the store lacks and who is before it, is told at once: it
+        would wait for nothing, on a connection that others want."""
+        ahead, kept = 0.0, list[Ask]()
+        for ask in reversed(store.queue):
+            spare = RESERVE * store.plan.burst * (1 - ask.worth / top)
+            wait_s = (ahead + ask.item.units + spare - store.level) / store.plan.rate_per_s
+            if now + wait_s * 1000 > ask.until_ms:
+                self.reply(now, Kind.DENY, ask.key, ask.item, store)
+            else:
+                kept.append(ask)
+                ahead += ask.item.units
+        store.queue = kept[::-1]
+
     def book(self, now: float, store: Store, key: tuple[int, int, int], item: Item, ceiling: float) -> None:
         if len(store.done) > DONE_LEAST and now - next(iter(store.done.values())) > DONE_MS:
             store.done = {old: ms for old, ms in store.done.items() if now - ms <= DONE_MS}
@@ -512,7 +533,7 @@
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
-        self.quota = Quota(settings, self.rng, self.plan_at, self.on_answer, ASK_START_MS,
+        self.quota = Quota(settings, self.rng, self.plan_at, self.on_answer, self.on_denied, ASK_START_MS,
                            self.rng.randrange(1 << 16))
         self.requests: dict[int, Request] = {}
         self.held: list[Request] = []
@@ -521,12 +542,13 @@
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
         self.wake_ms = math.inf  # the wake-up that is asked for
         self.tidy_ms = 0.0
+        self.faults: list[Exception] = []  # raised by events of this turn
         self.actions: list[Action] = []
 
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         """Take in what happened at this time and return what to do."""
         first, self.stalled = self.now < 0, 0 <= self.now < now_ms - STALL_PERIODS * PERIOD_MS
-        self.now, self.actions = now_ms, list[Action]()
+        self.now, self.actions, self.faults = now_ms, list[Action](), []
         if now_ms >= self.wake_ms - CLOCK_GRAIN_MS:
             self.wake_ms = math.inf
         left: list[Backend] = []
@@ -534,23 +556,10 @@
             self.plan_at(now_ms, "period")
             self.plan_at(now_ms, "subscribe")
         for event in events:
-            match event:
-                case Outcome():
-                    self.on_outcome(event)
-                case Arrival():
-                    self.on_arrival(event)
-                case Started() if event.id in self.requests:
-                    self.requests[event.id].streaming = True
-                    self.cancel_others(self.requests[event.id], event.attempt)
-                case ClientGone() if event.id in self.requests:
-                    self.close(self.requests[event.id])
-                case Heard():
-                    self.on_heard(event)
-                case Fleet() if not event.failed:
-                    left += self.servers.update(now_ms, event)
-                    self.window.set_limit(self.servers.capacity)
-                case Fleet():
-                    self.plan_at(now_ms + self.settings.ask_within_ms / 4, "subscribe")
+            try:
+                self.take_in(event, left)
+            except Exception as problem:  # whoever calls tells it; the turn's other events count all the same
+                self.faults.append(problem)
         # A server that leaves may be dead before it has answered: safe work out there is sent elsewhere too.
         for request in list(self.requests.values()) if left and self.settings.second_copies else ():
             at_risk = len(request.out) == 1 and next(iter(request.out.values())) in left
@@ -567,6 +576,26 @@
         self.set_wake()
         return self.actions
 
+    def take_in(self, event: Event, left: list[Backend]) -> None:
+        """One event; the servers that leave service by it are added to those that left."""
+        match event:
+            case Outcome():
+                self.on_outcome(event)
+            case Arrival():
+                self.on_arrival(event)
+            case Started() if event.id in self.requests:
+                self.requests[event.id].streaming = True
+                self.cancel_others(self.requests[event.id], event.attempt)
+            case ClientGone() if event.id in self.requests:
+                self.close(self.requests[event.id])
+            case Heard():
+                self.on_heard(event)
+            case Fleet() if not event.failed:
+                left += self.servers.update(self.now, event)
+                self.window.set_limit(self.servers.capacity)
+            case Fleet():
+                self.plan_at(self.now + self.settings.ask_within_ms / 4, "subscribe")
+
     def plan_at(self, at_ms: float, what: str, number: int = -1) -> None:
         """Put a thing on the agenda."""
         self.serial += 1
@@ -603,6 +632,8 @@
         elif what == "ask":
             if request.waiting and self.quota.unanswered(self.now, request):
                 self.let_in(request)
+        elif what == "expired":
+            self.on_denied(request)
         elif what == "hedge":  # a second copy for an attempt that takes too long, while there is room
             for backend in request.out.values() if not self.stalled else ():  # silence is a failure too
                 self.servers.learn(self.now, backend, request.kind.name, math.inf, SUSPECT)
@@ -673,6 +704,13 @@
             request.inside, request.rank = False, request.rank * plan.over_worth
             self.let_in(request)
 
+    def on_denied(self, request: Request) -> None:
+        """A home's word that a try will not have its quota in time."""
+        if request.waiting and request.arrival.id in self.requests:
+            self.on_answer(request, False)  # what pays beyond its quota goes on
+            if request.waiting:
+                self.refuse_or_fail(request)
+
     def let_in(self, request: Request) -> None:
         request.waiting, request.held, request.account.out = False, True, request.account.out + 1
         self.held.append(request)
--- a/anisefront/messages.py
+++ b/anisefront/messages.py
@@ -26,6 +26,7 @@
     SPENT = 4  # to the home: they went on without a grant
     BACK = 5  # to the home: not needed, or no longer out
     AGAIN = 6  # an ASK for a client's repeat
+    DENY = 7  # from the home: not in any time that is of use
 
 
 class Item(NamedTuple):
--- a/anisefront/simhost.py
+++ b/anisefront/simhost.py
@@ -265,6 +265,8 @@
             raise WireError(f"SWITCH_TO: field gatekeeper: {number} was not configured")
         try:
             actions = self._instances[number].handle(now, events)
+            for fault in self._instances[number].faults:
+                raise fault
         except Exception as problem:
             raise ModuleFault(f"FROM\t{number}\nBUG\tinstance {number}: {type(problem).__name__}: "
                               f"{' '.join(str(problem).split())}") from problem
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -123,6 +123,7 @@
     rng: random.Random
     plan_at: Callable[[float, str, int], None]  # puts a thing on the agenda
     answered: Callable[[Request, bool], None]  # takes a home's word on a request
+    denied: Callable[[Request], None]  # and that it is not to be had in time
     rtt_ms: float  # usual time of a home's answer
     boot: int
     serial: int = 0
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -30,6 +30,7 @@
 # Of the descriptors. Clients have up to 0.46 (see admission.py); the rest, 30 of the smallest limit of 256,
 # is for discovery, peers and the loop itself.
 WORKER_PART = 0.42
+LOG_EVERY_MS = 10_000.0  # a fault of the module is logged at most so often
 REMEMBER_MS = 2000.0  # for once to twice as long an id stays known after its request has ended
 
 log = logging.getLogger(__name__)
@@ -70,7 +71,7 @@
         self._ended_names: tuple[set[bytes], set[bytes]] = (set(), set())
         self._events: list[Event] = []
         self._serial = 0
-        self._making_room = False
+        self._making_room, self._log_fault_ms = False, 0.0
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
             Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore}
@@ -90,8 +91,12 @@
         actions: list[Action] = []
         try:
             actions = self.controller.handle(self.clock.now(), events)
-        except Exception:  # one bad turn must not end all requests: what it leaves open the guard answers
-            log.exception("the module failed on %d events", len(events))
+            faults = self.controller.faults
+        except Exception as problem:  # one bad turn must not end all requests: the guard answers them
+            faults = [problem]
+        if faults and self.clock.now() >= self._log_fault_ms:
+            self._log_fault_ms = self.clock.now() + LOG_EVERY_MS
+            log.error("the module failed on %d of %d events", len(faults), len(events), exc_info=faults[0])
         carry = self._carry
         for action in actions:
             carry[type(action)](action)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -59,7 +59,7 @@
 
     def __init__(self, worker="w1", allow_ms=20_000.0):
         self.worker, self.allow_ms = worker, allow_ms
-        self.events, self.to_do = [], []
+        self.events, self.to_do, self.faults = [], [], []
         self.came = asyncio.Event()
 
     def handle(self, _now, events):
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -317,6 +317,50 @@
     assert len(c.agenda) < 300
 
 
+def test_who_cannot_have_its_quota_in_time_is_told_at_once_and_who_waited_in_vain_when_that_is_sure():
+    """Seen: they waited for 0.6 s, up to 76 at once, on connections that others had then no longer."""
+    c = gateway(gateways=1, number=0, plans=(Plan("rated", 4, 12, over_cost=0.5),))
+    c.handle(1000, [FLEET])
+    actions = c.handle(1001, [ask(n, customer="d") for n in range(40)])
+    refused, sent = of(Refuse, actions), of(Send, actions)
+    waiting = [request for request in c.requests.values() if request.waiting]
+    assert len(sent) >= 9 and len(refused) + len(sent) + len(waiting) == 40
+    assert len(refused) > len(waiting) and all(one.retry_in_ms >= 250 for one in refused if one.retry_in_ms)
+    kind = c.classes["look"]
+    for _ in range(200):  # until its home has dropped them
+        if c.agenda[0][0] > 1001 + kind.aim_ms * (1 - 0.45) + 10:
+            break
+        c.handle(c.agenda[0][0], [])
+    assert not any(request.waiting for request in c.requests.values())
+
+
+def test_a_home_denies_a_peer_in_one_message_and_the_peer_refuses():
+    plans = (Plan("rated", 4, 12, over_cost=0.5),)
+    home, peer = (gateway(gateways=300, number=number, plans=plans) for number in (7, 1))
+    home.handle(1000, [FLEET])
+    asks = [item(messages.Kind.ASK, serial=n) for n in range(1, 16)]
+    told = of(Tell, home.handle(1001, [Heard(1, messages.encode(1, 1.0, asks, []))]))
+    kinds = [one.kind for tell in told for one in messages.decode(tell.data).items]
+    assert messages.Kind.DENY in kinds and messages.Kind.GRANT in kinds
+    peer.handle(1000, [FLEET])
+    first = peer.settings.number + 6 - messages.tag_of("c") % 2
+    peer.handle(1001, [Arrival(1, "c", "look", "rated", 5000.0, 1.0, first, 2)])
+    request = peer.requests[1]
+    assert request.account.home == 7
+    deny = item(messages.Kind.DENY, serial=request.serial)
+    refused = of(Refuse, peer.handle(1002, [Heard(7, messages.encode(1, 1.0, [deny], []))]))
+    assert [one.id for one in refused] == [1]
+
+
+def test_a_bad_event_does_not_lose_the_others_of_its_turn():
+    c = gateway(gateways=1, number=0)
+    odd = Arrival(1, "c", "look", "rated", 5000.0, units="many")
+    sends = of(Send, c.handle(1000, [FLEET, odd, ask(2)]))
+    assert [send.id for send in sends] == [2] and len(c.faults) == 1
+    c.handle(1001, [])
+    assert not c.faults
+
+
 def test_what_was_granted_and_not_used_goes_back():
     c = gateway(number=(home_of("c") + 1) % 3)
     tells = of(Tell, c.handle(1000, [Fleet(()), ask(1, units=4)]))
