--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -44,11 +44,11 @@
 
 # Quota.
 DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
-OWN_PART = 0.1  # of the burst that all own buckets hold together: what they hold the home may lend as well
+OWN_PART = 0.03  # of the burst that all own buckets hold together: what they hold the home may lend as well
 HOME_CEILING = 0.5  # of a ceiling that the home may grant; the rest is split evenly over the set
 ASK_START_MS, ASK_TIMES, ASK_LEAST_MS = 60.0, 2.5, 30.0  # usual time of a home's answer; late is so much
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
-RESERVE = 0.5  # of the burst that what is worth nothing leaves in store, and less the more it is worth
+RESERVE = 0.8  # of the burst that what is worth nothing leaves in store, and less the more it is worth
 LEASE_AIMS = 1.5  # a slot whose end is never told is free again after so many aims
 TELL_PART, GAP_MOST_MS = 0.75, 60.0  # of an inbox that all others may fill; what waits for company
 TALKING_MS = 1000.0  # a gateway heard within so long shares our peers' inboxes with us
@@ -351,7 +351,7 @@
             ask, wait_s = store.queue[-1], 0.0
             if plan.rate_per_s:
                 # Lesser worth leaves a reserve; a client's repeat, whose aim has mostly gone by, the most.
-                spare = RESERVE * plan.burst * (1 - ask.worth / top)
+                spare = self.spare(store, ask, top)
                 wait_s = (ask.item.units + spare - store.level) / plan.rate_per_s
             if plan.ceiling_per_s:
                 wait_s = max(wait_s, (ask.item.units - store.ceiling) / ceiling_per_s)
@@ -368,12 +368,18 @@
             self.book(now, store, ask.key, ask.item, ask.item.units)
             self.reply(now, Kind.GRANT, ask.key, ask.item, store)
 
+    @staticmethod
+    def spare(store: Store, ask: Ask, top: float) -> float:
+        """What an ask leaves in store for worthier ones. A full store serves anybody."""
+        burst = store.plan.burst
+        return max(0.0, min(RESERVE * burst * (1 - ask.worth / top), burst - ask.item.units))
+
     def deny(self, now: float, store: Store, top: float) -> None:
         """Who can't have its turn in time, by what the store lacks and who is before it, is told at once: it
         would wait for nothing, on a connection that others want."""
         ahead, kept = 0.0, list[Ask]()
         for ask in reversed(store.queue):
-            spare = RESERVE * store.plan.burst * (1 - ask.worth / top)
+            spare = self.spare(store, ask, top)
             wait_s = (ahead + ask.item.units + spare - store.level) / store.plan.rate_per_s
             if now + wait_s * 1000 > ask.until_ms:
                 self.reply(now, Kind.DENY, ask.key, ask.item, store)
