On SIGTERM go on serving for as long as is sure

From the logs: each finished 0.6 s after SIGTERM and was up again 4.2 s later; the end of the longest deadline, 3 s at most, and 0.7 s are sure before SIGKILL, and for that time the customers of that home went on credit. Now kept connections and peers are served for 2.2 s (of 3.7), what comes then is given 3.2 s in all at most, and the last second finishes as before.

--- a/plumpick/__main__.py
+++ b/plumpick/__main__.py
@@ -18,7 +18,11 @@
 from plumpick.gatekeeper import Gatekeeper
 
 FIRST_LIST_S = 0.5  # how long the first whole list is waited for; after that the known one has to do
-STILL_COMING_S = 0.6  # after SIGTERM connections go on coming for up to 0.4 s
+# After SIGTERM connections go on coming for up to 0.4 s, and clients go on using those that they have; peers
+# find their customers' home here. All this is served until it is time to finish: the longest deadline, of 3 s
+# at most, and 0.7 s more are sure before SIGKILL.
+SURE_MOST_S, SURE_MORE_S, SPARE_S = 3.0, 0.7, 0.5
+LAST_S, LEAST_S = 1.0, 0.6  # so long before the end no connection is kept any more; but not sooner than this
 TO_FINISH_S = 600.0  # each request has its guard, so none waits longer
 STEP_S = 0.02
 BACKLOG = 512
@@ -68,9 +72,12 @@
     log.info("gatekeeper %s is up", config.name)
 
     await stop.wait()
-    gatekeeper.drain()
-    await asyncio.sleep(STILL_COMING_S)
+    longest_s = max(kind.deadline_ms for kind in config.settings.classes) / 1000
+    end_s = min(longest_s, SURE_MOST_S) + SURE_MORE_S - SPARE_S
+    gatekeeper.leave(end_s * 1000)
+    await asyncio.sleep(max(LEAST_S, end_s - LAST_S))
     server.close()
+    gatekeeper.drain()
     gatekeeper.close_idle()
     end = loop.time() + TO_FINISH_S
     while gatekeeper.busy() and loop.time() < end:
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -71,6 +71,7 @@
         self._ended_names: tuple[set[bytes], set[bytes]] = (set(), set())
         self._events: list[Event] = []
         self._serial = 0
+        self._end_ms = math.inf  # until then all that comes has to be answered
         self._making_room, self._log_fault_ms = False, 0.0
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
@@ -154,7 +155,7 @@
             parts.append(b"\r\nContent-Length: %d" % len(body))
         parts.append(b"\r\nX-Deadline-Ms: ")
         self._serial += 1
-        due_ms = now + form.wait_ms
+        due_ms = min(now + form.wait_ms, max(self._end_ms, now + 2 * MARGIN_MS))
         request = Request(self._serial, form.id, client, b"".join(parts), body)
         request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
         self.open[request.id] = request
@@ -243,8 +244,12 @@
         self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
         self._ended_names = (set(), self._ended_names[0])
 
+    def leave(self, within_ms: float) -> None:
+        """A planned end: what comes is served as before, but nothing is promised beyond that time."""
+        self.ready, self._end_ms = False, self.clock.now() + within_ms
+
     def drain(self) -> None:
-        """A planned end: serve what comes, but keep no connection."""
+        """From now on keep no connection."""
         self.draining, self.ready = True, False
 
     def close_idle(self) -> None:
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -772,6 +772,17 @@
     one_worker(scenario)
 
 
+def test_what_comes_before_a_planned_end_is_answered_by_then():
+    async def scenario(worker, gate, client):
+        gate.keeper.leave(150.0)
+        began = gate.keeper.clock.now()
+        client.send(request(deadline=10_000))
+        came = await gate.script.event(Arrival)
+        assert came.due_ms < began + 150.0
+        assert (await client.answer())[0] == 504 and not gate.keeper.open
+    one_worker(scenario, worker=None)
+
+
 def test_readiness_is_told_only_when_ready():
     async def scenario(worker, gate, client):
         up = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
