--- /dev/null
+++ b/plumpick/cli.py
@@ -0,0 +1,89 @@
+"""The command line: `plumpick NAME` runs a tool. `python -m plumpick` alone is the daemon, and imports none
+of it.
+
+Each tool is imported only when it is called.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from importlib import metadata
+
+EXIT_HELD, EXIT_BROKEN, EXIT_USAGE, EXIT_SLOW, EXIT_INTERRUPTED = 0, 1, 2, 3, 130
+
+
+class Parser(argparse.ArgumentParser):
+    """One line for what is wrong with the call, and exit code 2."""
+
+    def error(self, message: str) -> None:  # type: ignore[override]
+        print(f"{self.prog}: {message}", file=sys.stderr)
+        raise SystemExit(EXIT_USAGE)
+
+
+def version() -> str:
+    """The version as installed, or as the checkout says."""
+    try:
+        return metadata.version("plumpick")
+    except metadata.PackageNotFoundError:
+        import tomllib
+        from pathlib import Path
+
+        project = Path(__file__).resolve().parent.parent / "pyproject.toml"
+        return str(tomllib.loads(project.read_text(encoding="utf-8"))["project"]["version"])
+
+
+def parser() -> argparse.ArgumentParser:
+    """All sub-commands and their flags."""
+    top = Parser(prog="plumpick", description="A gatekeeper, and the kit to rehearse with it.")
+    top.add_argument("--version", action="version", version=f"plumpick {version()}")
+    tools = top.add_subparsers(dest="tool", required=True, parser_class=Parser)
+    serve = tools.add_parser("serve", help="run one gatekeeper, as `python -m plumpick` does")
+    serve.set_defaults(run="serve")
+    rehearse = tools.add_parser("rehearse", help="play a scenario with a whole fleet and judge it")
+    rehearse.add_argument("scenario", nargs="?", default="calm", help="a shipped scenario, or a file")
+    rehearse.add_argument("--seed", type=int, help="the same seed plays the same script")
+    rehearse.add_argument("--plant", metavar="NAME", help="let a relay do what must never happen")
+    rehearse.add_argument(
+        "--report", metavar="DIR", help="write report.json, history.jsonl and report.html there"
+    )
+    rehearse.add_argument("--brief", action="store_true", help="eight seconds of it")
+    rehearse.add_argument("--quiet", action="store_true", help="no live lines")
+    rehearse.add_argument("--list", action="store_true", help="list scenarios and plants")
+    rehearse.set_defaults(run="rehearse")
+    fleet = tools.add_parser("fleet", help="start a fleet and leave it up until Ctrl-C")
+    fleet.add_argument("scenario", nargs="?", default="calm")
+    fleet.add_argument("--seed", type=int)
+    fleet.add_argument("--json", action="store_true", help="print addresses and processes as one JSON object")
+    fleet.set_defaults(run="fleet")
+    audit = tools.add_parser("audit", help="judge a history again")
+    audit.add_argument("history")
+    audit.add_argument("--json", action="store_true", help="print rules and service as JSON")
+    audit.set_defaults(run="audit")
+    return top
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a tool; the answer is its exit code."""
+    try:
+        given = parser().parse_args(arguments)
+    except SystemExit as end:
+        return int(end.code or 0)
+    if given.run == "serve":
+        from plumpick.__main__ import main as serve
+
+        return serve()
+    try:
+        from plumpick.rehearsal import commands
+    except ModuleNotFoundError as problem:
+        if problem.name not in ("msgspec", "matplotlib"):
+            raise
+        print(f"plumpick: {problem.name} is not installed; the tools need plumpick[kit]", file=sys.stderr)
+        return EXIT_USAGE
+    return int(
+        {"rehearse": commands.rehearse, "fleet": commands.fleet, "audit": commands.audit}[given.run](given)
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/plumpick/rehearsal/auditor.py
@@ -0,0 +1,555 @@
+"""The auditor of the five rules. It reads records, one by one as they come, and nothing else.
+
+So it judges a live rehearsal, a simulated step and a file of last week alike. Every breach names the rule,
+the time, the request, firm or server at fault, and holds the whole story of it in order.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from plumpick.rehearsal.records import (
+    Answered,
+    Asked,
+    Began,
+    Born,
+    Died,
+    Ended,
+    Gate,
+    Lag,
+    Left,
+    Passed,
+    Ran,
+    Record,
+    Replied,
+    Surplus,
+    Took,
+    Told,
+    Turned,
+    line_of,
+)
+
+LOST, EFFECTS, DRAINS, COLD, CEILINGS = RULES = (
+    "no-request-lost",
+    "effects-once",
+    "drains-kept",
+    "cold-servers",
+    "ceilings",
+)
+
+# What the rules allow beyond their figures. Milliseconds, unless the name says otherwise.
+TOLERANCES = {
+    "answer_late": 50.0,  # a final answer after the client's time
+    "send_after_end": 50.0,  # the first byte of an attempt after the request's end at the client
+    "drain_late": 50.0,  # beyond the grace
+    "key_window": 50.0,  # beyond the time for which a hall drops repeats
+    "ceiling_time": 150.0,  # the ceiling's slack is wider by what its rate gives in this time
+    "cold_requests": 1.0,  # of the dearest class, beyond a cold server's budget
+    "cold_informed_share": 2 / 3,  # of the work, from gatekeepers that had word of the start
+    "killed_early": 250.0,  # a connection may end so long before the record of its gatekeeper's end
+}
+DATAGRAM_BYTES = 256
+KEEP_MS = 20_000.0  # a request is forgotten so long after its end; nothing of it can come then
+SWEEP_MS = 1000.0
+MOST_BREACHES = 200  # of each rule that are kept with their stories; all are counted
+MOST_FIRM_STORY = 60
+
+
+@dataclass(slots=True)
+class Breach:
+    """One breach of a rule."""
+
+    rule: str
+    t: float
+    what: str  # request, firm or server, by name
+    text: str
+    timing: bool  # judged by the clock: a late record could have made it
+    story: list[Record] = field(default_factory=list)
+
+    def as_dict(self) -> dict[str, Any]:
+        """For report.json: times in ms, the story as lines of the history."""
+        return {
+            "rule": self.rule,
+            "t": self.t,
+            "what": self.what,
+            "text": self.text,
+            "timing": self.timing,
+            "story": [line_of(record) for record in self.story],
+        }
+
+
+@dataclass(slots=True)
+class _Attempt:
+    n: int
+    server: str
+    hall: str
+    t: float
+    first_t: float
+    turned_t: float | None = None
+    ran: bool = False
+
+
+@dataclass(slots=True)
+class _Request:
+    asked: Asked
+    story: list[Record]
+    attempts: list[_Attempt] = field(default_factory=list)
+    ended_t: float | None = None
+    answered: bool = False
+    refused: bool = False
+    effects: int = 0
+    sent_on: bool = False
+
+
+@dataclass(slots=True)
+class _Store:
+    level: float
+    t: float
+    lowest: float
+    story: deque[Record] = field(default_factory=lambda: deque(maxlen=MOST_FIRM_STORY))
+
+
+@dataclass(slots=True)
+class _Life:
+    born: Born
+    sent: deque[tuple[float, float, bool]] = field(
+        default_factory=deque
+    )  # when, work, by one with word of it
+    work: float = 0.0
+    broken: bool = False
+    peak: float = 0.0  # the highest share of the budget that was sent
+    story: deque[Record] = field(default_factory=lambda: deque(maxlen=400))
+
+
+class Auditor:
+    """Judges by the five rules; feed it records in their order."""
+
+    def __init__(self) -> None:
+        self.breaches: list[Breach] = []
+        self.counts = dict.fromkeys(RULES, 0)  # breaches
+        self.chances = dict.fromkeys(RULES, 0)  # how often each rule could have been broken
+        self.seen = 0
+        self._terms: dict[str, Any] = {}
+        self._kinds: dict[str, dict[str, Any]] = {}
+        self._requests: dict[str, _Request] = {}
+        self._by_attempt: dict[int, tuple[_Request, _Attempt]] = {}
+        self._ended: deque[tuple[float, str]] = deque()
+        self._told: dict[tuple[str, str], Told] = {}
+        self._lives: dict[str, _Life] = {}
+        self._stores: dict[str, _Store] = {}
+        self._down_since: dict[str, float] = {}  # gatekeepers that were killed,
+        self._over_since: dict[str, float] = {}  # and those that have ended in any way
+        self._broken: list[tuple[float, _Request, Left]] = []  # judged once it is known who died
+        self._expected_ends: set[str] = set()
+        self.lag_p99_ms = self.lag_max_ms = 0.0
+        self.stalls: list[Lag] = []
+        self.over = False
+        self._take = {
+            Began: self._began,
+            Asked: self._asked,
+            Answered: self._answered,
+            Surplus: self._surplus,
+            Left: self._left,
+            Born: self._born,
+            Died: self._died,
+            Took: self._took,
+            Turned: self._turned,
+            Ran: self._ran,
+            Told: self._tell,
+            Gate: self._gate,
+            Passed: self._passed,
+            Lag: self._lag,
+            Ended: self._end,
+            Replied: self._replied,
+        }
+
+    def feed(self, record: Record) -> None:
+        """The next record."""
+        self.seen += 1
+        take = self._take.get(type(record))
+        if take is not None and not self.over:
+            take(record)  # type: ignore[operator]
+
+    def verdicts(self) -> dict[str, str]:
+        """For each rule `held`, `broken` or `not put to the test`."""
+        return {
+            rule: "broken" if self.counts[rule] else "held" if self.chances[rule] else "not put to the test"
+            for rule in RULES
+        }
+
+    def _breach(
+        self, rule: str, t: float, what: str, text: str, story: list[Record], *, timing: bool = False
+    ) -> None:
+        self.counts[rule] += 1
+        if self.counts[rule] <= MOST_BREACHES:
+            self.breaches.append(Breach(rule, t, what, text, timing, story))
+
+    # -- the run
+
+    def _began(self, record: Began) -> None:
+        self._terms = record.terms
+        self._kinds = {kind["name"]: kind for kind in record.terms["classes"]}
+
+    def _end(self, record: Ended) -> None:
+        """What is open now is not judged: its time is not up."""
+        self._settle(record.t, everything=True)
+        self.lag_p99_ms, self.lag_max_ms = record.lag_p99_ms, record.lag_max_ms
+        self.over = True
+
+    def _lag(self, record: Lag) -> None:
+        self.stalls.append(record)
+
+    def _forget(self, t: float) -> None:
+        while self._ended and self._ended[0][0] < t - KEEP_MS:
+            _, request_id = self._ended.popleft()
+            request = self._requests.pop(request_id, None)
+            for attempt in request.attempts if request is not None else ():
+                self._by_attempt.pop(attempt.n, None)
+
+    # -- rule 1: each request that is taken gets one final answer, in time
+
+    def _asked(self, record: Asked) -> None:
+        request = self._requests.get(record.id)
+        if request is not None:  # sent once more on a new connection
+            request.story.append(record)
+            return
+        self._forget(record.t)
+        self._requests[record.id] = _Request(record, [record])
+        self.chances[LOST] += 1
+        if self._over_since.get(record.gate, record.t) < record.t:
+            self.chances[LOST] -= 1  # there is nobody who could take it
+
+    def _finish(self, request: _Request, t: float) -> None:
+        if request.ended_t is None:
+            request.ended_t = t
+            self._ended.append((t, request.asked.id))
+
+    def _answered(self, record: Answered) -> None:
+        request = self._requests.get(record.id)
+        if request is None:
+            self._breach(LOST, record.t, record.id, "an answer to a request that nobody sent", [record])
+            return
+        request.story.append(record)
+        asked = request.asked
+        if request.answered:
+            self._breach(LOST, record.t, record.id, "a second final answer", request.story)
+            return
+        late = record.t - asked.t - asked.wait_ms
+        if late > TOLERANCES["answer_late"]:
+            self._breach(
+                LOST,
+                record.t,
+                record.id,
+                f"answered {late:.1f} ms after the client's time was up",
+                request.story,
+                timing=True,
+            )
+        if record.status == 200:
+            mine = [one for one in request.attempts if one.n == record.source]
+            if record.owner != record.id or not mine or record.source not in self._replies_of(request):
+                self._breach(
+                    LOST,
+                    record.t,
+                    record.id,
+                    "served with a body that no server made for this request",
+                    request.story,
+                )
+        request.answered = True
+        self._finish(request, record.t)
+        if record.status in (429, 503):
+            request.refused = True
+            kind = self._kinds[asked.kind]
+            if kind["repeats"] != "safe":
+                self.chances[EFFECTS] += 1
+                loose = [one for one in request.attempts if one.turned_t is None]
+                if loose:
+                    self._breach(
+                        EFFECTS,
+                        record.t,
+                        record.id,
+                        f"refused, though attempt {loose[0].n} at {loose[0].server} may have run",
+                        request.story,
+                    )
+
+    @staticmethod
+    def _replies_of(request: _Request) -> set[int]:
+        return {
+            record.n
+            for record in request.story
+            if isinstance(record, Replied) and record.status == 200 and not record.spoilt
+        }
+
+    def _surplus(self, record: Surplus) -> None:
+        request = self._requests.get(record.id)
+        story = request.story if request is not None else []
+        story.append(record)
+        self._breach(LOST, record.t, record.id, "more than its one answer came on its connection", story)
+
+    def _left(self, record: Left) -> None:
+        request = self._requests.get(record.id)
+        if request is None:
+            return  # it could not be sent at all: nobody has taken it
+        request.story.append(record)
+        if record.why == "overdue":
+            self._settle_one(request, record, record.t)
+        elif record.why == "broken":
+            self._broken.append((record.t, request, record))
+            self._settle(record.t)
+        self._finish(request, record.t)
+
+    def _settle(self, t: float, everything: bool = False) -> None:
+        """Judge connections that broke: by now it is known whether their gatekeeper was killed."""
+        while self._broken and (everything or self._broken[0][0] < t - TOLERANCES["killed_early"]):
+            _, request, record = self._broken.pop(0)
+            self._settle_one(request, record, record.t + TOLERANCES["killed_early"])
+
+    def _settle_one(self, request: _Request, record: Left, until_t: float) -> None:
+        if self._over_since.get(request.asked.gate, request.asked.t) < request.asked.t:
+            return  # it was never taken: its gatekeeper had ended
+        down = self._down_since.get(request.asked.gate)
+        # What it held when it was killed is the client's to try again.
+        if down is not None and down <= until_t and (record.why == "broken" or down >= request.asked.t):
+            return
+        text = (
+            "no answer when the client's time was up"
+            if record.why == "overdue"
+            else "the connection ended with no whole answer"
+        )
+        self._breach(LOST, record.t, request.asked.id, text, request.story, timing=record.why == "overdue")
+
+    # -- rule 2: effects happen once
+
+    def _took(self, record: Took) -> None:
+        life = self._lives.get(record.server)
+        request = self._requests.get(record.id)
+        if request is None:
+            self._breach(
+                LOST, record.t, record.id, f"{record.server} was sent a request that no client sent", [record]
+            )
+            return
+        request.story.append(record)
+        asked, hall = request.asked, life.born.hall if life is not None else ""
+        attempt = _Attempt(record.n, record.server, hall, record.t, record.first_t)
+        self._check_repeat(request, attempt)
+        if request.ended_t is not None:
+            late = record.first_t - request.ended_t
+            if late > TOLERANCES["send_after_end"]:
+                self._breach(
+                    LOST,
+                    record.t,
+                    record.id,
+                    f"sent on {late:.1f} ms after the request had ended",
+                    request.story,
+                    timing=True,
+                )
+            if request.refused and self._kinds[asked.kind]["repeats"] != "safe":
+                self._breach(EFFECTS, record.t, record.id, "sent on after it was refused", request.story)
+        request.attempts.append(attempt)
+        self._by_attempt[record.n] = (request, attempt)
+        self._check_drain(asked.gate, record, request)
+        if life is not None and life.born.life == record.life:
+            self._check_cold(asked.gate, record, life)
+        if not request.sent_on:
+            request.sent_on = True
+            self._check_ceiling(request, record)
+
+    def _check_repeat(self, request: _Request, attempt: _Attempt) -> None:
+        """A further attempt: allowed where no earlier one may have run, else by the class."""
+        kind = self._kinds[request.asked.kind]
+        if kind["repeats"] == "safe":
+            return
+        self.chances[EFFECTS] += 1
+        loose = [one for one in request.attempts if one.turned_t is None or one.turned_t > attempt.first_t]
+        if not loose:
+            return
+        first, name = loose[0], request.asked.id
+        if kind["repeats"] == "unsafe":
+            self._breach(
+                EFFECTS,
+                attempt.t,
+                name,
+                f"sent to {attempt.server} though attempt {first.n} at {first.server} may have run",
+                request.story,
+            )
+            return
+        age = attempt.first_t - first.first_t
+        if attempt.hall != first.hall:
+            self._breach(
+                EFFECTS,
+                attempt.t,
+                name,
+                f"sent to {attempt.hall} though attempt {first.n} may have run in {first.hall}",
+                request.story,
+            )
+        elif age > kind["window_s"] * 1000 + TOLERANCES["key_window"]:
+            self._breach(
+                EFFECTS,
+                attempt.t,
+                name,
+                f"sent again {age:.0f} ms after an attempt that may have run: the hall forgets sooner",
+                request.story,
+                timing=True,
+            )
+
+    def _turned(self, record: Turned) -> None:
+        request, attempt = self._by_attempt.get(record.n, (None, None))
+        if request is not None and attempt is not None:
+            request.story.append(record)
+            attempt.turned_t = record.t
+
+    def _ran(self, record: Ran) -> None:
+        request, attempt = self._by_attempt.get(record.n, (None, None))
+        if request is None or attempt is None:
+            return
+        request.story.append(record)
+        if record.repeat or self._kinds[request.asked.kind]["repeats"] == "safe":
+            return  # a dropped repeat is no second effect
+        request.effects += 1
+        attempt.ran = True
+        if request.effects > 1:
+            self._breach(
+                EFFECTS, record.t, request.asked.id, f"took effect {request.effects} times", request.story
+            )
+
+    def _replied(self, record: Replied) -> None:
+        request, _ = self._by_attempt.get(record.n, (None, None))
+        if request is not None:
+            request.story.append(record)
+
+    # -- rule 3: drains are kept
+
+    def _tell(self, record: Told) -> None:
+        self._told[record.gate, record.server] = record
+        if record.status != "ready":
+            self.chances[DRAINS] += 1
+
+    def _check_drain(self, gate: str, record: Took, request: _Request) -> None:
+        told = self._told.get((gate, record.server))
+        if told is None or told.status == "ready":
+            return
+        late = record.first_t - told.t - self._terms["rules"]["drain_grace_ms"]
+        if late > TOLERANCES["drain_late"]:
+            self._breach(
+                DRAINS,
+                record.t,
+                record.server,
+                f"{gate} sent {record.id} {late:.1f} ms after the grace for one that is {told.status}",
+                [told, *request.story],
+                timing=True,
+            )
+
+    # -- rule 4: a cold server is not pushed over
+
+    def _born(self, record: Born) -> None:
+        self._lives[record.server] = _Life(record)
+        if record.cold_from < 1:
+            self.chances[COLD] += 1
+
+    def _died(self, record: Died) -> None:
+        life = self._lives.get(record.server)
+        if life is not None and life.born.life == record.life:
+            life.story.append(record)
+
+    def _check_cold(self, gate: str, record: Took, life: _Life) -> None:
+        born, rules = life.born, self._terms["rules"]
+        share = born.cold_from + (1 - born.cold_from) * (record.t - born.t) / born.warm_ms
+        if share >= 1 or life.broken:
+            return
+        life.story.append(record)
+        told = self._told.get((gate, record.server))
+        informed = told is not None and told.life == record.life
+        life.sent.append((record.t, record.work_ms, informed))
+        life.work += record.work_ms
+        while life.sent[0][0] <= record.t - rules["fall_ms"]:
+            life.work -= life.sent.popleft()[1]
+        dearest = max(kind["work_ms"] for kind in self._kinds.values())
+        budget = (
+            rules["fall_multiple"] * born.capacity * share * rules["fall_ms"]
+            + TOLERANCES["cold_requests"] * dearest
+        )
+        life.peak = max(life.peak, life.work / budget)
+        knowing = sum(work for _, work, knew in life.sent if knew)
+        if life.work > budget and knowing >= TOLERANCES["cold_informed_share"] * life.work:
+            life.broken = True
+            self._breach(
+                COLD,
+                record.t,
+                record.server,
+                f"sent {life.work:.0f} ms of work in {rules['fall_ms']:.0f} ms, and bears {budget:.0f}",
+                [born, *life.story],
+            )
+
+    # -- rule 5: ceilings are kept
+
+    def _check_ceiling(self, request: _Request, record: Took) -> None:
+        asked = request.asked
+        terms = self._terms["quotas"][asked.plan]
+        if not terms["ceiling_rate"]:
+            return
+        self.chances[CEILINGS] += 1
+        store = self._stores.get(asked.firm)
+        if store is None:
+            store = self._stores[asked.firm] = _Store(
+                terms["ceiling_burst"], record.t, terms["ceiling_burst"]
+            )
+        gone_s = (record.t - store.t) / 1000
+        store.level = min(terms["ceiling_burst"], store.level + gone_s * terms["ceiling_rate"]) - asked.units
+        store.t, store.lowest = record.t, min(store.lowest, store.level)
+        store.story.append(record)
+        slack = terms["ceiling_slack"] + terms["ceiling_rate"] * TOLERANCES["ceiling_time"] / 1000
+        if store.level < -slack - 1e-6:
+            self._breach(
+                CEILINGS,
+                record.t,
+                asked.firm,
+                f"{-store.level:.2f} units beyond its ceiling, with a slack of {slack:.2f}",
+                list(store.story),
+            )
+
+    # -- gatekeepers
+
+    def _gate(self, record: Gate) -> None:
+        if record.what == "started":
+            self._settle(record.t, everything=True)
+            self._down_since.pop(record.gate, None)
+            self._over_since.pop(record.gate, None)
+            self._expected_ends.discard(record.gate)
+        elif record.what in ("kill", "term"):
+            self._expected_ends.add(record.gate)
+            if record.what == "kill":
+                self._down_since[record.gate] = record.t
+        elif record.what == "exited":
+            self._over_since[record.gate] = record.t
+            expected = record.gate in self._expected_ends
+            if not expected or record.code not in (0, -9):
+                self._breach(
+                    LOST, record.t, record.gate, f"ended by itself with code {record.code}", [record]
+                )
+            elif record.code == -9:
+                self._down_since.setdefault(record.gate, record.t)
+        self._settle(record.t)
+
+    def _passed(self, record: Passed) -> None:
+        if record.size > DATAGRAM_BYTES:
+            self._breach(LOST, record.t, record.sender, f"a datagram of {record.size} bytes", [record])
+
+    # -- what reports want beyond verdicts
+
+    def nearest(self) -> dict[str, float]:
+        """How near each firm under a ceiling came to it, in units left, by name."""
+        return {firm: round(store.lowest, 3) for firm, store in self._stores.items()}
+
+    def as_dict(self) -> dict[str, Any]:
+        """The `rules` of report.json."""
+        verdicts = self.verdicts()
+        return {
+            rule: {
+                "verdict": verdicts[rule],
+                "chances": self.chances[rule],
+                "count": self.counts[rule],
+                "breaches": [one.as_dict() for one in self.breaches if one.rule == rule],
+            }
+            for rule in RULES
+        }
--- /dev/null
+++ b/plumpick/rehearsal/fleet.py
@@ -0,0 +1,426 @@
+"""The whole fleet: gatekeepers, licence servers, roster, datagrams, front; and the script of what goes
+wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import itertools
+import math
+import random
+import shutil
+import tempfile
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from plumpick.rehearsal.auditor import Auditor
+from plumpick.rehearsal.clients import Front, capacity_of
+from plumpick.rehearsal.datagrams import Relay
+from plumpick.rehearsal.licence_server import HallKeys, LicenceServer
+from plumpick.rehearsal.plants import PLANTS, OverCeiling, Plant, Stage
+from plumpick.rehearsal.records import Began, Ended, Lag, Mark, Recorder
+from plumpick.rehearsal.roster import Agent, Listed, Roster
+from plumpick.rehearsal.scenario import (
+    AnyEvent,
+    HotFirm,
+    KillGatekeeper,
+    MoveRoster,
+    ReleaseServers,
+    RestartGatekeeper,
+    RosterSilent,
+    Scenario,
+    ServerFault,
+    SilentServers,
+    SplitPeers,
+)
+from plumpick.rehearsal.service import Service
+from plumpick.rehearsal.supervisor import Gatekeeper, StartFailed, Supervisor
+from plumpick.rehearsal.surroundings import HOST, Surroundings
+
+LAG_STEP_MS, STALL_MS = 10.0, 25.0  # the loop is looked at so often; a stall of so long is noted
+SLOW_P99_MS = 15.0  # with more than that the workstation was too slow
+SETTLE_MS = 250.0  # between the last look at open tries and the end
+GROUP_SIZE = 4
+
+
+class LagMeter:
+    """How late the stand-ins' loop comes: all their times are off by as much."""
+
+    def __init__(self, around: Surroundings, recorder: Recorder) -> None:
+        self._around, self._recorder = around, recorder
+        self.late: list[float] = []
+        self.counts = [0] * 2000  # by half a millisecond
+        self.most = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        self._due = self._around.now() + LAG_STEP_MS
+        self._timer = self._around.later(LAG_STEP_MS, self._look)
+
+    def _look(self) -> None:
+        now = self._around.now()
+        late = max(0.0, now - self._due)
+        self.counts[min(len(self.counts) - 1, int(late * 2))] += 1
+        self.most = max(self.most, late)
+        if late > STALL_MS:
+            self._recorder(Lag(now, round(late, 3)))
+        self.start()
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def quantile(self, share: float) -> float:
+        """Lag in ms that this share of the looks did not pass."""
+        total, seen = sum(self.counts), 0
+        for place, count in enumerate(self.counts):
+            seen += count
+            if total and seen >= share * total:
+                return (place + 1) / 2
+        return 0.0
+
+
+class Fleet:
+    """A fleet that can be started, played with and ended. Everything it makes is gone after `close`."""
+
+    def __init__(self, around: Surroundings, scenario: Scenario, name: str, plant: str = "") -> None:
+        self.around, self.scenario, self.name = around, scenario, name
+        self.recorder = Recorder()
+        self.auditor, self.service = Auditor(), Service()
+        self.recorder.listeners += [self.auditor, self.service]
+        self._serials = itertools.count(1)
+        self._rng = around.chance("script")
+        halls = scenario.fleet.halls
+        windows = {kind.name: kind.window_s * 1000 for kind in scenario.classes if kind.repeats == "keyed"}
+        self._keys = {hall: HallKeys(windows) for hall in halls}
+        self._names = itertools.count(1)
+        self.servers: dict[str, LicenceServer] = {}
+        self.groups: dict[str, int] = {}
+        for number in range(scenario.fleet.servers):
+            self._new_server(
+                scenario.hall_of(number),
+                number // (GROUP_SIZE * len(halls)) * len(halls) + number % len(halls),
+            )
+        self.capacity = capacity_of(list(self.servers.values()))
+        gates = [f"n{number}" for number in range(scenario.fleet.gatekeepers)]
+        self.agents = [Agent(around, gate, self.recorder) for gate in gates]
+        self.roster = Roster(around, scenario.roster, self.agents)
+        self.relay = Relay(around, scenario.peers, gates, self.recorder)
+        self.front = Front(around, scenario, self.capacity, self.recorder)
+        self.quotas = self.front.quotas()
+        self.plant: Plant | None = None
+        self.stage: Stage | None = None
+        if plant:
+            self.plant = PLANTS[plant](around)
+            self.recorder.listeners.append(self.plant)
+            self.stage = Stage(around, self.plant)
+            self.stage.targets = lambda: [server.port for server in self._ready()]
+            self.stage.port_of = self._port_of
+            self.stage.refused = self.front.refused
+            if isinstance(self.plant, OverCeiling):
+                self.plant.plans = {plan.name.encode() for plan in scenario.plans if plan.ceiling}
+        self.folder = Path(tempfile.mkdtemp(prefix="plumpick-"))
+        self.supervisor = Supervisor(
+            around,
+            scenario,
+            self.folder,
+            self.agents,
+            self.relay,
+            self.quotas,
+            self.recorder,
+            self._gate_ended,
+        )
+        self.lag = LagMeter(around, self.recorder)
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.timers: list[asyncio.TimerHandle] = []
+        self.marks: list[tuple[float, str]] = []
+        self.failed: list[str] = []  # what the script could not do
+        self._releasing: set[str] = set()
+
+    def _new_server(self, hall: str, group: int) -> LicenceServer:
+        name = f"lic-{next(self._names):03d}"
+        server = LicenceServer(
+            self.around,
+            name,
+            hall,
+            self.scenario.server,
+            self.scenario.rules,
+            self.scenario.classes,
+            self._keys[hall],
+            self.recorder,
+            self._serials,
+        )
+        self.servers[name], self.groups[name] = server, group
+        return server
+
+    def _port_of(self, name: str) -> int:
+        server = self.servers.get(name)
+        return 0 if server is None or server.down or server.silent else server.port
+
+    def _listed(self, server: LicenceServer, status: str) -> Listed:
+        return Listed(
+            server.name,
+            server.life,
+            server.port,
+            server.hall,
+            self.groups[server.name],
+            status,
+            server.since_unix,
+        )
+
+    # -- start and end
+
+    async def start(self) -> None:
+        """Start all, the gatekeepers last; raises StartFailed or OSError."""
+        terms = self.scenario.terms(self.around.seed, self.plant.name if self.plant else "", self.name)
+        self.recorder(Began(self.around.now(), terms | {"quotas": self.quotas}))
+        await asyncio.gather(*(server.start(cold=False) for server in self.servers.values()))
+        for agent in self.agents:
+            await agent.start()
+            if self.stage is not None and self.plant is not None and self.plant.at_servers:
+                for server in self.servers.values():
+                    await self.stage.before(server.port)
+                agent.address_of = self._relayed
+        self.roster.begin([self._listed(server, "ready") for server in self.servers.values()])
+        await self.relay.start()
+        results = await asyncio.gather(
+            *(self.supervisor.start(gate) for gate in self.supervisor.gates), return_exceptions=True
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+        for gate, door in zip(self.supervisor.gates, self.front.doors, strict=True):
+            door.port = await self._door_port(gate)
+            door.up = True
+        gc.collect()
+        gc.freeze()  # what the start made stays: looking through it again and again is a stall each time
+
+    def _relayed(self, entry: Listed) -> str:
+        assert self.stage is not None
+        return f"{HOST}:{self.stage.ports.get(entry.port, entry.port)}"
+
+    async def _door_port(self, gate: Gatekeeper) -> int:
+        if self.stage is not None and self.plant is not None and not self.plant.at_servers:
+            return await self.stage.before(gate.port)
+        return gate.port
+
+    async def play(self) -> None:
+        """Play the scenario to its end."""
+        self.lag.start()
+        self.front.start()
+        for event in self.scenario.events:
+            self.timers.append(self.around.later(event.at_s * 1000, self._begin, event))
+        await asyncio.sleep(self.scenario.seconds)
+        self.front.stop()
+        # What was asked last gets its time, up to the longest that a client waits for.
+        end = self.around.loop.time() + max(kind.deadline_ms for kind in self.scenario.classes) / 1000 + 1.0
+        while self.front.open > 0 and self.around.loop.time() < end:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(SETTLE_MS / 1000)
+        self.finish()
+
+    def finish(self) -> None:
+        """The end of the records."""
+        if not self.auditor.over:
+            self.lag.stop()
+            self.recorder(Ended(self.around.now(), self.lag.quantile(0.99), round(self.lag.most, 3)))
+
+    async def close(self) -> None:
+        """End all processes, sockets and files, also after a start that failed half way."""
+        self.lag.stop()
+        for timer in self.timers:
+            timer.cancel()
+        for task in list(self.tasks):
+            task.cancel()
+        self.front.close()
+        try:
+            await self.supervisor.close()
+        finally:
+            self.recorder.listeners.clear()
+            if self.stage is not None:
+                self.stage.close()
+            for server in self.servers.values():
+                server.stop()
+            for agent in self.agents:
+                agent.close()
+            self.relay.close()
+            self.recorder.close()
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _gate_ended(self, gate: Gatekeeper) -> None:
+        door = self.front.doors[gate.number]
+        door.went_down(self._rng.uniform(*self.scenario.clients.notice_s) * 1000)
+
+    # -- the script
+
+    def mark(self, text: str) -> None:
+        """Note what goes wrong, for records and reports."""
+        t = self.around.now()
+        self.marks.append((t, text))
+        self.recorder(Mark(t, text))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        async def guarded() -> None:
+            try:
+                await work
+            except (StartFailed, OSError) as problem:
+                self.failed.append(str(problem))
+                self.mark(f"failed: {str(problem).splitlines()[0]}")
+
+        task = self.around.loop.create_task(guarded())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _later(self, ms: float, call: Any, *arguments: Any) -> None:
+        self.timers.append(self.around.later(ms, call, *arguments))
+
+    def _begin(self, event: AnyEvent) -> None:
+        match event:
+            case KillGatekeeper():
+                self._spawn(self._kill(self.supervisor.gates[event.gatekeeper], event.back_s))
+            case RestartGatekeeper():
+                self._spawn(self._restart(self.supervisor.gates[event.gatekeeper]))
+            case MoveRoster():
+                self._spawn(self._move_roster())
+            case RosterSilent():
+                self.mark("the roster falls silent")
+                self.roster.silence(event.for_s * 1000)
+                self._later(event.for_s * 1000, self.mark, "the roster speaks again")
+            case ReleaseServers():
+                self._release(event)
+            case SilentServers():
+                self._silence(event)
+            case ServerFault():
+                self._fault(event)
+            case HotFirm():
+                firm = self.front.heat(event)
+                self.mark(f"firm {firm} asks for {event.times:g} times its quota")
+            case SplitPeers():
+                side = set(event.side)
+                self.relay.sides.append(side)
+                self.mark(f"gatekeepers {sorted(side)} and the others do not hear one another")
+                self._later(event.for_s * 1000, self.relay.sides.remove, side)
+                self._later(event.for_s * 1000, self.mark, "gatekeepers hear one another again")
+
+    async def _kill(self, gate: Gatekeeper, back_s: float) -> None:
+        self.mark(f"gatekeeper {gate.name} is killed")
+        self.supervisor.kill(gate)
+        if back_s and gate.watch is not None:
+            await gate.watch
+            await asyncio.sleep(back_s)
+            await self.supervisor.start(gate)
+            self.mark(f"gatekeeper {gate.name} is back")
+
+    async def _restart(self, gate: Gatekeeper) -> None:
+        self.mark(f"gatekeeper {gate.name} is told to end (SIGTERM)")
+        self.supervisor.terminate(gate)
+        if gate.watch is not None:
+            await gate.watch
+            await self.supervisor.start(gate)
+            self.mark(f"gatekeeper {gate.name} is back")
+
+    async def _move_roster(self) -> None:
+        self.mark("the roster's agents move (SIGHUP)")
+        for agent, gate in zip(self.agents, self.supervisor.gates, strict=True):
+            await agent.start()
+            self.supervisor.reload(gate)
+
+    def _ready(self) -> list[LicenceServer]:
+        return [
+            server
+            for server in self.servers.values()
+            if not (server.down or server.draining or server.silent or server.name in self._releasing)
+        ]
+
+    def _release(self, event: ReleaseServers) -> None:
+        """Servers drain one after the other; for each a cold successor under a new name begins."""
+        chosen = self._ready()
+        self._rng.shuffle(chosen)
+        chosen = chosen[: max(1, round(event.share * len(chosen)))]
+        self._releasing |= {server.name for server in chosen}
+        self.mark(f"a release of {len(chosen)} servers begins")
+        step_ms = event.within_s * 1000 / len(chosen)
+        for place, server in enumerate(chosen):
+            self._later(place * step_ms, lambda one=server: self._spawn(self._replace(one, event.linger_s)))
+        self._later(event.within_s * 1000, self.mark, "the release ends")
+
+    async def _replace(self, server: LicenceServer, linger_s: float) -> None:
+        server.draining = True  # it turns new work away from now on; the roster tells later
+        self.roster.news(self._listed(server, "draining"))
+        successor = self._new_server(server.hall, self.groups[server.name])
+        await successor.start(cold=True)
+        if self.stage is not None and self.plant is not None and self.plant.at_servers:
+            await self.stage.before(successor.port)
+        self.roster.news(self._listed(successor, "ready"))
+        late_s = max(*self.scenario.roster.drain_s) + max(*self.scenario.roster.spread_ms) / 1000
+        await asyncio.sleep(late_s + linger_s)
+        server.stop()
+        self._releasing.discard(server.name)
+        self.roster.news(self._listed(server, "gone"))
+
+    def _silence(self, event: SilentServers) -> None:
+        for server in self._pick(event.count):
+            server.fall_silent()
+            self.mark(f"server {server.name} falls silent")
+            self._later(event.for_s * 1000, lambda one=server: self._spawn(self._unsilence(one)))
+
+    async def _unsilence(self, server: LicenceServer) -> None:
+        await server.come_back()
+        self.mark(f"server {server.name} is back, cold")
+        self.roster.news(self._listed(server, "ready"))
+
+    def _pick(self, count: int) -> list[LicenceServer]:
+        ready = self._ready()
+        return self._rng.sample(ready, min(count, max(1, len(ready) - 1)) if count else len(ready))
+
+    def _fault(self, event: ServerFault) -> None:
+        chosen = self._pick(event.count)
+        classes = event.classes or [kind.name for kind in self.scenario.classes]
+        which = event.fault.replace("-", "_")
+        self.mark(f"{len(chosen)} servers: {event.fault}")
+        for server in chosen:
+            faults = server.faults
+            if event.fault == "half-speed":
+                faults.speed = event.by
+            elif event.fault == "freeze":
+                faults.freeze_ms, faults.freeze_every_ms = event.by_ms, event.every_s * 1000
+            else:
+                setattr(faults, which, dict.fromkeys(classes, event.share))
+                faults.slow_ms = event.by_ms
+        self._later(event.for_s * 1000, self._heal, chosen, event)
+
+    def _heal(self, chosen: list[LicenceServer], event: ServerFault) -> None:
+        for server in chosen:
+            if event.fault == "half-speed":
+                server.faults.speed = 1.0
+            elif event.fault == "freeze":
+                server.faults.freeze_every_ms = 0.0
+            else:
+                setattr(server.faults, event.fault.replace("-", "_"), {})
+        self.mark(f"{len(chosen)} servers: no more {event.fault}")
+
+
+def too_slow(auditor: Auditor) -> str:
+    """Why the workstation was too slow for the verdict to count, or nothing.
+
+    A breach that the clock alone made counts for nothing where the stand-ins' loop stood still beside it.
+    """
+    if auditor.lag_p99_ms > SLOW_P99_MS:
+        return f"the stand-ins' loop came {auditor.lag_p99_ms:.1f} ms late (p99; {SLOW_P99_MS:g} is the most)"
+    for breach in auditor.breaches:
+        if breach.timing and any(
+            stall.t - stall.ms - 50 <= breach.t <= stall.t + 50 for stall in auditor.stalls
+        ):
+            return f"the stand-ins' loop stood still when {breach.rule} was judged at {breach.t / 1000:.2f} s"
+    return ""
+
+
+def seed_of(number: int | None) -> int:
+    """The seed that was asked for, or one of the system's choice."""
+    return random.SystemRandom().randrange(1 << 31) if number is None else number
+
+
+def percent(value: float) -> str:
+    """A share as a person reads it; whole only where it is."""
+    return "100 %" if value >= 1 else f"{math.floor(value * 1000) / 10:.1f} %"
--- /dev/null
+++ b/plumpick/rehearsal/licence_server.py
@@ -0,0 +1,418 @@
+"""A stand-in licence server: cores, slots, a queue, a cold start, faults by script, and a ledger of effects.
+
+Work is shared out as a processor does it: with n requests in its slots each gets 1/n of what the cores
+give, and one core at most. A new process starts cold, its capacity grows evenly, and if it is sent more
+than a multiple of what it can do it falls over and stays down. What took effect stands in the ledger; a
+hall's servers share the memory of keys, and drop a repeat while it lasts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import math
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from plumpick.rehearsal.records import Born, Died, Ran, Record, Replied, Took, Turned, Wasted
+from plumpick.rehearsal.scenario import ClassPart, RulesPart, ServerPart
+from plumpick.rehearsal.surroundings import HOST, Surroundings
+from plumpick.rehearsal.wire import Message, Reader, WireError, answer_bytes
+
+NOT_RUN = "X-Not-Run: 1\r\n"
+USE_MEMORY_MS, SERVICE_GAIN = 400.0, 0.1  # over which `util` is averaged; how `latency_ms` is learned
+COLD_STEP_MS = 50.0  # a cold server's speed is set anew so often
+SLACK_REQUESTS = 1.0  # of the dearest class, that a cold server bears beyond its budget
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with a server now. Shares are chances for each attempt, by class."""
+
+    swallow: dict[str, float] = field(default_factory=dict)
+    error: dict[str, float] = field(default_factory=dict)
+    fast_error: dict[str, float] = field(default_factory=dict)
+    reset_before: dict[str, float] = field(default_factory=dict)
+    reset_after: dict[str, float] = field(default_factory=dict)
+    slow_after_record: dict[str, float] = field(default_factory=dict)
+    slow_ms: float = 0.0
+    spoilt: dict[str, float] = field(default_factory=dict)
+    speed: float = 1.0
+    freeze_ms: float = 0.0  # of every
+    freeze_every_ms: float = 0.0
+
+    def hits(self, which: str, kind: str, rng: random.Random) -> bool:
+        share = getattr(self, which).get(kind, 0.0)
+        return bool(share) and rng.random() < share
+
+
+class HallKeys:
+    """The keys that the servers of one hall remember, and since when; forgotten once their window is over."""
+
+    def __init__(self, windows_ms: dict[str, float]) -> None:
+        self._windows = windows_ms
+        self._since: dict[tuple[str, str], float] = {}
+
+    def is_repeat(self, t: float, kind: str, key: str) -> bool:
+        """Whether this key had its effect within the window; if not, it has it now."""
+        window = self._windows[kind]
+        since = self._since.get((kind, key))
+        if since is not None and t - since <= window:
+            return True
+        self._since.pop((kind, key), None)
+        self._since[kind, key] = t
+        while self._since:  # they stand in the order of time
+            (oldest_kind, oldest_key), when = next(iter(self._since.items()))
+            if t - when <= max(self._windows.values()):
+                break
+            del self._since[oldest_kind, oldest_key]
+        return False
+
+
+class _Job:
+    """An attempt in the house."""
+
+    __slots__ = ("n", "id", "kind", "key", "work", "connection", "end", "came", "began_t")
+
+    def __init__(
+        self,
+        n: int,
+        request_id: str,
+        kind: ClassPart,
+        key: str,
+        work: float,
+        connection: _Connection,
+        came: float,
+    ) -> None:
+        self.n, self.id, self.kind, self.key, self.work = n, request_id, kind, key, work
+        self.connection: _Connection | None = connection
+        self.came, self.end, self.began_t = came, 0.0, -1.0
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; it carries one request at a time."""
+
+    def __init__(self, server: LicenceServer) -> None:
+        self.server, self.life = server, server.life
+        self.transport: Any = None
+        self.reader = Reader(answers=False)
+        self.job: _Job | None = None
+        self.idle_t = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        self.idle_t = self.server.now()
+        self.server.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        server = self.server
+        if server.silent or self.life != server.life:
+            return
+        try:
+            messages = self.reader.feed(data, server.now())
+        except WireError:
+            self.transport.abort()
+            return
+        for message in messages:
+            server.take(self, message)
+
+    def connection_lost(self, _problem: Exception | None) -> None:
+        self.server.connections.discard(self)
+        if self.job is not None:
+            self.job.connection = None
+            self.server.cancelled(self.job)
+
+    def write(self, data: bytes) -> None:
+        self.idle_t = self.server.now()
+        self.transport.write(data)
+
+
+class LicenceServer:
+    """One licence server. `record` takes the records, `serials` numbers the attempts of all servers."""
+
+    def __init__(
+        self,
+        around: Surroundings,
+        name: str,
+        hall: str,
+        part: ServerPart,
+        rules: RulesPart,
+        classes: list[ClassPart],
+        keys: HallKeys,
+        record: Callable[[Record], None],
+        serials: itertools.count[int],
+    ) -> None:
+        self.around, self.name, self.hall, self.part, self.rules = around, name, hall, part, rules
+        self.kinds = {kind.name: kind for kind in classes}
+        self.now, self.record, self._serials, self._keys = around.now, record, serials, keys
+        self.rng = around.chance(f"server {name}")
+        self.speed = self.rng.uniform(*part.speed)
+        self.capacity = part.cores * self.speed  # ms of work a ms, warm
+        self.warm_ms = self.rng.uniform(*part.warm_s) * 1000
+        self.faults = Faults()
+        self.life, self.port, self.since_unix = 0, 0, 0.0
+        self.silent = self.draining = self.down = False
+        self.connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._frozen_until = 0.0
+        self._cold = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self._born_t = self.now()
+        self._busy: list[
+            tuple[float, int, _Job]
+        ] = []  # in the slots, by the attained service at which each ends
+        self._queue: deque[_Job] = deque()
+        self._attained, self._at = 0.0, self.now()  # service that each in a slot has had; as of when
+        self._rate = 0.0
+        self._use, self._service_ms = 0.0, sum(kind.work_ms * kind.share for kind in self.kinds.values())
+        self._report, self._shown = "", deque[tuple[float, str]]()
+        self._next_report_t = 0.0
+        self._sent: deque[tuple[float, float]] = deque()  # work sent to it while cold
+        self._sent_sum = 0.0
+
+    # -- its life
+
+    async def start(self, cold: bool) -> None:
+        """A process begins to listen: at a port of the system's choice, later at the same."""
+        self.life += 1
+        self.silent = self.draining = self.down = False
+        self._clear()
+        self._cold = cold
+        self._server = await self.around.loop.create_server(
+            lambda: _Connection(self), HOST, self.port, reuse_address=True
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        t = self.now()
+        self.since_unix = self.around.unix_ms(t) if cold else 0.0
+        self.record(
+            Born(
+                t,
+                self.name,
+                self.life,
+                self.hall,
+                round(self.capacity, 4),
+                self.part.cold_from if cold else 1.0,
+                round(self.warm_ms, 1),
+            )
+        )
+        self._sweep(self.life)
+
+    def stop(self, why: str = "stopped") -> None:
+        """The process ends: its connections are reset, new ones are refused. Waiting work never ran."""
+        if self.down:
+            return
+        self.down = True
+        self.record(Died(self.now(), self.name, self.life, why))
+        self._close()
+
+    def fall_silent(self) -> None:
+        """The machine is cut off: what comes is not heard, nothing is said, connections stay open."""
+        if not self.down and not self.silent:
+            self.silent = True
+            self.record(Died(self.now(), self.name, self.life, "silent"))
+            self._drop_timer()
+            self._busy.clear()
+            self._queue.clear()
+
+    async def come_back(self) -> None:
+        """A machine that was silent is back: old connections are reset, the process is new and cold."""
+        self._close()
+        await self.start(cold=True)
+
+    def _close(self) -> None:
+        self._drop_timer()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self.connections):
+            connection.job = None
+            connection.transport.abort()
+        self._busy.clear()
+        self._queue.clear()
+
+    def _drop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def warmth(self, t: float) -> float:
+        """The share of its capacity that it has."""
+        if not self._cold:
+            return 1.0
+        share = self.part.cold_from + (1 - self.part.cold_from) * (t - self._born_t) / self.warm_ms
+        return min(1.0, share)
+
+    def _sweep(self, life: int) -> None:
+        """Close connections that are idle for too long."""
+        if life != self.life or self.down:
+            return
+        t = self.now()
+        if not self.silent:
+            for connection in list(self.connections):
+                if connection.job is None and t - connection.idle_t > self.part.idle_s * 1000:
+                    connection.transport.close()
+        self.around.later(1000.0, self._sweep, life)
+
+    # -- attempts
+
+    def take(self, connection: _Connection, message: Message) -> None:
+        """A whole attempt has come."""
+        t = self.now()
+        request_id = message.headers.get(b"x-request-id", b"").decode("latin-1")
+        name = message.start[1].decode("latin-1").lstrip("/").partition("?")[0].partition("/")[0]
+        kind = self.kinds.get(name)
+        if kind is None or not request_id or connection.job is not None:
+            connection.write(answer_bytes(404))
+            return
+        n = next(self._serials)
+        self.record(Took(t, n, request_id, self.name, self.life, message.first_t, name, kind.work_ms))
+        if self._cold and self._pressed(t, kind.work_ms):
+            self.stop("fell")
+            return
+        key = message.headers.get(b"idempotency-key", b"").decode("latin-1")
+        # One request is the same work wherever it runs.
+        work = random.Random(f"{self.around.seed}/{request_id}").expovariate(1 / kind.work_ms)
+        job = _Job(n, request_id, kind, key, min(work, 6 * kind.work_ms), connection, t)
+        if self.faults.hits("swallow", name, self.rng):
+            connection.job = job  # it is in nobody's hands
+            return
+        if self.faults.hits("fast_error", name, self.rng):
+            self._reply(job, 500)
+            return
+        if self.faults.hits("reset_before", name, self.rng):
+            connection.transport.abort()
+            return
+        room = self.part.cores * (self.part.slots_per_core + self.part.queue_per_core)
+        if (
+            self.draining
+            or len(self._busy) + len(self._queue) >= room
+            or (len(self.connections) > self.part.connections)
+        ):
+            connection.write(answer_bytes(503, b"", NOT_RUN + self._load(t)))
+            self.record(Turned(t, n))
+            return
+        connection.job = job
+        self._advance(t)
+        if len(self._busy) < self.part.cores * self.part.slots_per_core:
+            self._begin(job)
+        else:
+            self._queue.append(job)
+        self._set_rate(t)
+
+    def _pressed(self, t: float, work_ms: float) -> bool:
+        """Whether the work sent within the rule's window is more than a cold server bears."""
+        share = self.warmth(t)
+        if share >= 1.0:
+            self._cold = False
+            return False
+        self._sent.append((t, work_ms))
+        self._sent_sum += work_ms
+        while self._sent[0][0] <= t - self.rules.fall_ms:
+            self._sent_sum -= self._sent.popleft()[1]
+        dearest = max(kind.work_ms for kind in self.kinds.values())
+        budget = self.rules.fall_multiple * self.capacity * share * self.rules.fall_ms
+        return self._sent_sum > budget + SLACK_REQUESTS * dearest
+
+    def cancelled(self, job: _Job) -> None:
+        """Its connection has ended. What waits may be dropped; what runs goes on."""
+        if self.part.drops_cancelled and job.began_t < 0 and job in self._queue:
+            self._queue.remove(job)
+
+    # -- the processor
+
+    def _begin(self, job: _Job) -> None:
+        job.began_t, job.end = self._at, self._attained + job.work / self.speed
+        heapq.heappush(self._busy, (job.end, job.n, job))
+
+    def _advance(self, t: float) -> None:
+        """Account for the time gone by."""
+        gone = t - self._at
+        if gone <= 0:
+            return
+        self._attained += gone * self._rate
+        used = min(1.0, len(self._busy) / self.part.cores)
+        self._use += (used - self._use) * -math.expm1(-gone / USE_MEMORY_MS)
+        self._at = t
+
+    def _set_rate(self, t: float) -> None:
+        """How fast each in a slot advances, in ms of warm single-core service a ms; and when the next
+        ends."""
+        self._drop_timer()
+        count = len(self._busy)
+        if not count:
+            self._rate = 0.0
+            return
+        share = min(1.0, self.part.cores / count) * self.warmth(t) * self.faults.speed
+        wait = COLD_STEP_MS if self._cold else math.inf
+        if t < self._frozen_until:
+            share, wait = 0.0, self._frozen_until - t
+        elif self.faults.freeze_every_ms and t % self.faults.freeze_every_ms < self.faults.freeze_ms:
+            share = 0.0
+            wait = self.faults.freeze_ms - t % self.faults.freeze_every_ms
+        elif self.faults.freeze_every_ms:
+            wait = min(wait, self.faults.freeze_every_ms - t % self.faults.freeze_every_ms)
+        self._rate = share
+        if share:
+            wait = min(wait, max(0.0, self._busy[0][0] - self._attained) / share)
+        self._timer = self.around.later(wait + 0.1, self._step)
+
+    def _step(self) -> None:
+        self._timer = None
+        t = self.now()
+        self._advance(t)
+        while self._busy and self._busy[0][0] <= self._attained + 1e-6:
+            job = heapq.heappop(self._busy)[2]
+            self._finish(t, job)
+            if self._queue:
+                self._begin(self._queue.popleft())
+        self._set_rate(t)
+
+    def _finish(self, t: float, job: _Job) -> None:
+        """The work of an attempt is done: its effect stands from here on."""
+        kind, name = job.kind, job.kind.name
+        self._service_ms += (t - job.began_t - self._service_ms) * SERVICE_GAIN
+        if self.faults.hits("error", name, self.rng) or self.rng.random() < self.part.error_share:
+            self._reply(job, 500)
+            return
+        repeat = kind.repeats == "keyed" and self._keys.is_repeat(t, name, job.key)
+        self.record(Ran(t, job.n, repeat))
+        if job.connection is None:
+            self.record(Wasted(t, job.n, round(job.work, 1)))
+        elif self.faults.hits("reset_after", name, self.rng):
+            job.connection.job = None
+            job.connection.transport.abort()
+        elif self.faults.hits("slow_after_record", name, self.rng):
+            self.around.later(self.faults.slow_ms, self._reply, job, 200)
+        else:
+            self._reply(job, 200)
+
+    def _reply(self, job: _Job, status: int) -> None:
+        connection, t = job.connection, self.now()
+        if connection is None or self.silent or self.down or connection.life != self.life:
+            return
+        connection.job, job.connection = None, None
+        if self.faults.hits("spoilt", job.kind.name, self.rng):
+            self.record(Replied(t, job.n, status, True, round(job.work, 1)))
+            connection.write(b"\x16\x03\x01 no answer at all\r\n\r\n")
+            return
+        self.record(Replied(t, job.n, status, False, round(job.work, 1)))
+        body = f"{job.id} {job.n} {self.name}\n".encode() if status == 200 else b""
+        connection.write(answer_bytes(status, body, self._load(t)))
+
+    def _load(self, t: float) -> str:
+        """The load report as a header: refreshed now and then, and shown late."""
+        if t >= self._next_report_t:
+            self._advance(t)
+            text = f'X-Load: {{"util":{self._use:.3f},"latency_ms":{self._service_ms:.1f}}}\r\n'
+            self._shown.append((t + self.rng.uniform(*self.part.report_late_ms), text))
+            self._next_report_t = t + self.rng.uniform(*self.part.report_ms)
+        while self._shown and self._shown[0][0] <= t:
+            self._report = self._shown.popleft()[1]
+        return self._report
--- /dev/null
+++ b/plumpick/rehearsal/roster.py
@@ -0,0 +1,222 @@
+"""A stand-in roster: an agent beside each gatekeeper, which tells the list of servers late, and may be
+silent.
+
+What a gatekeeper is told is recorded when it is written. The rule on drains counts from there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from plumpick.rehearsal.records import Record, Told
+from plumpick.rehearsal.scenario import RosterPart
+from plumpick.rehearsal.surroundings import HOST, Surroundings
+from plumpick.rehearsal.wire import Message, Reader, WireError, answer_bytes
+
+MOVED_CLOSE_MS = 1500.0  # so long after a move the old address keeps its open connections
+GONE_KEPT = 4096  # changes that an agent remembers; who asks from before gets the whole list
+WATCH_MOST_MS = 60_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A server as the roster lists it."""
+
+    name: str
+    life: int
+    port: int
+    hall: str
+    group: int
+    status: str  # ready, draining or gone
+    since_unix: float
+
+
+class _Call(asyncio.Protocol):
+    """One connection of a gatekeeper to its agent."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent = agent
+        self.transport: Any = None
+        self.reader = Reader(answers=False)
+        self.waits: asyncio.TimerHandle | None = None
+        self.since = -1
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        self.agent.calls.add(self)
+
+    def connection_lost(self, _problem: Exception | None) -> None:
+        self.agent.calls.discard(self)
+        self.stop_waiting()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            messages = self.reader.feed(data, self.agent.around.now())
+        except WireError:
+            self.transport.abort()
+            return
+        for message in messages:
+            self.agent.asked(self, message)
+
+    def stop_waiting(self) -> None:
+        if self.waits is not None:
+            self.waits.cancel()
+            self.waits = None
+
+
+class Agent:
+    """The agent beside one gatekeeper: what has been sent to it, and the calls that wait for more."""
+
+    def __init__(self, around: Surroundings, gate: str, record: Callable[[Record], None]) -> None:
+        self.around, self.gate, self._record = around, gate, record
+        self.view: dict[str, Listed] = {}
+        self.index = 1
+        self.silent = False
+        self.port = 0
+        self.calls: set[_Call] = set()
+        self.address_of: Callable[[Listed], str] = lambda entry: f"{HOST}:{entry.port}"
+        self._changes: list[tuple[int, Listed]] = []
+        self._held: list[tuple[_Call, Message]] = []  # what was asked while it is silent
+        self._told: dict[str, tuple[int, str]] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen at a new port; an agent that listens already moves there."""
+        old, old_calls = self._server, list(self.calls)
+        self._server = await self.around.loop.create_server(lambda: _Call(self), HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        if old is not None:
+            old.close()
+            self.around.later(MOVED_CLOSE_MS, lambda: [call.transport.abort() for call in old_calls])
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for call in list(self.calls):
+            call.transport.abort()
+
+    def change(self, entry: Listed) -> None:
+        """Word of a server has come to this machine."""
+        self.index += 1
+        if entry.status == "gone":
+            self.view.pop(entry.name, None)
+        else:
+            self.view[entry.name] = entry
+        self._changes = [*self._changes[1 - GONE_KEPT :], (self.index, entry)]
+        if not self.silent:
+            for call in [call for call in self.calls if call.waits is not None]:
+                self._answer_watch(call)
+
+    def speak(self) -> None:
+        """The silence is over: what was asked meanwhile is answered, and waiting calls hear what is new."""
+        self.silent = False
+        held, self._held = self._held, []
+        for call, message in held:
+            if call in self.calls:
+                self.asked(call, message)
+        for call in [call for call in self.calls if call.waits is not None and call.since < self.index]:
+            self._answer_watch(call)
+
+    def whole(self) -> dict[str, Any]:
+        """The whole list, as a call gets it."""
+        return {
+            "index": self.index,
+            "snapshot": True,
+            "endpoints": [self._row(entry) for entry in self.view.values()],
+        }
+
+    def _row(self, entry: Listed) -> dict[str, Any]:
+        return {
+            "name": entry.name,
+            "address": self.address_of(entry),
+            "zone": entry.hall,
+            "type": "std-2c",
+            "group": entry.group,
+            "status": entry.status,
+            "weight": 1.0,
+            "since_ms": entry.since_unix,
+        }
+
+    def asked(self, call: _Call, message: Message) -> None:
+        """One call."""
+        if self.silent:
+            self._held.append((call, message))
+            return
+        target = urlsplit(message.start[1].decode("latin-1"))
+        query = {name: values[0] for name, values in parse_qs(target.query).items()}
+        if target.path != "/discovery/hosts":
+            call.transport.write(answer_bytes(404))
+        elif "since" not in query:
+            self._answer_whole(call)
+        else:
+            call.since = int(query["since"])
+            wait_ms = min(WATCH_MOST_MS, float(query.get("timeout_ms", "0")))
+            if call.since < self.index:
+                self._answer_watch(call)
+            else:
+                call.waits = self.around.later(wait_ms, self._answer_watch, call)
+
+    def _answer_whole(self, call: _Call) -> None:
+        call.transport.write(answer_bytes(200, json.dumps(self.whole()).encode()))
+        self.tell([*self.view.values()], whole=True)
+
+    def _answer_watch(self, call: _Call) -> None:
+        call.stop_waiting()
+        if self.silent:
+            return
+        if self._changes and call.since < self._changes[0][0] - 1:
+            self._answer_whole(call)
+            return
+        news = [entry for index, entry in self._changes if index > call.since]
+        body = {"index": self.index, "snapshot": False, "endpoints": [self._row(entry) for entry in news]}
+        call.transport.write(answer_bytes(200, json.dumps(body).encode()))
+        self.tell(news, whole=False)
+
+    def tell(self, entries: list[Listed], whole: bool) -> None:
+        """Record what the gatekeeper is told that it was not told before."""
+        t = self.around.now()
+        for entry in entries:
+            if self._told.get(entry.name) != (entry.life, entry.status):
+                self._told[entry.name] = (entry.life, entry.status)
+                self._record(Told(t, self.gate, entry.name, entry.life, entry.status))
+        if whole:
+            names = {entry.name for entry in entries}
+            for name, (life, status) in list(self._told.items()):
+                if name not in names:
+                    del self._told[name]
+                    if status != "gone":
+                        self._record(Told(t, self.gate, name, life, "gone"))
+
+
+class Roster:
+    """Sends word of the servers to the agents, late."""
+
+    def __init__(self, around: Surroundings, part: RosterPart, agents: list[Agent]) -> None:
+        self._around, self._part, self.agents = around, part, agents
+        self._rng = around.chance("roster")
+        self._last: dict[tuple[int, str], float] = {}  # when the latest word of a server is due at an agent
+
+    def begin(self, entries: list[Listed]) -> None:
+        """What all know from the start."""
+        for agent in self.agents:
+            agent.view = {entry.name: entry for entry in entries}
+
+    def news(self, entry: Listed) -> None:
+        """Something has happened; each agent hears of it in its time, of one server in order."""
+        late = {"ready": self._part.add_s, "draining": self._part.drain_s, "gone": self._part.gone_s}
+        notice_ms = self._rng.uniform(*late[entry.status]) * 1000
+        for number, agent in enumerate(self.agents):
+            due = self._around.now() + notice_ms + self._rng.uniform(*self._part.spread_ms)
+            due = self._last[number, entry.name] = max(due, self._last.get((number, entry.name), 0.0) + 1.0)
+            self._around.later(due - self._around.now(), agent.change, entry)
+
+    def silence(self, for_ms: float) -> None:
+        """All agents say nothing for so long."""
+        for agent in self.agents:
+            agent.silent = True
+            self._around.later(for_ms, agent.speak)
--- /dev/null
+++ b/plumpick/rehearsal/service.py
@@ -0,0 +1,307 @@
+"""Service as the users count it, from the same records as the auditor's.
+
+Worth answered in time over the worth asked for inside the quotas; a client's further tries belong to its
+first. 65 % the whole run, 20 % the worst 10 s, 15 % the worst-served plan; the prices come off.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import Any
+
+from plumpick.rehearsal.records import (
+    Answered,
+    Asked,
+    Began,
+    Born,
+    Ended,
+    Left,
+    Passed,
+    Record,
+    Replied,
+    Took,
+    Wasted,
+)
+
+WHOLE, WORST_WINDOW, WORST_PLAN = 0.65, 0.20, 0.15
+WINDOW_S, FULL_MESSAGE = 10, 256
+KEEP_MS = 60_000.0
+
+
+@dataclass(slots=True)
+class _Bucket:
+    level: float
+    t: float
+
+    def take(self, t: float, rate: float, burst: float, units: float) -> bool:
+        """Fill for the time gone by; take the units if they are there."""
+        self.level = min(burst, self.level + (t - self.t) / 1000 * rate)
+        self.t = t
+        if self.level < units:
+            return False
+        self.level -= units
+        return True
+
+
+@dataclass(slots=True)
+class _Op:
+    t: float
+    worth: float
+    plan: str
+    kind: str
+    inside: bool  # of what one gatekeeper that saw all first tries would let in
+    served: bool = False
+    ended_t: float = 0.0
+
+
+class Tally:
+    """Sums for one class, plan or second: worth asked for inside the quotas, served in time, and counts."""
+
+    __slots__ = ("offered", "served", "asked", "refused", "failed", "late")
+
+    def __init__(self) -> None:
+        self.offered = self.served = 0.0
+        self.asked = self.refused = self.failed = self.late = 0
+
+    def share(self) -> float:
+        """Served over offered, at most 1; 1 where nothing was offered."""
+        return min(1.0, self.served / self.offered) if self.offered else 1.0
+
+
+class Service:
+    """Counts service; feed it records in their order."""
+
+    def __init__(self) -> None:
+        self._terms: dict[str, Any] = {}
+        self._kinds: dict[str, dict[str, Any]] = {}
+        self._quotas: dict[str, dict[str, float]] = {}
+        self._halls: dict[str, str] = {}
+        self._ops: dict[int, _Op] = {}
+        self._tries: dict[str, tuple[Asked, int]] = {}
+        self._inside: dict[str, bool] = {}  # tries that were sent on: inside their quota?
+        self._first: dict[str, _Bucket] = {}
+        self._sent: dict[str, _Bucket] = {}
+        self._server_hall: dict[str, str] = {}
+        self._took: dict[int, str] = {}
+        self.total = Tally()
+        self.kinds: defaultdict[str, Tally] = defaultdict(Tally)
+        self.plans: defaultdict[str, Tally] = defaultdict(Tally)
+        self.seconds: defaultdict[int, Tally] = defaultdict(Tally)
+        self.by_second_kind: defaultdict[tuple[int, str], Tally] = defaultdict(Tally)
+        self.by_second_plan: defaultdict[tuple[int, str], Tally] = defaultdict(Tally)
+        self.over_cost = self.late_worth = 0.0
+        self.worked_ms = self.useful_ms = self.asked_ms = 0.0
+        self.peer_bytes = self.crossings = self.attempts = self.tries = self.first_tries = self.sent_on = 0
+        self.over_units = self.sent_units = 0.0
+        self.end_t = 0.0
+        self._swept = 0.0
+        self._useful: dict[int, float] = {}
+        self._take = {
+            Began: self._began,
+            Asked: self._asked,
+            Answered: self._answered,
+            Took: self._took_it,
+            Replied: self._replied,
+            Wasted: self._wasted,
+            Passed: self._passed,
+            Ended: self._end,
+            Left: self._left,
+            Born: self._born,
+        }
+
+    def feed(self, record: Record) -> None:
+        """The next record."""
+        take = self._take.get(type(record))
+        if take is not None and not self.end_t:
+            take(record)  # type: ignore[operator]
+
+    def _began(self, record: Began) -> None:
+        self._terms = record.terms
+        self._kinds = {kind["name"]: kind for kind in record.terms["classes"]}
+        self._quotas = record.terms["quotas"]
+        self._halls = record.terms["halls"]
+
+    def _born(self, record: Born) -> None:
+        self._server_hall[record.server] = record.hall
+
+    def _end(self, record: Ended) -> None:
+        self.end_t = record.t
+
+    def _tallies(self, op: _Op) -> tuple[Tally, ...]:
+        second = int(op.t // 1000)
+        return (
+            self.total,
+            self.kinds[op.kind],
+            self.plans[op.plan],
+            self.seconds[second],
+            self.by_second_kind[second, op.kind],
+            self.by_second_plan[second, op.plan],
+        )
+
+    def _asked(self, record: Asked) -> None:
+        if record.id in self._tries:
+            return
+        self._sweep(record.t)
+        self.tries += 1
+        op = self._ops.get(record.op)
+        if op is None:
+            quota, kind = self._quotas[record.plan], self._kinds[record.kind]
+            bucket = self._first.setdefault(record.firm, _Bucket(quota["burst"], record.t))
+            inside = bucket.take(record.t, quota["rate"], quota["burst"], record.units)
+            op = self._ops[record.op] = _Op(
+                record.t, kind["worth"] * quota["value"] * record.units, record.plan, record.kind, inside
+            )
+            self.first_tries += 1
+            self.asked_ms += kind["work_ms"] * inside
+            for tally in self._tallies(op):
+                tally.asked += 1
+                tally.offered += op.worth * inside
+        self._tries[record.id] = (record, record.op)
+
+    def _took_it(self, record: Took) -> None:
+        self.attempts += 1
+        asked, _ = self._tries.get(record.id, (None, 0))
+        if asked is None:
+            return
+        self._took[record.n] = record.id
+        self.crossings += self._halls.get(asked.gate) != self._server_hall.get(record.server)
+        if record.id not in self._inside:
+            quota, kind = self._quotas[asked.plan], self._kinds[asked.kind]
+            bucket = self._sent.setdefault(asked.firm, _Bucket(quota["burst"], record.t))
+            inside = bucket.take(record.t, quota["rate"], quota["burst"], asked.units)
+            self._inside[record.id] = inside
+            self.sent_on += 1
+            self.sent_units += asked.units
+            if not inside:
+                self.over_units += asked.units
+                self.over_cost += quota["over_cost"] * kind["worth"] * quota["value"] * asked.units
+
+    def _answered(self, record: Answered) -> None:
+        asked, number = self._tries.get(record.id, (None, 0))
+        op = self._ops.get(number)
+        if asked is None or op is None:
+            return
+        tallies = self._tallies(op)
+        if record.status == 200:
+            self.useful_ms += self._useful.pop(record.source, 0.0)
+            if record.t - op.t > self._kinds[op.kind]["aim_ms"]:
+                for tally in tallies:
+                    tally.late += 1
+                self._late(op)
+            elif not op.served:
+                op.served = True
+                for tally in tallies:
+                    tally.served += op.worth * self._inside.get(record.id, False)
+        elif record.status in (429, 503):
+            for tally in tallies:
+                tally.refused += 1
+        else:
+            for tally in tallies:
+                tally.failed += 1
+            if record.t - op.t > self._kinds[op.kind]["aim_ms"]:
+                self._late(op)
+
+    def _left(self, record: Left) -> None:
+        asked, number = self._tries.get(record.id, (None, 0))
+        op = self._ops.get(number)
+        if asked is None or op is None:
+            return
+        for tally in self._tallies(op):
+            tally.failed += 1
+        if record.t - op.t > self._kinds[op.kind]["aim_ms"]:
+            self._late(op)
+
+    def _late(self, op: _Op) -> None:
+        """It failed its client only after the wanted time; counted once."""
+        if op.inside and not op.served and not op.ended_t:
+            op.ended_t = op.t + self._kinds[op.kind]["aim_ms"]
+            self.late_worth += op.worth
+
+    def _replied(self, record: Replied) -> None:
+        self.worked_ms += record.worked_ms
+        if record.status == 200 and not record.spoilt:
+            self._useful[record.n] = record.worked_ms
+
+    def _wasted(self, record: Wasted) -> None:
+        self.worked_ms += record.worked_ms
+
+    def _passed(self, record: Passed) -> None:
+        if record.fate == "delivered":
+            self.peer_bytes += record.size
+
+    def _sweep(self, t: float) -> None:
+        """Forget what is over for long."""
+        if t - self._swept < KEEP_MS:
+            return
+        self._swept = t
+        self._ops = {number: op for number, op in self._ops.items() if op.t > t - KEEP_MS}
+        self._tries = {name: pair for name, pair in self._tries.items() if pair[0].t > t - KEEP_MS}
+        self._inside = {name: inside for name, inside in self._inside.items() if name in self._tries}
+        self._took = {n: name for n, name in self._took.items() if name in self._tries}
+        self._useful = {n: worked for n, worked in self._useful.items() if n in self._took}
+
+    # -- figures
+
+    def worst_window(self) -> tuple[float, int]:
+        """The lowest share served in any 10 s on end, and the second at which they begin."""
+        last = int(self.end_t // 1000) or max(self.seconds, default=0)
+        worst = (1.0, 0)
+        for start in range(0, max(1, last - WINDOW_S + 1)):
+            rows = [
+                self.seconds[second] for second in range(start, start + WINDOW_S) if second in self.seconds
+            ]
+            offered = sum(row.offered for row in rows)
+            if offered:
+                worst = min(worst, (min(1.0, sum(row.served for row in rows) / offered), start))
+        return worst
+
+    def so_far(self, t: float) -> float:
+        """The share served of what was asked for until a moment ago, for a live line."""
+        rows = [row for second, row in self.seconds.items() if second < t // 1000 - 2]
+        offered = sum(row.offered for row in rows)
+        return min(1.0, sum(row.served for row in rows) / offered) if offered else 1.0
+
+    def as_dict(self) -> dict[str, Any]:
+        """The `service` of report.json: shares of 1, rounded to six digits."""
+        window, start = self.worst_window()
+        plans = {name: tally.share() for name, tally in sorted(self.plans.items())}
+        prices, offered = self._terms["prices"], self.total.offered or 1.0
+        wasted = max(0.0, self.worked_ms - self.useful_ms)
+        costs = {
+            "over_quota": self.over_cost / offered,
+            "waste": prices["waste"] * wasted / self.asked_ms if self.asked_ms else 0.0,
+            "late_fail": prices["late_fail"] * self.late_worth / offered,
+            "peer": prices["peer"] * self.peer_bytes / (FULL_MESSAGE * max(1, self.first_tries)),
+            "cross_hall": prices["cross_hall"] * self.crossings / max(1, self.first_tries),
+        }
+        whole = self.total.share()
+        goal = WHOLE * whole + WORST_WINDOW * window + WORST_PLAN * min(plans.values(), default=1.0)
+
+        def rounded(value: Any) -> Any:
+            if isinstance(value, dict):
+                return {key: rounded(one) for key, one in value.items()}
+            return round(value, 6) if isinstance(value, float) else value
+
+        return rounded(
+            {
+                "service": goal - sum(costs.values()),
+                "whole": whole,
+                "worst_10_s": window,
+                "worst_10_s_from": start,
+                "worst_plan": min(plans.values(), default=1.0),
+                "classes": {name: tally.share() for name, tally in sorted(self.kinds.items())},
+                "plans": plans,
+                "prices": costs,
+                "counts": {
+                    "first_tries": self.first_tries,
+                    "tries": self.tries,
+                    "attempts": self.attempts,
+                    "sent_on": self.sent_on,
+                    "refused": self.total.refused,
+                    "failed": self.total.failed,
+                    "late": self.total.late,
+                },
+                "over_quota_share": self.over_units / self.sent_units if self.sent_units else 0.0,
+            }
+        )
--- /dev/null
+++ b/plumpick/rehearsal/supervisor.py
@@ -0,0 +1,279 @@
+"""Starts gatekeepers as real processes, just as `run` does, and ends each of them, whatever happens."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from plumpick.rehearsal.datagrams import Relay
+from plumpick.rehearsal.records import Gate, Record
+from plumpick.rehearsal.roster import Agent
+from plumpick.rehearsal.scenario import Scenario
+from plumpick.rehearsal.surroundings import HOST, Surroundings
+from plumpick.rehearsal.wire import request_bytes
+
+ROOT = Path(__file__).resolve().parents[2]  # where the program that runs this is found again
+READY_S = 20.0  # a gatekeeper that is not up by then will not be
+PORT_TRIES = 3  # a port may be taken between our look and its start
+LOG_TAIL = 2000
+POLL_S = 0.02
+
+
+class StartFailed(Exception):
+    """A gatekeeper could not be started; the text holds the end of its log."""
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """A port of the system's choice that was free just now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+class Gatekeeper:
+    """One gatekeeper, over all of its processes."""
+
+    def __init__(self, supervisor: Supervisor, number: int, agent: Agent) -> None:
+        self.supervisor, self.number, self.agent = supervisor, number, agent
+        self.name = f"n{number}"
+        self.port = self.peer_port = 0
+        self.starts = 0
+        self.process: asyncio.subprocess.Process | None = None
+        self.watch: asyncio.Task[Any] | None = None
+        self.folder = supervisor.folder / self.name
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid if self.process is not None else 0
+
+    def running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+
+class Supervisor:
+    """All gatekeepers of a rehearsal. `ended` is told when a process ends."""
+
+    def __init__(
+        self,
+        around: Surroundings,
+        scenario: Scenario,
+        folder: Path,
+        agents: list[Agent],
+        relay: Relay,
+        quotas: dict[str, dict[str, float]],
+        record: Callable[[Record], None],
+        ended: Callable[[Gatekeeper], None],
+    ) -> None:
+        self.around, self.scenario, self.folder, self._relay = around, scenario, folder, relay
+        self._quotas, self._record, self._ended = quotas, record, ended
+        self._rng = around.chance("supervisor")
+        self.gates = [Gatekeeper(self, number, agent) for number, agent in enumerate(agents)]
+        self.closing = False
+
+    # -- configurations
+
+    def _settings(self, number: int) -> dict[str, Any]:
+        """The settings in the platform's form."""
+        scenario = self.scenario
+        repeats = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+        return {
+            "balancers": len(self.gates),
+            "myNumber": number,
+            "locality": scenario.hall_of(number),
+            "tickMs": 4.0,
+            "discovery": "automatic",
+            "azs": scenario.fleet.halls,
+            "classes": [
+                {
+                    "name": kind.name,
+                    "aimMs": kind.aim_ms,
+                    "deadlineMs": kind.deadline_ms,
+                    "worth": kind.worth,
+                    "repeat": repeats[kind.repeats],
+                    "keyScope": "zone",
+                    "dedupWindowMs": kind.window_s * 1000,
+                }
+                for kind in scenario.classes
+            ],
+            "packages": [
+                {
+                    "name": plan.name,
+                    "perSecond": quota["rate"],
+                    "storeSize": quota["burst"],
+                    "valueFactor": plan.value,
+                    "overWorth": 0.0,
+                    "overrunCost": plan.over_cost,
+                    "hardRate": quota["ceiling_rate"],
+                    "hardBurst": quota["ceiling_burst"],
+                    "capSlack": quota["ceiling_slack"],
+                }
+                for plan in scenario.plans
+                for quota in [self._quotas[plan.name]]
+            ],
+            "rules": {
+                "warmUpMs": scenario.server.warm_s[1] * 1000,
+                "coldFrom": scenario.server.cold_from,
+                "fallMultiple": scenario.rules.fall_multiple,
+                "tipAfterMs": scenario.rules.fall_ms,
+                "drainGraceMs": scenario.rules.drain_grace_ms,
+                "askWithinMs": 10_000.0,
+            },
+            "limits": {
+                "maxAttempts": 5,
+                "cancel": True,
+                "mayTell": True,
+                "probing": False,
+                "secondCopies": True,
+                "retryAfter": True,
+                "maxRetryAfterMs": 1000.0,
+                "dialTimeoutMs": 250.0,
+                "connIdleMs": scenario.server.idle_s * 1000,
+            },
+            "domain": {"maxUnits": 1, "inboxPerS": scenario.peers.inbox_per_s},
+            "penalties": {"crossZone": scenario.prices.cross_hall, "peer": scenario.prices.peer},
+            "report": {"how": "answers", "fields": ["util", "latency_ms"]},
+        }
+
+    def configuration(self, gate: Gatekeeper) -> dict[str, Any]:
+        """All that a gatekeeper is told at a start; its list is the one that its agent has now."""
+        peers = [
+            f"{HOST}:{gate.peer_port}" if other is gate else self._relay.address(gate.number, other.number)
+            for other in self.gates
+        ]
+        return {
+            "name": gate.name,
+            "listen": f"{HOST}:{gate.port}",
+            "discovery": f"{HOST}:{gate.agent.port}",
+            "seed": f"{self._rng.getrandbits(64):016x}",
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.scenario.fleet.memory_mb,
+                "sockets": self.scenario.fleet.sockets,
+            },
+            "peer_listen": f"{HOST}:{gate.peer_port}",
+            "peers": peers,
+            "known": gate.agent.whole(),
+            "settings": self._settings(gate.number),
+        }
+
+    def _write(self, gate: Gatekeeper) -> Path:
+        gate.folder.mkdir(exist_ok=True)
+        path = gate.folder / "config.json"
+        news = gate.folder / "config.new"
+        news.write_text(json.dumps(self.configuration(gate)), encoding="utf-8")
+        news.replace(path)
+        return path
+
+    # -- starts
+
+    async def start(self, gate: Gatekeeper) -> None:
+        """Start a process and wait until it is up; raises StartFailed."""
+        for attempt in range(PORT_TRIES):
+            if not gate.starts:
+                gate.port, gate.peer_port = free_port(), free_port(socket.SOCK_DGRAM)
+                self._relay.ports[gate.number] = gate.peer_port
+            if await self._start_once(gate):
+                gate.starts += 1
+                self._record(Gate(self.around.now(), gate.name, "ready", 0))
+                return
+            tail = self.log_tail(gate)
+            if gate.starts or "address already in use" not in tail.lower() or attempt == PORT_TRIES - 1:
+                raise StartFailed(f"gatekeeper {gate.name} ended at its start:\n{tail}")
+
+    async def _start_once(self, gate: Gatekeeper) -> bool:
+        path = self._write(gate)
+        environment = {
+            **os.environ,
+            "BALANCER_CONFIG": str(path),
+            "BALANCER_NAME": gate.name,
+            "TMPDIR": str(gate.folder),
+            "PYTHONPATH": os.pathsep.join([str(ROOT), *sys.path]),
+        }
+        with open(gate.folder / "log", "ab") as log:
+            gate.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "plumpick",
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self._record(Gate(self.around.now(), gate.name, "started", 0))
+        gate.watch = self.around.loop.create_task(self._watch(gate, gate.process))
+        end = self.around.loop.time() + READY_S
+        while gate.running() and self.around.loop.time() < end:
+            if await self._is_up(gate):
+                return True
+            await asyncio.sleep(POLL_S)
+        if gate.running():
+            raise StartFailed(
+                f"gatekeeper {gate.name} is not up after {READY_S:.0f} s:\n{self.log_tail(gate)}"
+            )
+        return False
+
+    @staticmethod
+    async def _is_up(gate: Gatekeeper) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(HOST, gate.port)
+        except OSError:
+            return False
+        try:
+            writer.write(request_bytes("GET", "/up", {}))
+            return b" 200 " in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.close()
+
+    async def _watch(self, gate: Gatekeeper, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        if not self.closing:
+            self._record(Gate(self.around.now(), gate.name, "exited", code))
+            self._ended(gate)
+
+    def log_tail(self, gate: Gatekeeper) -> str:
+        """The end of its log."""
+        try:
+            return (gate.folder / "log").read_text(encoding="utf-8", errors="replace")[-LOG_TAIL:]
+        except OSError:
+            return ""
+
+    # -- ends
+
+    def kill(self, gate: Gatekeeper) -> None:
+        """SIGKILL: it ends without a word."""
+        if gate.running():
+            self._record(Gate(self.around.now(), gate.name, "kill", 0))
+            gate.process.kill()  # type: ignore[union-attr]
+
+    def terminate(self, gate: Gatekeeper) -> None:
+        """SIGTERM: it finishes what it has."""
+        if gate.running():
+            self._record(Gate(self.around.now(), gate.name, "term", 0))
+            gate.process.terminate()  # type: ignore[union-attr]
+
+    def reload(self, gate: Gatekeeper) -> None:
+        """The configuration is replaced, and SIGHUP is sent."""
+        if gate.running():
+            self._write(gate)
+            self._record(Gate(self.around.now(), gate.name, "hup", 0))
+            gate.process.send_signal(signal.SIGHUP)  # type: ignore[union-attr]
+
+    async def close(self) -> None:
+        """End all processes at once."""
+        self.closing = True
+        for gate in self.gates:
+            if gate.running():
+                gate.process.kill()  # type: ignore[union-attr]
+        await asyncio.gather(
+            *(gate.watch for gate in self.gates if gate.watch is not None), return_exceptions=True
+        )
--- a/tests/test_gray.py
+++ b/tests/test_gray.py
@@ -62,8 +62,10 @@
                     if took is not None and took < action.allow_ms:
                         self.later(took, Outcome(action.id, number, action.server, took, Result.OK, True))
                     else:
-                        self.later(action.allow_ms, Outcome(action.id, number, action.server, action.allow_ms,
-                                                            Result.TIMEOUT, False))
+                        self.later(
+                            action.allow_ms,
+                            Outcome(action.id, number, action.server, action.allow_ms, Result.TIMEOUT, False),
+                        )
                 case Cancel():
                     key = (action.id, action.attempt)
                     if key in self.out:
