--- a/tests/rehearsal/test_runs.py
+++ b/tests/rehearsal/test_runs.py
@@ -306,8 +306,9 @@
 
 def test_the_daemon_imports_none_of_the_tools():
     script = (
-        "import sys, plumpick.__main__; print([name for name in sys.modules if name == 'plumpick.cli' or name.startswith(('plumpick."
-        "rehearsal', 'plumpick.cli.', 'msgspec', 'matplotlib', 'argparse', 'tomllib'))])"
+        "import re, sys, plumpick.__main__\n"
+        "print([name for name in sys.modules if re.match(\n"
+        "    r'(plumpick\\.(rehearsal|cli)|msgspec|matplotlib|argparse|tomllib)(\\.|$)', name)])"
     )
     done = subprocess.run(
         [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, timeout=PATIENCE_S
--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -13,9 +13,8 @@
 
 def run(*command, **more):
     environment = {key: value for key, value in os.environ.items() if key != "PYTHONPATH"}
-    done = subprocess.run(
-        [str(part) for part in command], capture_output=True, text=True, timeout=PATIENCE_S, env=environment, **more
-    )
+    words = [str(part) for part in command]
+    done = subprocess.run(words, capture_output=True, text=True, timeout=PATIENCE_S, env=environment, **more)
     assert done.returncode in (0, 3), done.stdout + done.stderr
     return done.stdout
 
@@ -42,7 +41,6 @@
 def test_without_the_extra_the_tools_say_what_to_install(tmp_path):
     (tmp_path / "msgspec.py").write_text("raise ModuleNotFoundError('no', name='msgspec')\n")
     done = subprocess.run(
-        [sys.executable, "-m", "plumpick.cli", "rehearse"], capture_output=True, text=True, timeout=PATIENCE_S,
-        cwd=ROOT, env={**os.environ, "PYTHONPATH": str(tmp_path)}
-    )
+        [sys.executable, "-m", "plumpick.cli", "rehearse"], capture_output=True, text=True,
+        timeout=PATIENCE_S, cwd=ROOT, env={**os.environ, "PYTHONPATH": str(tmp_path)})
     assert done.returncode == 2 and "plumpick[kit]" in done.stderr
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -4,14 +4,17 @@
 import pathlib
 import re
 import sys
+import tomllib
 
 ROOT = pathlib.Path(__file__).parent.parent
 
 
 def test_size_limits():
-    lines = (ROOT / "anisefront/control.py").read_text().splitlines()
+    policy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
+    lines = [line for name in policy for line in (ROOT / name).read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200
-    for path in [*ROOT.glob("anisefront/*.py"), *ROOT.glob("plumpick/*.py"), *ROOT.glob("tests/*.py")]:
+    for path in [path for folder in ("anisefront", "plumpick", "tests", "benchmarks")
+                 for path in (ROOT / folder).rglob("*.py")]:
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
 
 
@@ -30,6 +33,15 @@
     assert len(pins) == 2 and all(re.fullmatch(r"[a-z]+==[\d.]+", pin) for pin in pins)
 
 
+def test_the_daemons_files_are_what_the_deploy_file_says_and_need_no_tool():
+    node = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["node"]
+    assert sorted(node) == sorted(str(path.relative_to(ROOT)) for path in ROOT.glob("plumpick/*.py")
+                                  if path.name != "cli.py")
+    for name in node:
+        text = (ROOT / name).read_text()
+        assert not re.search(r"plumpick\.(rehearsal|cli)\b", text), name
+
+
 def test_readme_example_runs(capsys):
     readme = (ROOT / "README.md").read_text()
     example, = re.findall(r"```python\n(.*?)```", readme, re.S)
