--- /dev/null
+++ b/benchmarks/rehearsal_scale.py
@@ -0,0 +1,95 @@
+"""Up to what rate a workstation rehearses: the stand-ins' lag against requests a second.
+
+    python benchmarks/rehearsal_scale.py [--rates 100 250 500 750 1000] [--gatekeepers 8] [--servers 60]
+
+Each run lasts 15 s; the work of a request is short, so that the servers have room at every rate. Prints a
+table in Markdown: first tries a second as played, lag of the stand-ins' loop, its CPU, verdicts.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SECONDS = 15
+SCENARIO = """title = "scale"
+seconds = {seconds}
+[fleet]
+gatekeepers = {gatekeepers}
+servers = {servers}
+sockets = 1024
+[load]
+rate_per_s = {rate}
+[clients]
+heavy = 0.0
+spiky = 0.0
+[[classes]]
+name = "seat-check"
+share = 0.35
+work_ms = 25
+aim_ms = 750
+deadline_ms = 2000
+worth = 3
+repeats = "safe"
+[[classes]]
+name = "seat-checkout"
+share = 0.34
+work_ms = 50
+aim_ms = 2000
+deadline_ms = 3000
+worth = 3
+repeats = "keyed"
+window_s = 15
+[[classes]]
+name = "hours-debit"
+share = 0.31
+work_ms = 50
+aim_ms = 2000
+deadline_ms = 3000
+worth = 2
+repeats = "unsafe"
+"""
+
+
+def play(rate: float, gatekeepers: int, servers: int) -> tuple[str, ...]:
+    """One run, as a row."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "scale.toml"
+        path.write_text(SCENARIO.format(seconds=SECONDS, gatekeepers=gatekeepers, servers=servers, rate=rate))
+        command = [sys.executable, "-m", "plumpick.cli", "rehearse", str(path), "--quiet", "--seed", "1"]
+        process = subprocess.Popen([*command, "--report", folder], cwd=ROOT, stdout=subprocess.DEVNULL,
+                                   stderr=subprocess.DEVNULL)
+        _, status, usage = os.wait4(process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(status)
+        report = json.loads((Path(folder) / "report.json").read_text())
+        history = sum(1 for _ in (Path(folder) / "history.jsonl").open())
+    counts, lag = report["service"]["counts"], report["lag_ms"]
+    broken = [rule for rule, one in report["rules"].items() if one["verdict"] == "broken"]
+    return (f"{rate:g}", f"{counts['first_tries'] / SECONDS:.0f}", f"{lag['p99']:.1f}", f"{lag['max']:.0f}",
+            f"{history / SECONDS:.0f}", f"{usage.ru_utime + usage.ru_stime:.0f}",
+            f"{report['service']['whole']:.3f}", ", ".join(broken) or "held", str(report["exit_code"]))
+
+
+def main() -> None:
+    """Print the table."""
+    flags = argparse.ArgumentParser(description=__doc__)
+    flags.add_argument("--rates", type=float, nargs="*", default=[100, 250, 500, 750, 1000])
+    flags.add_argument("--gatekeepers", type=int, default=8)
+    flags.add_argument("--servers", type=int, default=60)
+    given = flags.parse_args()
+    print(f"{given.gatekeepers} gatekeepers, {given.servers} servers, {os.cpu_count()} cores\n")
+    print("| asked, a second | first tries a second | lag p99, ms | lag most, ms | records a second | "
+          "CPU s, kit and gatekeepers | served | rules | exit code |")
+    print("|" + " --- |" * 9)
+    for rate in given.rates:
+        print("| " + " | ".join(play(rate, given.gatekeepers, given.servers)) + " |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/plumpick/rehearsal/wire.py
+++ b/plumpick/rehearsal/wire.py
@@ -83,7 +83,8 @@
         if len(data) < whole:
             return None
         self._data = data[whole:]
-        return Message(start, headers, data[end + 4 : whole], data[:whole], self._first_t)  # type: ignore[arg-type]
+        first_words = (start[0], start[1], start[2])
+        return Message(first_words, headers, data[end + 4 : whole], data[:whole], self._first_t)
 
 
 def request_bytes(method: str, path: str, headers: dict[str, str], body: bytes = b"") -> bytes:
