--- a/plumpick/rehearsal/fleet.py
+++ b/plumpick/rehearsal/fleet.py
@@ -239,6 +239,7 @@
             await self.supervisor.close()
         finally:
             self.recorder.listeners.clear()
+            self.recorder.close()  # what ends from here on is our doing
             if self.stage is not None:
                 self.stage.close()
             for server in self.servers.values():
@@ -246,7 +247,6 @@
             for agent in self.agents:
                 agent.close()
             self.relay.close()
-            self.recorder.close()
             shutil.rmtree(self.folder, ignore_errors=True)
 
     def _gate_ended(self, gate: Gatekeeper) -> None:
--- a/tests/rehearsal/test_runs.py
+++ b/tests/rehearsal/test_runs.py
@@ -314,3 +314,28 @@
         [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, timeout=PATIENCE_S
     )
     assert done.stdout.strip() == "[]", done.stderr
+
+
+def test_a_history_of_a_workstation_that_was_too_slow_ends_with_3_and_says_why(runs, tmp_path):
+    """Never a false verdict: not of a loop that was late all the time, nor of a stall beside a breach."""
+    folder, _ = runs[""]
+    *lines, last = (folder / "history.jsonl").read_text().splitlines()
+    ended = json.loads(last)
+    assert ended[0] == "Ended"
+    slow = tmp_path / "slow.jsonl"
+    slow.write_text("\n".join([*lines, json.dumps(["Ended", ended[1], 15.5, 80.0])]) + "\n")
+    done = plumpick("audit", slow)
+    assert done.returncode == 3 and "15.5 ms late" in done.stderr and "held" in done.stdout
+    # An answer held up by the stall: broken by the clock alone, so it does not count.
+    asked = next(line for line in lines if line.startswith('["Asked"'))
+    t, name, wait = json.loads(asked)[1], json.loads(asked)[2], json.loads(asked)[9]
+    late = t + wait + 60
+    kept = [line for line in lines if name not in line and json.loads(line)[1] < late]
+    kept.insert(next(n for n, line in enumerate(kept) if json.loads(line)[1] >= t), asked)
+    kept += [json.dumps(["Lag", late - 1, 90.0]), json.dumps(["Answered", late, name, 502, -1, "", 0.0]),
+             json.dumps(["Ended", late + 1, 1.0, 90.0])]
+    kept = [line for line in kept if not line.startswith(('["Took"', '["Ran"', '["Replied"', '["Answered"'))
+            or name in line]
+    slow.write_text("\n".join(kept) + "\n")
+    done = plumpick("audit", slow)
+    assert done.returncode == 3 and "stood still" in done.stderr and "no-request-lost  broken" in done.stdout
