--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -33,7 +33,7 @@
 
 # Window.
 START_PER_SERVER = 12.0  # attempts out for each ready server, over all gateways, until answers tell more
-FLOOR_PER_SERVER = 4.0  # over all gateways: never fewer, or slow answers would close it for good
+FLOOR_PER_SERVER = 5.0  # over all gateways: never fewer, or slow answers would close it for good
 IN_SERVER_PART = 0.25  # of a class's aim that attempts may spend at servers on average; more thrashes them
 ANSWER_PART = 0.45  # of a class's aim that is kept free for the answer at most
 HOLD_PART = 0.45  # of a request's time that it may be held at most
--- /dev/null
+++ b/benchmarks/gray/rules.py
@@ -0,0 +1,211 @@
+"""The rules beside the decision module's: what others do, in the same events and actions.
+
+Each chooses the least-outstanding server, holds what is over its limit for up to 0.45 of the aim, then refuses,
+and tries again what surely never ran, or is safe, up to three times. They differ in the limit and in ejection.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import defaultdict, deque
+
+from anisefront import control
+from anisefront.control import Controller
+from anisefront.interface import (
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    Fleet,
+    Outcome,
+    Refuse,
+    Repeat,
+    Result,
+    Send,
+    Settings,
+    Wake,
+)
+
+MOST_TRIES, HOLD_PART, STEP_MS = 3, 0.45, 20.0
+
+
+class Fixed:
+    """A cap that never moves: twelve attempts for each server, over all gateways."""
+
+    per_server = 12.0
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.rng = settings, random.Random(seed)
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.servers: list[str] = []
+        self.out: defaultdict[str, int] = defaultdict(int)
+        self.total = 0
+        self.held: deque[Arrival] = deque()
+        self.until: dict[int, float] = {}
+        self.open: dict[int, Arrival] = {}
+        self.sent: dict[int, list[str]] = {}
+        self.flying: dict[tuple[int, int], str] = {}
+        self.limit = 0.0
+        self.now = 0.0
+        self.waking = False
+
+    def start(self) -> None:
+        self.limit = max(1.0, self.per_server * len(self.servers) / self.settings.gateways)
+
+    def learn(self, event: Outcome, kind_aim: float) -> None:
+        """What an outcome teaches the limit."""
+
+    def usable(self) -> list[str]:
+        return self.servers
+
+    def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
+        """Take in what happened and return what to do."""
+        self.now, actions = now_ms, list[Action]()
+        for event in events:
+            match event:
+                case Fleet():
+                    self.servers = [server.id for server in event.servers]
+                    self.start()
+                case Arrival():
+                    self.open[event.id], self.sent[event.id] = event, []
+                    self.until[event.id] = now_ms + HOLD_PART * self.kinds[event.class_name].aim_ms
+                    self.held.append(event)
+                case ClientGone() if event.id in self.open:
+                    self.close(event.id, actions)
+                case Outcome():
+                    self.outcome(event, actions)
+        self.release(actions)
+        if not self.waking or any(not isinstance(event, Outcome | Arrival) for event in events):
+            self.waking = True
+            actions.append(Wake(STEP_MS, "step"))
+        return actions
+
+    def release(self, actions: list[Action]) -> None:
+        kept: deque[Arrival] = deque()
+        for arrival in self.held:
+            if arrival.id not in self.open:
+                continue
+            if self.total < max(1.0, self.limit) and self.servers:
+                self.send(arrival, actions)
+            elif self.now >= self.until[arrival.id]:
+                actions.append(Refuse(arrival.id, 250.0))
+                self.close(arrival.id, actions)
+            else:
+                kept.append(arrival)
+        self.held = kept
+
+    def send(self, arrival: Arrival, actions: list[Action]) -> None:
+        tried = self.sent[arrival.id]
+        pool = [name for name in self.usable() if name not in tried] or self.usable()
+        least = min(self.out[name] for name in pool)
+        name = self.rng.choice([name for name in pool if self.out[name] == least])
+        self.flying[arrival.id, len(tried)] = name
+        tried.append(name)
+        self.out[name] += 1
+        self.total += 1
+        actions.append(Send(arrival.id, name, max(1.0, arrival.due_ms - self.now)))
+
+    def outcome(self, event: Outcome, actions: list[Action]) -> None:
+        name = self.flying.pop((event.id, event.attempt), None)
+        if name is None:
+            return
+        self.out[name] -= 1
+        self.total -= 1
+        arrival = self.open.get(event.id)
+        self.judge(name, event)
+        if arrival is not None or event.result is Result.OK:
+            self.learn(event, self.kinds[arrival.class_name].aim_ms if arrival else 1000.0)
+        if arrival is None:
+            return
+        kind = self.kinds[arrival.class_name]
+        if event.final:
+            self.close(event.id, actions)
+        elif (event.result.never_ran or kind.repeat is Repeat.SAFE) and len(self.sent[event.id]) < MOST_TRIES and (
+                self.now < arrival.due_ms - kind.deadline_ms * 0.3):
+            self.send(arrival, actions)
+        else:
+            safe = event.result.never_ran or kind.repeat is Repeat.SAFE
+            actions.append(Refuse(event.id, 250.0) if safe else Fail(event.id))
+            self.close(event.id, actions)
+
+    def judge(self, name: str, event: Outcome) -> None:
+        """What an outcome says of its server."""
+
+    def close(self, number: int, actions: list[Action]) -> None:
+        self.open.pop(number, None)
+        self.until.pop(number, None)
+        for attempt in range(len(self.sent.pop(number, []))):
+            if (number, attempt) in self.flying:
+                actions.append(Cancel(number, attempt))
+
+
+class Aimd(Fixed):
+    """Additive increase, multiplicative decrease: a late, failed or lost attempt cuts the limit by a tenth."""
+
+    def learn(self, event: Outcome, kind_aim: float) -> None:
+        if event.result is Result.OK and event.took_ms < kind_aim:
+            self.limit += 1 / max(1.0, self.limit)
+        else:
+            self.limit = max(1.0, self.limit * 0.9)
+
+
+class Gradient(Fixed):
+    """The gradient limiter of Netflix's concurrency-limits (Gradient2): long against short answer times."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.long = 0.0
+
+    def learn(self, event: Outcome, kind_aim: float) -> None:
+        if event.result is Result.MOOT:
+            return
+        short = max(1.0, event.took_ms)
+        self.long = short if not self.long else self.long + (short - self.long) * 2 / 601
+        if self.long / short > 2:
+            self.long *= 0.95
+        if self.total < self.limit / 2:
+            return
+        gradient = max(0.5, min(1.0, 1.5 * self.long / short))
+        news = self.limit * gradient + math.sqrt(max(1.0, self.limit))
+        most = 4 * self.per_server * len(self.servers) / self.settings.gateways
+        self.limit = min(max(1.0, most), max(1.0, self.limit * 0.8 + news * 0.2))
+
+
+class Ejecting(Fixed):
+    """Least outstanding with outlier ejection: five failures in a row put a server out, a third at most."""
+
+    row, base_ms, most = 5, 3000.0, 1 / 3
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.failures: defaultdict[str, int] = defaultdict(int)
+        self.times: defaultdict[str, int] = defaultdict(int)
+        self.back: dict[str, float] = {}
+
+    def usable(self) -> list[str]:
+        return [name for name in self.servers if self.back.get(name, 0.0) <= self.now] or self.servers
+
+    def judge(self, name: str, event: Outcome) -> None:
+        if event.result is Result.OK:
+            self.failures[name] = 0
+        elif event.result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
+            self.failures[name] += 1
+            out = sum(until > self.now for until in self.back.values())
+            if self.failures[name] >= self.row and out + 1 <= self.most * len(self.servers):
+                self.times[name] += 1
+                self.back[name] = self.now + self.base_ms * self.times[name]
+                self.failures[name] = 0
+
+
+class Before(Controller):
+    """The decision module as it was: the window counts every attempt that is out, however old."""
+
+    def on_overdue(self, request: control.Request) -> None:
+        """Nothing is ever overdue."""
+
+
+RULES = {"plumpick": Controller, "before": Before, "fixed cap": Fixed, "AIMD": Aimd, "gradient": Gradient,
+         "ejection": Ejecting}
--- /dev/null
+++ b/benchmarks/gray/world.py
@@ -0,0 +1,402 @@
+"""The world of the study rig: servers with a failure, gateways that decide, clients that wait. No sockets.
+
+Time is modelled, in ms; all chance comes from one seed, so that rules beside one another meet the same arrivals.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from anisefront.interface import (
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    Fleet,
+    Heard,
+    Outcome,
+    Plan,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    Server,
+    Settings,
+    State,
+    Tell,
+    Wake,
+    Woken,
+)
+
+TICK_MS = 4.0
+HALLS = ("hall-a", "hall-b", "hall-c")
+WORK_MS = {"seat-check": 88.0, "seat-checkout": 225.0, "hours-debit": 225.0}
+SHARES = {"seat-check": 0.35, "seat-checkout": 0.34, "hours-debit": 0.31}
+CLASSES = (
+    RequestClass("seat-check", 750, 2000, 3, Repeat.SAFE),
+    RequestClass("seat-checkout", 2000, 7500, 3, Repeat.KEYED, scope=Scope.ZONE, window_ms=15_000),
+    RequestClass("hours-debit", 2000, 7500, 2, Repeat.UNSAFE),
+)
+CORES, SLOTS, QUEUE = 2, 8, 40
+REPORT_MS = 300.0
+WARM_UP_MS = 17_000.0
+
+
+class Rule(Protocol):
+    """What decides at one gateway: the decision module, or one of the rules beside it."""
+
+    def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
+        """Take in what happened and return what to do."""
+
+
+@dataclass(frozen=True)
+class Failure:
+    """What goes wrong, between `FROM_MS` and `UNTIL_MS`: its kind, its share and where it is."""
+
+    kind: str = "none"  # swallow, half-speed, freeze, late, unread, fast-error
+    where: str = "everywhere"  # or server, hall, class
+    share: float = 1.0
+
+    def hits(self, server: int, hall: str, name: str) -> bool:
+        """Whether an attempt of that class at that server is where it is."""
+        return {"everywhere": True, "server": server == 0, "hall": hall == HALLS[0],
+                "class": name == "hours-debit"}[self.where]
+
+    def __str__(self) -> str:
+        part = f" {100 * self.share:g} %" if self.kind == "swallow" else ""
+        return f"{self.kind}{part}, {self.where}" if self.kind != "none" else "none"
+
+
+FROM_MS, UNTIL_MS, END_MS, DRAIN_MS = 4000.0, 14_000.0, 18_000.0, 8000.0
+
+
+class Clock:
+    """The queue of what is to come."""
+
+    def __init__(self) -> None:
+        self.now, self._queue, self._serial = 0.0, [], itertools.count()
+
+    def at(self, t: float, call: Callable[..., Any], *arguments: Any) -> list[Any]:
+        """Call then; the answer can be cleared to call it off."""
+        entry = [call, arguments]
+        heapq.heappush(self._queue, (max(t, self.now), next(self._serial), entry))
+        return entry
+
+    def run(self, until: float) -> None:
+        """Play until that time."""
+        queue = self._queue
+        while queue and queue[0][0] <= until:
+            self.now, _, entry = heapq.heappop(queue)
+            if entry:
+                call, arguments = entry
+                call(*arguments)
+        self.now = until
+
+
+@dataclass
+class Job:
+    """An attempt at a server."""
+
+    gateway: Gateway
+    request: int
+    number: int
+    work: float
+    name: str
+    sent: float
+    open: bool = True
+    end: float = 0.0
+
+
+class Machine:
+    """One server: two cores shared out evenly, slots, a queue, a load report."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world, self.number, self.name = world, number, f"s{number}"
+        self.hall = HALLS[number % len(HALLS)]
+        self.rng = random.Random(f"{world.seed}/{number}")
+        self.speed = self.rng.uniform(0.9, 1.1)
+        self.busy: list[tuple[float, int, Job]] = []
+        self.queue: list[Job] = []
+        self.attained, self.at, self.rate, self.use = 0.0, 0.0, 0.0, 0.0
+        self.timer: list[Any] = []
+        self.serial = itertools.count()
+        self.done_work = self.waited = 0.0
+        self.report, self.report_t = (0.0, 150.0), 0.0
+        self.service = 150.0
+
+    def failing(self, name: str) -> str:
+        """The failure that an attempt of that class meets now, or nothing."""
+        failure, now = self.world.failure, self.world.clock.now
+        if FROM_MS <= now < UNTIL_MS and failure.hits(self.number, self.hall, name):
+            return failure.kind
+        return ""
+
+    def take(self, job: Job) -> None:
+        """An attempt has come."""
+        kind = self.failing(job.name)
+        if kind == "unread" or kind == "swallow" and self.rng.random() < self.world.failure.share:
+            return
+        if kind == "fast-error":
+            self.answer(job, Result.ERROR, 1.0)
+            return
+        self.advance()
+        if len(self.busy) < SLOTS:
+            self.begin(job)
+        elif len(self.queue) < QUEUE:
+            self.queue.append(job)
+        else:
+            self.answer(job, Result.FULL, 0.0)
+        self.set_rate()
+
+    def begin(self, job: Job) -> None:
+        job.end = self.attained + job.work / self.speed
+        heapq.heappush(self.busy, (job.end, next(self.serial), job))
+
+    def advance(self) -> None:
+        """Account for the time gone by."""
+        gone = self.world.clock.now - self.at
+        if gone <= 0:
+            return
+        self.attained += gone * self.rate
+        self.done_work += gone * self.rate * len(self.busy)
+        self.waited += gone * len(self.queue)
+        self.use += (min(1.0, len(self.busy) / CORES) - self.use) * min(1.0, gone / 400)
+        self.at = self.world.clock.now
+
+    def set_rate(self) -> None:
+        self.timer.clear()
+        if not self.busy:
+            self.rate = 0.0
+            return
+        now = self.world.clock.now
+        self.rate = min(1.0, CORES / len(self.busy))
+        wait = float("inf")
+        kind = self.failing("hours-debit" if self.world.failure.where == "class" else "seat-check")
+        if kind == "half-speed":
+            self.rate *= 0.5
+        elif kind == "freeze":
+            place = (now - FROM_MS) % 5000
+            if place < 1000:
+                self.rate, wait = 0.0, 1000 - place
+            else:
+                wait = 5000 - place
+        if now < FROM_MS:
+            wait = min(wait, FROM_MS - now)
+        elif now < UNTIL_MS:
+            wait = min(wait, UNTIL_MS - now)
+        if self.rate:
+            wait = min(wait, max(0.0, self.busy[0][0] - self.attained) / self.rate)
+        self.timer = self.world.clock.at(now + wait + 0.05, self.step)
+
+    def step(self) -> None:
+        self.advance()
+        while self.busy and self.busy[0][0] <= self.attained + 1e-6:
+            job = heapq.heappop(self.busy)[2]
+            took = self.world.clock.now - job.sent
+            self.service += (took - self.service) * 0.1
+            late = 3000.0 if self.failing(job.name) == "late" else 0.0
+            self.answer(job, Result.OK, late)
+            if self.queue:
+                self.begin(self.queue.pop(0))
+        self.set_rate()
+
+    def answer(self, job: Job, result: Result, after: float) -> None:
+        now = self.world.clock.now
+        if now >= self.report_t:
+            self.report, self.report_t = (self.use, self.service), now + REPORT_MS
+        way = self.rng.uniform(0.4, 3.0)
+        self.world.clock.at(now + after + way, job.gateway.ended, job, result, self.report)
+
+    def cancelled(self, job: Job) -> None:
+        """Its connection has ended: what waits is dropped, what runs goes on."""
+        if job in self.queue:
+            self.queue.remove(job)
+
+
+@dataclass
+class Try:
+    """A client's request."""
+
+    name: str
+    came: float
+    wait: float
+    answered: float = -1.0
+    result: str = ""
+    attempts: dict[int, Job] = field(default_factory=dict)
+    sent: int = 0
+    idle: bool = False  # refused while the servers had room
+
+
+class Gateway:
+    """One gateway: the rule that decides, and its way to servers, clients and peers."""
+
+    def __init__(self, world: World, number: int, rule: Rule) -> None:
+        self.world, self.number, self.rule = world, number, rule
+        self.events: list[Event] = []
+        self.tries: dict[int, Try] = {}
+        self.turning = False
+
+    def notice(self, event: Event) -> None:
+        """Keep an event for the next tick."""
+        self.events.append(event)
+        if not self.turning:
+            self.turning = True
+            now = self.world.clock.now
+            self.world.clock.at((now // TICK_MS + 1) * TICK_MS, self.turn)
+
+    def turn(self) -> None:
+        self.turning = False
+        events, self.events = self.events, []
+        for action in self.rule.handle(self.world.clock.now, events):
+            self.carry(action)
+
+    def carry(self, action: Action) -> None:
+        world, clock = self.world, self.world.clock
+        match action:
+            case Send():
+                one = self.tries.get(action.id)
+                if one is None or one.result:
+                    self.notice(Outcome(action.id, 0, action.server, 0.0, Result.MOOT, True))
+                    return
+                machine = world.machines[int(action.server[1:])]
+                job = Job(self, action.id, one.sent, world.work_of(action.id, one.name), one.name, clock.now)
+                one.attempts[one.sent] = job
+                one.sent += 1
+                world.firsts += one.sent == 1
+                world.further += one.sent > 1
+                world.check(one, machine)
+                clock.at(clock.now + 1.0, machine.take, job)
+                clock.at(clock.now + action.allow_ms, self.timed_out, job)
+            case Refuse() | Fail():
+                self.final(action.id, "refused" if isinstance(action, Refuse) else "failed")
+            case Cancel():
+                one = self.tries.get(action.id)
+                job = one.attempts.get(action.attempt) if one is not None else None
+                if job is not None:
+                    self.drop(job, Result.CANCELLED)
+            case Wake():
+                clock.at(clock.now + action.after_ms, self.notice, Woken(action.name))
+            case Tell() if world.rng.random() > 0.03:
+                for other in world.gateways:
+                    if other is not self and action.receiver in (other.number, -1):
+                        clock.at(clock.now + world.rng.uniform(1.6, 39), other.notice,
+                                 Heard(self.number, action.data))
+
+    def final(self, number: int, result: str) -> None:
+        one = self.tries.get(number)
+        if one is not None and not one.result:
+            one.result, one.answered = result, self.world.clock.now
+            one.idle = result == "refused" and self.world.has_room()
+
+    def drop(self, job: Job, result: Result) -> None:
+        if job.open:
+            job.open = False
+            one = self.tries[job.request]
+            for machine in self.world.machines:
+                machine.cancelled(job)
+            self.notice(Outcome(job.request, job.number, "", self.world.clock.now - job.sent, result,
+                                bool(one.result)))
+
+    def timed_out(self, job: Job) -> None:
+        self.drop(job, Result.TIMEOUT)
+
+    def ended(self, job: Job, result: Result, report: tuple[float, float]) -> None:
+        """An answer has come."""
+        if not job.open:
+            return
+        job.open = False
+        one = self.tries[job.request]
+        if result is Result.OK:
+            self.final(job.request, "served")
+        self.notice(Outcome(job.request, job.number, "", self.world.clock.now - job.sent, result,
+                            bool(one.result), load=report))
+
+    def came(self, number: int, one: Try) -> None:
+        self.tries[number] = one
+        now = self.world.clock.now
+        self.notice(Arrival(number, f"c{number}", one.name, "plan", now + one.wait - 20, 1.0, self.number, 1))
+        self.world.clock.at(now + one.wait, self.gone, number, one)
+
+    def gone(self, number: int, one: Try) -> None:
+        if not one.result:
+            one.result, one.answered = "lost", self.world.clock.now
+            self.notice(ClientGone(number))
+
+
+class World:
+    """A run: so many gateways with a rule each, so many servers, a load and a failure."""
+
+    def __init__(self, make: Callable[[Settings, int], Rule], failure: Failure, load: float, gateways: int,
+                 servers: int, seed: int) -> None:
+        self.failure, self.seed, self.clock = failure, seed, Clock()
+        self.rng = random.Random(f"{seed}/world")
+        self.machines = [Machine(self, number) for number in range(servers)]
+        self.firsts = self.further = self.broken = 0
+        self._work: dict[int, float] = {}
+        plans = (Plan("plan", 1e6, 1e6),)
+        self.gateways = []
+        for number in range(gateways):
+            settings = Settings(
+                gateways=gateways, number=number, zone=HALLS[number % 3], classes=CLASSES, plans=plans,
+                warm_up_ms=WARM_UP_MS, cold_from=0.25, fall_multiple=2.5, fall_window_ms=1000, max_attempts=5,
+                tick_ms=TICK_MS, may_tell=True, second_copies=True, max_retry_after_ms=1000, inbox_per_s=60,
+                report_how="answers", report_fields=("util", "latency_ms"))
+            self.gateways.append(Gateway(self, number, make(settings, seed * 1000 + number)))
+        capacity = sum(machine.speed for machine in self.machines) * CORES
+        mean = sum(SHARES[name] * WORK_MS[name] for name in SHARES)
+        self.rate = load * capacity / mean  # requests a ms
+
+    def work_of(self, number: int, name: str) -> float:
+        """A request is the same work wherever it runs."""
+        if number not in self._work:
+            draw = random.Random(f"{self.seed}/{number}").expovariate(1.0)
+            self._work[number] = min(6.0, draw) * WORK_MS[name]
+        return self._work[number]
+
+    def has_room(self) -> bool:
+        """Whether the servers could have done more: under nine tenths of their cores are busy on average."""
+        busy = sum(min(CORES, len(machine.busy)) for machine in self.machines)
+        return busy < 0.9 * CORES * len(self.machines)
+
+    def check(self, one: Try, machine: Machine) -> None:
+        """The second rule, as far as the rig can see it: an unsafe request goes out once while it may run."""
+        if one.name == "hours-debit" and any(job.open for job in list(one.attempts.values())[:-1]):
+            self.broken += 1
+
+    def play(self) -> dict[str, float]:
+        """Play it; service, wrong refusals, waiting at servers, further attempts."""
+        servers = tuple(Server(machine.name, machine.hall, machine.number // 3, State.READY)
+                        for machine in self.machines)
+        for gateway in self.gateways:
+            gateway.notice(Fleet(servers))
+        names, weights = list(SHARES), list(SHARES.values())
+        t, number, arrivals = 0.0, 0, random.Random(f"{self.seed}/arrivals")
+        while True:
+            t += arrivals.expovariate(self.rate)
+            if t > END_MS:
+                break
+            number += 1
+            name = arrivals.choices(names, weights)[0]
+            deadline = next(kind.deadline_ms for kind in CLASSES if kind.name == name)
+            one = Try(name, t, deadline * arrivals.uniform(0.5, 1.0))
+            self.clock.at(t, arrivals.choice(self.gateways).came, number, one)
+        self.clock.run(END_MS + DRAIN_MS)
+        tries = [one for gateway in self.gateways for one in gateway.tries.values() if one.came > 1000]
+        worth = {kind.name: kind.worth for kind in CLASSES}
+        aims = {kind.name: kind.aim_ms for kind in CLASSES}
+        offered = sum(worth[one.name] for one in tries)
+        good = sum(worth[one.name] for one in tries
+                   if one.result == "served" and one.answered - one.came <= aims[one.name])
+        return {"service": good / offered,
+                "wrong": sum(one.idle for one in tries) / len(tries),
+                "waiting": sum(machine.waited for machine in self.machines) / END_MS / len(self.machines),
+                "further": self.further / max(1, self.firsts), "broken": float(self.broken)}
