--- a/benchmarks/gray/__init__.py
+++ b/benchmarks/gray/__init__.py
@@ -1,1 +1,2 @@
-"""A study rig for gray failures: rules that decide, against modelled servers, in modelled time, from a seed."""
+"""A study rig for gray failures: rules that decide, against modelled servers, in modelled time, from a
+seed."""
--- a/benchmarks/gray/rules.py
+++ b/benchmarks/gray/rules.py
@@ -1,7 +1,8 @@
 """The rules beside the decision module's: what others do, in the same events and actions.
 
-Each chooses the least-outstanding server, holds what is over its limit for up to 0.45 of the aim, then refuses,
-and tries again what surely never ran, or is safe, up to three times. They differ in the limit and in ejection.
+Each chooses the least-outstanding server, holds what is over its limit for up to 0.45 of the aim, then
+refuses, and tries again what surely never ran, or is safe, up to three times. They differ in the limit and
+in ejection.
 """
 
 from __future__ import annotations
@@ -121,13 +122,13 @@
         if arrival is None:
             return
         kind = self.kinds[arrival.class_name]
+        safe = event.result.never_ran or kind.repeat is Repeat.SAFE
+        early = self.now < arrival.due_ms - kind.deadline_ms * 0.3
         if event.final:
             self.close(event.id, actions)
-        elif (event.result.never_ran or kind.repeat is Repeat.SAFE) and len(self.sent[event.id]) < MOST_TRIES and (
-                self.now < arrival.due_ms - kind.deadline_ms * 0.3):
+        elif safe and len(self.sent[event.id]) < MOST_TRIES and early:
             self.send(arrival, actions)
         else:
-            safe = event.result.never_ran or kind.repeat is Repeat.SAFE
             actions.append(Refuse(event.id, 250.0) if safe else Fail(event.id))
             self.close(event.id, actions)
 
--- a/benchmarks/gray/run.py
+++ b/benchmarks/gray/run.py
@@ -1,11 +1,12 @@
 """The study of gray failures: every failure at every load, every rule beside the others, from the same seeds.
 
-    python -m benchmarks.gray.run [--seeds 2] [--jobs 8] [--gateways 3] [--servers 9] [--loads 0.4 0.6 0.8 1.0]
-                                  [--only TEXT] [--full]
+    python -m benchmarks.gray.run [--seeds 2] [--jobs 8] [--gateways 3] [--servers 9] [--loads 0.4 0.6 0.8
+    1.0] [--only TEXT] [--full]
 
-Prints a row for each failure (the mean over loads and seeds, service in time of 1), then for each rule the mean and
-the worst row, wrong refusals (refused while under nine tenths of the cores were busy), attempts that wait at a
-server on average, further attempts for each first one. `--full` prints a row for each load too.
+Prints a row for each failure (the mean over loads and seeds, service in time of 1), then for each rule the
+mean and the worst row, wrong refusals (refused while under nine tenths of the cores were busy), attempts
+that wait at a server on average, further attempts for each first one. `--full` prints a row for each load
+too.
 """
 
 from __future__ import annotations
@@ -18,11 +19,12 @@
 from benchmarks.gray.rules import RULES
 from benchmarks.gray.world import Failure, World
 
-FAMILY = [Failure(), *(Failure("swallow", where, share) for where in ("everywhere", "server", "hall", "class")
-                       for share in (0.01, 0.05, 0.1, 0.3)),
-          Failure("half-speed", "server"), Failure("half-speed"), Failure("freeze", "server"), Failure("freeze"),
-          Failure("late", "server"), Failure("late", "class"), Failure("unread", "server"),
-          Failure("unread", "hall"), Failure("fast-error", "server"), Failure("fast-error", "hall")]
+PLACES = ("everywhere", "server", "hall", "class")
+FAMILY = [Failure()]
+FAMILY += [Failure("swallow", where, share) for where in PLACES for share in (0.01, 0.05, 0.1, 0.3)]
+FAMILY += [Failure(kind, where) for kind in ("half-speed", "freeze") for where in ("server", "everywhere")]
+FAMILY += [Failure("late", "server"), Failure("late", "class")]
+FAMILY += [Failure(kind, where) for kind in ("unread", "fast-error") for where in ("server", "hall")]
 
 
 def one(case: tuple[str, Failure, float, int, int, int]) -> dict[str, float]:
--- a/benchmarks/gray/world.py
+++ b/benchmarks/gray/world.py
@@ -1,6 +1,7 @@
 """The world of the study rig: servers with a failure, gateways that decide, clients that wait. No sockets.
 
-Time is modelled, in ms; all chance comes from one seed, so that rules beside one another meet the same arrivals.
+Time is modelled, in ms; all chance comes from one seed, so that rules beside one another meet the same
+arrivals.
 """
 
 from __future__ import annotations
