--- a/benchmarks/gray/rules.py
+++ b/benchmarks/gray/rules.py
@@ -144,7 +144,7 @@
 
 
 class Aimd(Fixed):
-    """Additive increase, multiplicative decrease: a late, failed or lost attempt cuts the limit by a tenth."""
+    """Additive increase, multiplicative decrease: a late, failed or lost attempt cuts a tenth off."""
 
     def learn(self, event: Outcome, kind_aim: float) -> None:
         if event.result is Result.OK and event.took_ms < kind_aim:
--- a/benchmarks/gray/run.py
+++ b/benchmarks/gray/run.py
@@ -64,7 +64,7 @@
             rows[rule].append(service)
             cells.append(f"{service:.3f}")
         print(f"| {' at '.join(key)} | " + " | ".join(cells) + " |")
-    print("\n| rule | mean | worst row | most behind the best | wrong refusals | waiting | further | rule 2 |")
+    print("\n| rule | mean | worst row | most behind best | wrong refusals | waiting | further | rule 2 |")
     print("|" + " --- |" * 8)
     for rule in given.rules:
         mine = [result for by_rule in table.values() for result in by_rule[rule]]
