--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -44,7 +44,7 @@
 CHANCE = 1.5  # attempts by which the cap may be passed while those out average less
 FLEET_GAIN = 0.1  # of each peer's room, in the mean of what is told
 LATE_TIMES, LATE_LEAST_MS = 5.0, 300.0  # usual answer times after which an attempt is overdue
-LATE_SPANS, LATE_KEEP = 3.0, 0.95  # so many times that it may still answer in; how long the past counts
+LATE_SPANS, LATE_KEEP = 1.0, 0.95  # so many such waits that it may still answer in; how the past fades
 LATE_PART = 1.0  # of the cap that overdue attempts may be out beyond it
 
 # Quota.
