Bring a gatekeeper back once, and send SIGHUP only to one that handles it

And one that was killed while it finished was waited for twice.

Change: SIGHUP waits until a gatekeeper has been ready for a second; a start after an end happens once. The test of both fails without it.

--- a/plumpick/rehearsal/fleet.py
+++ b/plumpick/rehearsal/fleet.py
@@ -42,6 +42,7 @@
 SLOW_P99_MS = 15.0  # with more than that the workstation was too slow
 SETTLE_MS = 250.0  # between the last look at open tries and the end
 GROUP_SIZE = 4
+FIRST_MS = 1000.0  # after it is ready
 NEW_CONNECTIONS_MS = (200.0, 400.0)  # for so long after SIGTERM clients open new ones, as the protocol has it
 
 
@@ -310,8 +311,7 @@
         if back_s and gate.watch is not None:
             await gate.watch
             await asyncio.sleep(back_s)
-            await self.supervisor.start(gate)
-            self.mark(f"gatekeeper {gate.name} is back")
+            await self._start_again(gate)
 
     async def _restart(self, gate: Gatekeeper) -> None:
         self.mark(f"gatekeeper {gate.name} is told to end (SIGTERM)")
@@ -319,14 +319,27 @@
         self.supervisor.terminate(gate)
         if gate.watch is not None:
             await gate.watch
-            await self.supervisor.start(gate)
-            self.mark(f"gatekeeper {gate.name} is back")
+            await self._start_again(gate)
+
+    async def _start_again(self, gate: Gatekeeper) -> None:
+        """Once, whatever has ended it: it may be killed while it finishes, and then two wait for its end."""
+        async with gate.starting:
+            if not gate.running():
+                await self.supervisor.start(gate)
+                self.mark(f"gatekeeper {gate.name} is back")
 
     async def _move_roster(self) -> None:
         self.mark("the roster's agents move (SIGHUP)")
         for agent, gate in zip(self.agents, self.supervisor.gates, strict=True):
             await agent.start()
-            self.supervisor.reload(gate)
+            self._spawn(self._reload(gate))
+
+    async def _reload(self, gate: Gatekeeper) -> None:
+        """SIGHUP, but never before a gatekeeper is ready nor in its first second, as the protocol has it: it
+        would end one that has not come to handle it."""
+        while not gate.running() or self.around.now() - gate.ready_t < FIRST_MS:
+            await asyncio.sleep(0.05)
+        self.supervisor.reload(gate)
 
     def _ready(self) -> list[LicenceServer]:
         return [
--- a/plumpick/rehearsal/supervisor.py
+++ b/plumpick/rehearsal/supervisor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import socket
@@ -46,6 +47,8 @@
         self.port = self.peer_port = 0
         self.starts = 0
         self.ready = False  # the process that runs has been up
+        self.ready_t = math.inf
+        self.starting = asyncio.Lock()
         self.process: asyncio.subprocess.Process | None = None
         self.watch: asyncio.Task[Any] | None = None
         self.folder = supervisor.folder / self.name
@@ -182,7 +185,7 @@
                 self._relay.ports[gate.number] = gate.peer_port
             if await self._start_once(gate):
                 gate.starts += 1
-                gate.ready = True
+                gate.ready, gate.ready_t = True, self.around.now()
                 self._record(Gate(self.around.now(), gate.name, "ready", 0))
                 return
             tail = self.log_tail(gate)
@@ -192,7 +195,7 @@
                 raise StartFailed(f"gatekeeper {gate.name} ended at its start:\n{tail}")
 
     async def _start_once(self, gate: Gatekeeper) -> bool:
-        path, gate.ready = self._write(gate), False
+        path, gate.ready, gate.ready_t = self._write(gate), False, math.inf
         environment = {
             **os.environ,
             "BALANCER_CONFIG": str(path),
--- a/tests/rehearsal/test_runs.py
+++ b/tests/rehearsal/test_runs.py
@@ -339,3 +339,18 @@
     slow.write_text("\n".join(kept) + "\n")
     done = plumpick("audit", slow)
     assert done.returncode == 3 and "stood still" in done.stderr and "no-request-lost  broken" in done.stdout
+
+
+def test_a_gatekeeper_that_is_killed_while_it_finishes_and_told_to_reload_at_its_start_is_back_once(tmp_path):
+    """Two ends wait for it then, and SIGHUP would end one that does not handle it yet: both were seen."""
+    events = "".join(
+        f'[[events]]\ndo = "{do}"\nat_s = {at}\n{more}'
+        for do, at, more in (
+            ("restart-gatekeeper", 0.2, "gatekeeper = 1\n"),
+            ("kill-gatekeeper", 0.4, "gatekeeper = 1\nback_s = 0.01\n"),
+            *(("move-roster", 0.4 + 0.05 * step, "") for step in range(1, 8)),
+        )
+    )
+    done = plumpick("rehearse", short(tmp_path, events, seconds=4), "--quiet")
+    assert done.returncode in (0, 3) and "no-request-lost  held" in done.stdout, done.stdout + done.stderr
+    assert "could not be" not in done.stderr and "ended at its start" not in done.stderr
