Kit: ask /up, hold tasks and tell a failed start in one place each

Need: read once more, the change had the look at /up twice (only one of them closed its connection on a time-out), the holding of a task five times and the telling of a failed start twice; two fields that nothing read are gone.

--- a/plumpick/rehearsal/auditor.py
+++ b/plumpick/rehearsal/auditor.py
@@ -88,7 +88,6 @@
     t: float
     first_t: float
     turned_t: float | None = None
-    ran: bool = False
 
 
 @dataclass(slots=True)
@@ -407,7 +406,6 @@
         if record.repeat or self._kinds[request.asked.kind]["repeats"] == "safe":
             return  # a dropped repeat is no second effect
         request.effects += 1
-        attempt.ran = True
         if request.effects > 1:
             self._breach(
                 EFFECTS, record.t, request.asked.id, f"took effect {request.effects} times", request.story
--- a/plumpick/rehearsal/clients.py
+++ b/plumpick/rehearsal/clients.py
@@ -17,7 +17,7 @@
 
 from plumpick.rehearsal.records import Answered, Asked, Left, Record, Surplus
 from plumpick.rehearsal.scenario import ClassPart, HotFirm, PlanPart, Scenario
-from plumpick.rehearsal.surroundings import HOST, Surroundings
+from plumpick.rehearsal.surroundings import HOST, Surroundings, is_up
 from plumpick.rehearsal.wire import Reader, WireError, request_bytes
 
 OVERDUE_MS = 70.0  # so long after its time a client that has no answer closes the connection
@@ -205,24 +205,10 @@
         """Ask /up until it is answered with 200."""
         if not self._polling and not self.front.stopped:
             self._polling = True
-            task = self.front.around.loop.create_task(self._ask_up())
-            self.front.tasks.add(task)
-            task.add_done_callback(self.front.tasks.discard)
+            self.front.around.spawn(self.front.tasks, self._ask_up())
 
     async def _ask_up(self) -> None:
-        while not self.front.stopped:
-            status = 0
-            try:
-                reader, writer = await asyncio.open_connection(HOST, self.port)
-                writer.write(request_bytes("GET", "/up", {}))
-                async with asyncio.timeout(UP_S):
-                    line = await reader.readline()
-                status = int(line.split(b" ")[1]) if line.count(b" ") >= 1 else 0
-                writer.close()
-            except (OSError, ValueError):
-                status = 0
-            if status == 200:
-                break
+        while not self.front.stopped and not await is_up(self.port, UP_S):
             await asyncio.sleep(POLL_MS / 1000)
         self._polling = False
         self.up = True
@@ -462,9 +448,7 @@
             self._write(connection, request_id, op, message, wait_ms)
 
         door.count += 1
-        task = self.around.loop.create_task(dial())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.around.spawn(self.tasks, dial())
 
     def _write(self, connection: _Try, request_id: str, op: Op, message: bytes, wait_ms: float) -> None:
         firm = op.firm
--- a/plumpick/rehearsal/commands.py
+++ b/plumpick/rehearsal/commands.py
@@ -48,6 +48,15 @@
     return uvloop.run(guarded())
 
 
+def _not_started(problem: StartFailed | OSError) -> int:
+    """Tell why there is no fleet; the exit code."""
+    if isinstance(problem, StartFailed):
+        _say(f"plumpick: {problem}")
+        return EXIT_BROKEN
+    _say(f"plumpick: the fleet could not be started: {problem}")
+    return EXIT_USAGE
+
+
 def _table(rows: list[tuple[str, ...]]) -> str:
     widths = [max(len(row[place]) for row in rows) for place in range(len(rows[0]))]
     return "\n".join(
@@ -203,12 +212,8 @@
         watch = asyncio.create_task(live.run())
         await fleet.play()
         live.step()
-    except StartFailed as problem:
-        _say(f"plumpick: {problem}")
-        return EXIT_BROKEN
-    except OSError as problem:
-        _say(f"plumpick: the fleet could not be started: {problem}")
-        return EXIT_USAGE
+    except (StartFailed, OSError) as problem:
+        return _not_started(problem)
     finally:
         if watch is not None:
             watch.cancel()
@@ -342,12 +347,8 @@
                 flush=True,
             )
         await asyncio.Event().wait()
-    except StartFailed as problem:
-        _say(f"plumpick: {problem}")
-        return EXIT_BROKEN
-    except OSError as problem:
-        _say(f"plumpick: the fleet could not be started: {problem}")
-        return EXIT_USAGE
+    except (StartFailed, OSError) as problem:
+        return _not_started(problem)
     finally:
         await asyncio.shield(one.close())
     return EXIT_HELD
--- a/plumpick/rehearsal/fleet.py
+++ b/plumpick/rehearsal/fleet.py
@@ -51,7 +51,6 @@
 
     def __init__(self, around: Surroundings, recorder: Recorder) -> None:
         self._around, self._recorder = around, recorder
-        self.late: list[float] = []
         self.counts = [0] * 2000  # by half a millisecond
         self.most = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -270,9 +269,7 @@
                 self.failed.append(str(problem))
                 self.mark(f"failed: {str(problem).splitlines()[0]}")
 
-        task = self.around.loop.create_task(guarded())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.around.spawn(self.tasks, guarded())
 
     def _later(self, ms: float, call: Any, *arguments: Any) -> None:
         self.timers.append(self.around.later(ms, call, *arguments))
--- a/plumpick/rehearsal/plants.py
+++ b/plumpick/rehearsal/plants.py
@@ -98,9 +98,7 @@
                         self.stage.refused.add(self.transport.get_extra_info("peername")[1])
                         self.close()
 
-            task = self.stage.around.loop.create_task(dial())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.stage.around.spawn(self.tasks, dial())
         self.far.write(raw)
 
     def answered(self, message: Message) -> None:
@@ -394,9 +392,7 @@
             finally:
                 writer.close()
 
-        task = self.around.loop.create_task(send())
-        self._aside.add(task)
-        task.add_done_callback(self._aside.discard)
+        self.around.spawn(self._aside, send())
 
     def close(self) -> None:
         for server in self._servers:
--- a/plumpick/rehearsal/supervisor.py
+++ b/plumpick/rehearsal/supervisor.py
@@ -17,8 +17,7 @@
 from plumpick.rehearsal.records import Gate, Record
 from plumpick.rehearsal.roster import Agent
 from plumpick.rehearsal.scenario import Scenario
-from plumpick.rehearsal.surroundings import HOST, Surroundings
-from plumpick.rehearsal.wire import request_bytes
+from plumpick.rehearsal.surroundings import HOST, Surroundings, is_up
 
 ROOT = Path(__file__).resolve().parents[2]  # where the program that runs this is found again
 READY_S = 20.0  # a gatekeeper that is not up by then will not be
@@ -218,7 +217,7 @@
         gate.watch = self.around.loop.create_task(self._watch(gate, gate.process))
         end = self.around.loop.time() + READY_S
         while gate.running() and self.around.loop.time() < end:
-            if await self._is_up(gate):
+            if await is_up(gate.port, ANSWER_S):
                 return True
             await asyncio.sleep(POLL_S)
         if gate.running():
@@ -227,21 +226,6 @@
             )
         return False
 
-    @staticmethod
-    async def _is_up(gate: Gatekeeper) -> bool:
-        try:
-            reader, writer = await asyncio.open_connection(HOST, gate.port)
-        except OSError:
-            return False
-        try:
-            writer.write(request_bytes("GET", "/up", {}))
-            async with asyncio.timeout(ANSWER_S):  # the port may be somebody's who says nothing
-                return b" 200 " in await reader.readline()
-        except OSError:
-            return False
-        finally:
-            writer.close()
-
     async def _watch(self, gate: Gatekeeper, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
         if gate.ready and not self.closing:  # what ends at its start is told by who starts it
--- a/plumpick/rehearsal/surroundings.py
+++ b/plumpick/rehearsal/surroundings.py
@@ -5,9 +5,11 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
+from plumpick.rehearsal.wire import request_bytes
+
 HOST = "127.0.0.1"
 
 
@@ -44,3 +46,25 @@
     def later(self, ms: float, call: Callable[..., Any], *arguments: Any) -> asyncio.TimerHandle:
         """Call after so many milliseconds."""
         return self.loop.call_later(max(0.0, ms) / 1000, call, *arguments)
+
+    def spawn(self, tasks: set[asyncio.Task[Any]], work: Coroutine[Any, Any, None]) -> None:
+        """Run beside; `tasks`, its owner's, holds it until it ends: the loop alone would not keep it."""
+        task = self.loop.create_task(work)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+
+async def is_up(port: int, limit_s: float) -> bool:
+    """Whether the gatekeeper at that port answers /up with 200 in time; the port may be somebody else's."""
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return False
+    try:
+        writer.write(request_bytes("GET", "/up", {}))
+        async with asyncio.timeout(limit_s):
+            return b" 200 " in await reader.readline()
+    except (OSError, ValueError):  # a TimeoutError is an OSError; a line without end is a ValueError
+        return False
+    finally:
+        writer.close()
