Write off what is swallowed by evidence, put failing servers out, price further attempts

A cap at its floor had few answers to grow by. One peer's words could bring any server into disrepute. Retry tokens went to whoever came first, and a copy that found no place or token never came back for one.

Change: what may be written off grows by what was answered in the last 3 s; the chance that an overdue attempt still answers is learned by class, class and hall, class and server; the cap's floor rises from 5 to 12 a server as the servers' own `util` falls from 0.9 to 0.6, unless answers of a class come later than their aim; servers that fail half of a class are put out for it, 0.4 of the warm ones at most, nobody where more than half look bad; a peer's failure counts only with a second witness, once in 250 ms; a copy costs the chance that its forerunner still answers (half a token at least), the worthiest may take the last.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -45,7 +45,12 @@
 FLEET_GAIN = 0.1  # of each peer's room, in the mean of what is told
 LATE_TIMES, LATE_LEAST_MS = 5.0, 300.0  # usual answer times after which an attempt is overdue
 LATE_SPANS, LATE_KEEP = 1.0, 0.95  # so many such waits that it may still answer in; how the past fades
-LATE_PART = 1.0  # of the cap that overdue attempts may be out beyond it
+LATE_PART = 1.0  # of the cap that overdue attempts may be out beyond it, and besides as many as were
+LATE_MEMORY_MS = 3000.0  # answered over so long: who answers so much is not the reason why these do not
+LATE_PRIOR = 3.0  # spans that the wider view (class; then its hall) counts for in the closer (hall; server)
+IDLE_FROM, IDLE_ALL = 0.9, 0.6  # use of cores, as told, from which the floor rises; where it is at its most
+IDLE_TIMELY = 0.9  # share of answers that took no longer than their aim, below which no floor rises
+IDLE_MEMORY_MS, IDLE_OLD_MS = 300.0, 2000.0  # over which use is averaged; without news for so long: unknown
 
 # Quota.
 DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
@@ -66,6 +71,9 @@
 FAIL_WEIGHT = 200.0  # of the squared share of failures: one soon fades, a row of them does not
 FAIL_MEMORY_MS = 4000.0  # a server's failures fade, so that it is tried again a little at a time
 SUSPECT, HEARD_WEIGHT, SIGHTING_MS = 0.6, 0.5, 2000.0  # of an own failure: silence; what a peer saw of late
+WORD_GAP_MS = 250.0  # one peer's words on one server count once in so long
+EJECT_FROM, EJECT_LEAST = 0.5, 2.0  # share failed, of so many seen of late at least, that puts a server out
+EJECT_MOST, EJECT_PANIC = 0.4, 0.5  # of the warm servers; where more look bad it is not the servers: none
 ZONE_COST = 1.15  # a server of another zone must be so much better
 LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
 UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
@@ -74,7 +82,11 @@
 
 # Further attempts.
 HEDGE_TIMES, HEDGE_LEAST_MS = 3.0, 150.0  # usual answer times after which a second copy may go out
-RETRY_PART, RETRY_MOST = 0.2, 20.0  # further attempts for each first one; how many may be saved up
+RETRY_PART, RETRY_MOST = 0.2, 20.0  # tokens for each first attempt; how many may be saved up
+RETRY_LEAST = 0.5  # of a token: for a copy of what surely does not answer, and so is no load. Further
+# attempts so stay under RETRY_PART / RETRY_LEAST of first ones at any failure share, and what was saved up
+RETRY_RESERVE = 0.25  # of the tokens that the least worthy leave to others; less, the more a try may gain
+RETRY_AGAIN_MS = 100.0  # an overdue attempt for which there was no place or token tries again
 HEDGE_ROOM, OVER_ROOM = 0.7, 0.5  # of the window: fuller, and no second copy, nothing beyond a quota goes out
 USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
@@ -141,6 +153,7 @@
         crowded = self.full > FULL_SHARE * self.ended  # one server that refuses all is no crowded fleet
         self.cut = max(LEAST_CUT, self.cut * FULL_CUT) if crowded else min(1.0, self.cut * CUT_HEAL)
         self.answered_ms, self.full, self.ended = 0.0, self.full * keep * keep, self.ended * keep * keep
+        self.well *= math.exp(-PERIOD_MS / LATE_MEMORY_MS)
         self.set_limit(servers)
 
     def set_limit(self, servers: float) -> None:
@@ -148,13 +161,16 @@
         # A gateway's own few answers say little: the fleet's mean stands in for what they lack.
         room = self.room + max(0.0, self.fleet_room - self.room) * FEW_SAMPLES / (FEW_SAMPLES + self.ended)
         most = PEAK_GROWTH * max(self.peak, START_PER_SERVER * ready)
-        self.limit = max(FLOOR_PER_SERVER * ready * self.cut, min(room * self.cut, most))
+        # A low cap has few answers and would keep itself low. Where servers say that they idle it is not they
+        # who hold the answers back, so the floor is where the cap starts: no state lasts.
+        floor = FLOOR_PER_SERVER + (START_PER_SERVER - FLOOR_PER_SERVER) * self.idle
+        self.limit = max(floor * ready * self.cut, min(room * self.cut, most))
         self.limit = self.limit if room else START_PER_SERVER * ready * self.cut
 
     def write_off(self, now: float, part: float) -> float:
         """Stop counting so much of an overdue attempt; the answer is how much could be. Bounded: should all
-        be late, the cap is passed by no more than this."""
-        part = max(0.0, min(part, LATE_PART * self.limit - self.lost))
+        be late, the cap is passed by no more than this, and by what others answered of late."""
+        part = max(0.0, min(part, LATE_PART * self.limit + self.well - self.lost))
         self.lost += part
         self.count(now, -part)
         return part
@@ -177,9 +193,13 @@
         self.answers = self.answers * LATE_KEEP + answered
         self.spans = self.spans * LATE_KEEP + spans
 
-    def chance(self) -> float:
-        """That one which is overdue still answers."""
-        return -math.expm1(-LATE_SPANS * self.answers / max(1.0, self.spans))
+    def chance(self, wider: float | None = None) -> float:
+        """That one which is overdue still answers. `wider`: what a wider view than this one says, which
+        stands in for what this one has not seen."""
+        if wider is None:
+            return -math.expm1(-LATE_SPANS * self.answers / max(1.0, self.spans))
+        prior = -math.log(max(1e-9, 1 - wider)) / LATE_SPANS  # as a rate of answers
+        return -math.expm1(-LATE_SPANS * (self.answers + LATE_PRIOR * prior) / (self.spans + LATE_PRIOR))
 
 
 def store_name(item: Item) -> int:
@@ -474,6 +494,28 @@
             self.sort(now)
         if any(backend.entry.state is State.GONE for backend in self.known.values()):
             self.forget()
+        self.suspects = [backend for backend in self.suspects if backend.entry.state is State.READY
+                         and max(self.failing(now, backend, name) for name in self.names) >= EJECT_FROM]
+        self.out_of.clear()
+
+    def idle(self, now: float) -> float:
+        """How idle the servers say they are, from 0, also where nothing is known, to 1."""
+        known = now - self.util_ms <= IDLE_OLD_MS
+        return max(0.0, min(1.0, (IDLE_FROM - self.util) / (IDLE_FROM - IDLE_ALL))) if known else 0.0
+
+    def ejected(self, now: float, name: str) -> set[int]:
+        """The warm servers, by `id`, that get nothing of a class since they fail it: the worst, a bounded
+        part. Danger: our own network, or an overload, makes all look bad, and to put them out empties the
+        list. So more than a part is nobody's verdict: then cost alone decides."""
+        if name not in self.out_of:
+            worst = sorted(((self.failing(now, backend, name), place) for place, backend
+                            in enumerate(self.suspects) if backend in self.warm
+                            and sum(backend.seen.values()) >= EJECT_LEAST), reverse=True)
+            worst = [row for row in worst if row[0] >= EJECT_FROM]
+            calm = len(worst) <= EJECT_PANIC * len(self.warm)
+            most = int(EJECT_MOST * len(self.warm)) if calm else 0
+            self.out_of[name] = {id(self.suspects[place]) for _, place in worst[:most]}
+        return self.out_of[name]
 
     def warmth(self, now: float, backend: Backend) -> float:
         """The share of its capacity that a server surely has by now."""
@@ -513,6 +555,9 @@
                     break
         # Who seldom sends to each compares few: its news is old or known to all, who would crowd the best.
         count = math.ceil(LEAST_CHOICE + CHOICE_PER_SEND * self.sends / max(1, len(warm)))
+        if self.suspects:
+            out = self.ejected(now, name)
+            warm = [backend for backend in warm if id(backend) not in out] or warm
         pool = [backend for backend in warm if backend not in request.tried] or warm
         for backend in self.rng.sample(pool, count) if count < len(pool) else pool:
             others = backend.others * math.exp(max(-50.0, (backend.report_ms - now) / REPORT_MEMORY_MS))
@@ -542,6 +587,10 @@
         busy = UTIL_LOAD * max(0.0, min(1.0, values.get("util", 0.0)))
         backend.others = max(0.0, values["inflight"] - backend.out) if "inflight" in values else busy
         backend.report_ms = now
+        if "util" in values:
+            gain = max(USUAL_GAIN, -math.expm1(max(-50.0, (self.util_ms - now) / IDLE_MEMORY_MS)))
+            self.util += (busy / UTIL_LOAD - self.util) * gain
+            self.util_ms = now
 
     def learn(self, now: float, backend: Backend, name: str, ratio: float, weight: float) -> None:
         """One outcome: its time against the usual, or inf where it failed. Full is a failure too: what
@@ -552,22 +601,39 @@
         backend.seen[name] = backend.seen.get(name, 0.0) + weight
         if ratio == math.inf:
             backend.bad[name] = backend.bad.get(name, 0.0) + weight
+            if backend not in self.suspects:
+                self.suspects.append(backend)
         elif ratio > HEDGE_TIMES:  # it was taken for silence, and is not
             backend.bad[name] = max(0.0, backend.bad.get(name, 0.0) - weight)
         if ratio < math.inf:  # against the fleet's mean: a slowdown of all blames none
             backend.slow += (min(SLOW_MOST, ratio) - backend.slow) * SLOW_GAIN * weight
         backend.seen_ms = now
         if weight > HEARD_WEIGHT:  # first-hand: worth telling
+            if ratio == math.inf:
+                backend.accused[-1] = now
             seen = sighting(backend.entry.id, self.names.index(name), ratio)
             self.sightings = [*self.sightings[1 - MAX_SIGHTINGS:], (now, seen)]
 
-    def hear(self, now: float, sightings: tuple[Sighting, ...]) -> None:
-        """What a peer saw weighs the less the more we see ourselves, or all would flee and crowd alike."""
+    def hear(self, now: float, sender: int, sightings: tuple[Sighting, ...]) -> None:
+        """What a peer saw weighs the less the more we see ourselves, or all would flee and crowd alike.
+        Danger: a peer may be wrong, by its own network or a fault. Its words on one server count once in a
+        while, and a failure that it tells only if another peer, or we, saw one too."""
         weight = HEARD_WEIGHT / (1 + CHOICE_PER_SEND * self.sends / max(1, len(self.warm)))
         for seen in sightings:
             backend = self.by_tag.get(seen.server)
-            if backend is not None and seen.class_index < len(self.names):
-                self.learn(now, backend, self.names[seen.class_index], ratio_of(seen), weight)
+            if backend is None or seen.class_index >= len(self.names):
+                continue
+            if now - backend.words.get(sender, -math.inf) < WORD_GAP_MS:
+                continue
+            backend.words[sender] = now
+            ratio = ratio_of(seen)
+            if ratio == math.inf:
+                backend.accused = {other: ms for other, ms in backend.accused.items()
+                                   if now - ms <= FAIL_MEMORY_MS}
+                backend.accused[sender] = now
+                if len(backend.accused) < 2:
+                    continue
+            self.learn(now, backend, self.names[seen.class_index], ratio, weight)
 
 
 class Controller:
@@ -584,10 +650,15 @@
         self.usual = {kind.name: min(USUAL_START_MS, kind.aim_ms / 4) for kind in settings.classes}
         self.quota = Quota(settings, self.rng, self.plan_at, self.on_answer, self.on_denied, ASK_START_MS,
                            self.rng.randrange(1 << 16))
+        # What the worthiest request inside its quota is worth.
+        self.top_rank = (max(kind.worth for kind in settings.classes)
+                         * max(plan.value for plan in settings.plans) or 1.0)
+        self.timely = {kind.name: 1.0 for kind in settings.classes}  # share of answers within their aim
         self.requests: dict[int, Request] = {}
         self.held: list[Request] = []
         self.attempts: dict[tuple[int, int], Attempt] = {}
-        self.late = {kind.name: Late() for kind in settings.classes}
+        # Of overdue attempts by class, and closer: class and hall, class and server.
+        self.late: dict[tuple[str, ...], Late] = {(kind.name,): Late() for kind in settings.classes}
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
         self.wake_ms = math.inf  # the wake-up that is asked for
@@ -671,6 +742,7 @@
             if self.now >= self.tidy_ms:
                 self.tidy_ms = self.now + TIDY_MS
                 self.tidy()
+            self.window.idle = self.servers.idle(self.now) * self.timely_part()
             self.window.step(self.now, self.servers.capacity)
         elif what == "store":
             self.quota.stores[number].wake_ms = math.inf
@@ -710,16 +782,43 @@
                 next_ms = min(next_ms, max(attempt.sent_ms + limit_ms, self.now + self.settings.tick_ms))
                 continue
             attempt.overdue_ms = limit_ms
-            attempt.lost = self.window.write_off(self.now, 1 - self.late[name].chance())
-            if self.settings.second_copies and len(request.out) == 1 and self.window.free() >= 1:
-                self.again(request)
-                break
+            attempt.chance = self.late_chance(attempt)
+            attempt.lost = self.window.write_off(self.now, 1 - attempt.chance)
+        # The place that an attempt leaves is first of all its copy's.
+        if self.settings.second_copies and len(request.out) == 1 and next_ms == math.inf:
+            (number,) = request.out
+            attempt = self.attempts[request.arrival.id, number]
+            if not (self.window.free() + attempt.lost >= 1 and self.again(request, attempt.chance)):
+                next_ms = self.now + RETRY_AGAIN_MS if self.may_repeat(request) else math.inf
         if next_ms < math.inf:
             self.plan_at(next_ms, "overdue", request.arrival.id)
 
+    def timely_part(self) -> float:
+        """How far the floor may rise: what comes far too late is held up by what use does not tell."""
+        return max(0.0, (min(self.timely.values()) - IDLE_TIMELY) / (1 - IDLE_TIMELY))
+
+    @staticmethod
+    def late_views(attempt: Attempt) -> list[tuple[str, ...]]:
+        """Whose overdue attempts speak for this one, from the widest view to the closest."""
+        name, entry = attempt.class_name, attempt.backend.entry
+        return [(name,), (name, entry.zone), (name, entry.zone, entry.id)]
+
+    def late_chance(self, attempt: Attempt) -> float:
+        """That an overdue attempt still answers: one server, one hall or one class may swallow, or all."""
+        widest, *closer = self.late_views(attempt)
+        chance = self.late[widest].chance()
+        for view in closer:
+            if view in self.late:
+                chance = self.late[view].chance(chance)
+        return chance
+
     def tidy(self) -> None:
-        """Forget what is over: customers, and what the agenda holds for requests that have ended."""
+        """Forget what is over: customers, servers that went, and what the agenda holds for requests that have
+        ended."""
         self.quota.forget(self.now, self.requests.values())
+        zones = {backend.entry.zone for backend in self.servers.known.values()}
+        self.late = {view: late for view, late in self.late.items() if len(view) == 1 or (
+            view[2] in self.servers.known if len(view) == 3 else view[1] in zones)}
         if len(self.agenda) > AGENDA_SPARE + len(OF_REQUESTS) * len(self.requests):
             self.agenda = [entry for entry in self.agenda
                            if entry[2] not in OF_REQUESTS or entry[3] in self.requests]
@@ -739,9 +838,10 @@
         if news is None or event.sender == self.settings.number or event.sender >= self.settings.gateways:
             return
         self.quota.heard_ms[event.sender], self.quota.heard = self.now, self.quota.heard + 1
-        self.window.fleet_room += (news.room - self.window.fleet_room) * FLEET_GAIN
+        most = PEAK_GROWTH * START_PER_SERVER * self.servers.capacity / self.settings.gateways
+        self.window.fleet_room += (min(news.room, most) - self.window.fleet_room) * FLEET_GAIN
         if not self.stalled:
-            self.servers.hear(self.now, news.sightings)
+            self.servers.hear(self.now, event.sender, news.sightings)
         self.quota.silent.discard(event.sender)
         for item in news.items:
             self.quota.hear(self.now, event.sender, news.boot, item)
@@ -793,7 +893,8 @@
         if not self.held or self.window.free() < 1:
             return
         cap = self.window.limit
-        self.held.sort(key=lambda request: (not request.inside, -request.rank, -request.came_ms))
+        self.held.sort(key=lambda request: (
+            not request.inside, -request.rank * self.timely[request.kind.name], -request.came_ms))
         if len(self.held) > self.window.free():
             total = max(1.0, sum(share.share for share in self.shares.values()))
             left = {name: own.share / total * cap for name, own in self.shares.items()}
@@ -849,12 +950,23 @@
         """What an attempt is taken to need. Bounded: past the aim all would be refused, and nothing heal."""
         return min(SAFE_TIMES * self.usual[kind.name], ANSWER_PART * kind.aim_ms)
 
-    def again(self, request: Request) -> bool:
-        """A further attempt, where it can still be in time and the budget allows it."""
-        late = self.now + self.answer_time(request.kind) > min(request.aim_ms, request.arrival.due_ms)
-        if late or self.budget < 1 or not self.send(request):
+    def may_repeat(self, request: Request) -> bool:
+        """Whether a further attempt could still be in time, and rule 2 leaves it a server."""
+        left = min(request.aim_ms, request.arrival.due_ms) - self.now
+        return (left >= self.answer_time(request.kind) and request.attempts < self.settings.max_attempts
+                and self.allowed(request) != [])
+
+    def again(self, request: Request, chance: float = 1.0) -> bool:
+        """A further attempt, where it can still be in time and the budget allows it. `chance`: that the one
+        before still answers; the less likely, the less the copy is a load more than was asked for. What may
+        gain the most (worth x chance in time) may take the last token."""
+        left = min(request.aim_ms, request.arrival.due_ms) - self.now
+        gain = request.rank * min(1.0, left / max(1.0, 2 * self.answer_time(request.kind))) / self.top_rank
+        price = max(RETRY_LEAST, chance)
+        least = price + RETRY_RESERVE * RETRY_MOST * max(0.0, 1 - gain)
+        if self.budget < least or not self.may_repeat(request) or not self.send(request):
             return False
-        self.budget -= 1
+        self.budget -= price
         return True
 
     def on_outcome(self, event: Outcome) -> None:
@@ -869,13 +981,17 @@
         if attempt.overdue_ms and not self.stalled:
             spans = (self.now - attempt.sent_ms) / attempt.overdue_ms - 1
             answered = event.result in (Result.OK, Result.ERROR, Result.FULL)
-            self.late[class_name].learn(max(0.0, spans), answered)
+            for view in self.late_views(attempt):
+                self.late.setdefault(view, Late(0.0, 0.0)).learn(max(0.0, spans), answered)
         self.window.full, self.window.ended = self.window.full + full, self.window.ended + 1
         usual, ratio = self.usual[class_name], math.inf
         if event.load:
             self.servers.report(self.now, backend, event.load)
         if event.result is Result.OK:
             self.window.answered_ms += self.classes[class_name].aim_ms
+            self.window.well += 1
+            timely = event.took_ms <= self.classes[class_name].aim_ms
+            self.timely[class_name] += (timely - self.timely[class_name]) * USUAL_GAIN
             ratio = event.took_ms / usual
             self.usual[class_name] += (event.took_ms - usual) * USUAL_GAIN * (not self.stalled)
         # After a standstill our own pause would be taken for the server's slowness.
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -67,6 +67,8 @@
     others: float = 0.0  # load of others, by its last report
     report_ms: float = -math.inf
     cold_ms: list[float] = field(default_factory=list)  # when it was sent something while it was cold
+    words: dict[int, float] = field(default_factory=dict)  # when a peer's word on it last counted, by gateway
+    accused: dict[int, float] = field(default_factory=dict)  # who saw it fail, and when; -1: we
 
 
 @dataclass(slots=True, eq=False)
@@ -78,11 +80,12 @@
     sent_ms: float
     overdue_ms: float = 0.0  # the wait that made it overdue; 0: it is not
     lost: float = 0.0  # the part of it that the window does not count
+    chance: float = 1.0  # that it still answers, when it became overdue
 
 
 @dataclass(slots=True, eq=False)
 class Lateness:
-    """What became of the overdue attempts of one class: fading counts. Both begin with a guess."""
+    """What became of overdue attempts: fading counts. Those of a whole class begin with a guess."""
 
     answers: float = 1.0
     spans: float = 4.0  # their waits, each in units of the one that made it overdue
@@ -129,6 +132,8 @@
     answered_ms: float = 0.0  # aims of those answered in this period
     full: float = 0.0  # fading counts of attempts refused as full, and of all that ended
     ended: float = 0.0
+    well: float = 0.0  # fading count of answers
+    idle: float = 0.0  # how idle the servers say they are, from 0 (or unknown) to 1
     room: float = 0.0  # answers a second x time each may take, summed over classes
     fleet_room: float = 0.0  # the mean of the peers' room, as told
     mean_out: float = 0.0  # fading mean of those out
@@ -174,3 +179,7 @@
     reference: float = 0.0
     sends: float = 0.0  # fading count of our sends
     sightings: list[tuple[float, Sighting]] = field(default_factory=list)
+    suspects: list[Backend] = field(default_factory=list)  # those that failed something of late
+    out_of: dict[str, set[int]] = field(default_factory=dict)  # who is put out in this period, by class
+    util: float = 1.0  # mean use of cores, as the servers tell it, and when last
+    util_ms: float = -math.inf
--- a/benchmarks/gray/world.py
+++ b/benchmarks/gray/world.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -38,6 +39,8 @@
     Woken,
 )
 
+from anisefront.messages import MAX_SIGHTINGS, decode, encode, sighting
+
 TICK_MS = 4.0
 HALLS = ("hall-a", "hall-b", "hall-c")
 WORK_MS = {"seat-check": 88.0, "seat-checkout": 225.0, "hours-debit": 225.0}
@@ -63,13 +66,14 @@
 class Failure:
     """What goes wrong, between `FROM_MS` and `UNTIL_MS`: its kind, its share and where it is."""
 
-    kind: str = "none"  # swallow, half-speed, freeze, late, unread, fast-error
+    kind: str = "none"  # swallow, half-speed, freeze, late, unread, fast-error, liar (a gateway whose words
+    # on a hall's servers are wrong)
     where: str = "everywhere"  # or server, hall, class
     share: float = 1.0
 
     def hits(self, server: int, hall: str, name: str) -> bool:
         """Whether an attempt of that class at that server is where it is."""
-        return {"everywhere": True, "server": server == 0, "hall": hall == HALLS[0],
+        return self.kind != "liar" and {"everywhere": True, "server": server == 0, "hall": hall == HALLS[0],
                 "class": name == "hours-debit"}[self.where]
 
     def __str__(self) -> str:
@@ -80,6 +84,14 @@
 FROM_MS, UNTIL_MS, END_MS, DRAIN_MS = 4000.0, 14_000.0, 18_000.0, 8000.0
 
 
+def lie(data: bytes) -> bytes:
+    """A message with wrong words: a whole hall's servers fail, and there is room without end."""
+    news = decode(data)
+    assert news is not None
+    words = [sighting(f"s{number}", 0, math.inf) for number in range(0, 3 * MAX_SIGHTINGS, len(HALLS))]
+    return encode(news.boot, 1000.0, list(news.items), words)
+
+
 class Clock:
     """The queue of what is to come."""
 
@@ -287,6 +299,8 @@
             case Wake():
                 clock.at(clock.now + action.after_ms, self.notice, Woken(action.name))
             case Tell() if world.rng.random() > 0.03:
+                if self.number == 0 and world.lies():
+                    action = Tell(action.receiver, lie(action.data))
                 for other in world.gateways:
                     if other is not self and action.receiver in (other.number, -1):
                         clock.at(clock.now + world.rng.uniform(1.6, 39), other.notice,
@@ -324,7 +338,9 @@
     def came(self, number: int, one: Try) -> None:
         self.tries[number] = one
         now = self.world.clock.now
-        self.notice(Arrival(number, f"c{number}", one.name, "plan", now + one.wait - 20, 1.0, self.number, 1))
+        spread, count = self.world.spread, len(self.world.gateways)
+        first = (self.number - number % spread) % count
+        self.notice(Arrival(number, f"c{number}", one.name, "plan", now + one.wait - 20, 1.0, first, spread))
         self.world.clock.at(now + one.wait, self.gone, number, one)
 
     def gone(self, number: int, one: Try) -> None:
@@ -337,8 +353,9 @@
     """A run: so many gateways with a rule each, so many servers, a load and a failure."""
 
     def __init__(self, make: Callable[[Settings, int], Rule], failure: Failure, load: float, gateways: int,
-                 servers: int, seed: int) -> None:
-        self.failure, self.seed, self.clock = failure, seed, Clock()
+                 servers: int, seed: int, spread: int = 1) -> None:
+        """`spread`: so many gateways keep a customer's quota together; above 1 they have to talk."""
+        self.failure, self.seed, self.clock, self.spread = failure, seed, Clock(), spread
         self.rng = random.Random(f"{seed}/world")
         self.machines = [Machine(self, number) for number in range(servers)]
         self.firsts = self.further = self.broken = 0
@@ -363,6 +380,10 @@
             self._work[number] = min(6.0, draw) * WORK_MS[name]
         return self._work[number]
 
+    def lies(self) -> bool:
+        """Whether the first gateway tells what is not so."""
+        return self.failure.kind == "liar" and FROM_MS <= self.clock.now < UNTIL_MS
+
     def has_room(self) -> bool:
         """Whether the servers could have done more: under nine tenths of their cores are busy on average."""
         busy = sum(min(CORES, len(machine.busy)) for machine in self.machines)
--- a/tests/test_gray.py
+++ b/tests/test_gray.py
@@ -5,18 +5,29 @@
 
 import heapq
 import itertools
+import math
 import random
 
 from test_module import FLEET
 from test_rules import settings
 
-from anisefront.control import LATE_PART, Controller, Late
+from anisefront.control import (
+    EJECT_FROM,
+    EJECT_MOST,
+    LATE_PART,
+    RETRY_LEAST,
+    RETRY_MOST,
+    RETRY_PART,
+    Controller,
+    Late,
+)
 from anisefront.interface import (
     Arrival,
     Cancel,
     ClientGone,
     Fail,
     Fleet,
+    Heard,
     Outcome,
     Plan,
     Refuse,
@@ -27,21 +38,26 @@
     Wake,
     Woken,
 )
+from anisefront.messages import encode, sighting
+from anisefront.state import Attempt
 
 TICK = 4.0
 
 
 class Play:
-    """One gateway of four, whose customers have their home here, before servers that answer as a rule says.
+    """One gateway of four, whose customers have their home here, before servers that answer as a rule says,
+    and tell that so much of their cores is in use.
 
     `rule(rng, class_name, server, number)` is the answer time in ms, or None for a swallowed attempt.
     """
 
-    def __init__(self, rule, *, rate=60.0, names=("look", "book", "debit"), seed=1, leave_ms=1400.0):
+    def __init__(
+        self, rule, *, rate=60.0, names=("look", "book", "debit"), seed=1, leave_ms=1400.0, util=0.3
+    ):
         plans = (Plan("rated", 1e6, 1e6),)
         self.control = Controller(settings(gateways=4, plans=plans, may_tell=False), seed)
         self.rng, self.rule, self.rate = random.Random(seed), rule, rate
-        self.names, self.leave_ms = names, leave_ms
+        self.names, self.leave_ms, self.load = names, leave_ms, (util, 0)
         self.queue, self.serial, self.now = [], itertools.count(), 1000.0
         self.open, self.served, self.refused, self.failed, self.sent = {}, [], [], [], []
         self.out, self.most_out, self.limits = set(), 0, []
@@ -63,7 +79,8 @@
                     self.sent.append((self.now, action.id, number, action.server))
                     took = self.rule(self.rng, self.names_of[action.id], action.server, number)
                     if took is not None and took < action.allow_ms:
-                        self.later(took, Outcome(action.id, number, action.server, took, Result.OK, True))
+                        self.later(took, Outcome(action.id, number, action.server, took, Result.OK, True,
+                                                 load=self.load))
                     else:
                         self.later(
                             action.allow_ms,
@@ -202,3 +219,175 @@
     usual = 40.0 * config.fall_window_ms / 1000 / 6  # what a warm server gets of this gateway in that time
     warmth = config.cold_from + (1 - config.cold_from) * config.fall_window_ms / config.warm_up_ms
     assert 1 <= most_within(to_cold, config.fall_window_ms) <= 1.3 * config.fall_multiple * warmth * usual + 1
+
+
+# -- who is to blame: a server, a hall, a class, a peer, ourselves
+
+
+class Judged:
+    """A gateway that has seen so many outcomes of each server; `bad` servers gave none."""
+
+    def __init__(self, bad=(), *, names=("look",), of=("look",), rounds=6, gateways=4):
+        self.control = Controller(settings(gateways=gateways, plans=(Plan("rated", 1e6, 1e6),)), 1)
+        self.now, self.bad, self.of = 1000.0, set(bad), set(of)
+        self.control.handle(self.now, [FLEET])
+        for _ in range(rounds):
+            for server in FLEET.servers:
+                for name in names:
+                    failed = server.id in self.bad and name in self.of
+                    self.see(server.id, name, math.inf if failed else 1.0)
+
+    def see(self, server, name, ratio):
+        servers = self.control.servers
+        servers.learn(self.now, servers.known[server], name, ratio, 1.0)
+
+    def sent(self, name, count=16):
+        """Where requests of a class go that are out at one time."""
+        asked = [Arrival(number, f"c{number}", name, "rated", self.now + 2500.0) for number in range(count)]
+        return [one.server for one in self.control.handle(self.now, asked) if isinstance(one, Send)]
+
+
+def test_a_server_that_fails_one_class_gets_none_of_that_class_and_the_others_as_before():
+    """Its other answers look perfect. Mixed into one figure, a third of the debits still went there."""
+    for name, sent in (("debit", False), ("look", True)):
+        judged = Judged(bad=["s1"], names=("look", "debit"), of=("debit",))
+        assert ("s1" in judged.sent(name)) is sent
+
+
+def test_where_more_than_half_look_bad_nobody_is_put_out():
+    """All answers failed at once: our own network. To put servers out then empties the list."""
+    judged = Judged(bad=[server.id for server in FLEET.servers])
+    assert judged.control.servers.suspects and not judged.control.servers.ejected(judged.now, "look")
+    assert len(set(judged.sent("look"))) == len(FLEET.servers)
+
+
+def test_no_more_than_a_bounded_part_is_put_out():
+    judged = Judged(bad=["s0", "s1", "s2"])
+    out = judged.control.servers.ejected(judged.now, "look")
+    assert len(out) == int(EJECT_MOST * len(FLEET.servers)) == 2
+
+
+def test_after_our_own_network_is_back_the_fleet_serves_within_two_seconds():
+    play = Play(lambda rng, *_: healthy(rng)).run(4)
+    play.rule = lambda *_: None
+    play.run(4)
+    play.rule = lambda rng, *_: healthy(rng)
+    since = play.now + 2000
+    play.run(8)
+    assert play.share_in_aim(since=since) > 0.97
+
+
+def test_from_any_state_the_cap_reaches_what_the_load_needs_within_two_seconds():
+    """Servers that say they idle do not hold answers back, so no low cap keeps itself low."""
+    for state in ({"room": 0.1, "peak": 0.0, "cut": 0.3}, {"room": 0.1, "lost": 0.0, "fleet_room": 0.0}):
+        play = Play(lambda rng, *_: healthy(rng), rate=60.0).run(4)
+        for key, value in state.items():
+            setattr(play.control.window, key, value)
+        play.control.window.set_limit(6)
+        since = play.now + 2000
+        play.run(6, rate=200.0)
+        assert play.share_in_aim(since=since) > 0.99
+        need = 200 * 0.07  # by Little's law, with answers of 70 ms on the mean
+        assert min(limit for ms, limit in play.limits if ms >= since) >= need
+
+
+def test_a_fleet_that_is_busy_raises_no_floor():
+    play = Play(lambda rng, *_: rng.uniform(500, 580), rate=60.0, util=1.0).run(10)
+    assert play.control.window.idle == 0 and play.control.window.limit < 20
+    assert not play.control.servers.suspects
+
+
+def test_one_peer_alone_brings_no_server_into_disrepute_two_do():
+    """A peer's words may be wrong: by its own network, or a fault. 60 of them a second did as they liked."""
+    lie = encode(7, 1.0, [], [sighting("s1", 0, math.inf)] * 4)
+    for liars, avoided in (((1,), False), ((1, 2), True)):
+        control = Controller(settings(gateways=4, plans=(Plan("rated", 1e6, 1e6),)), 1)
+        control.handle(1000.0, [FLEET])
+        for turn in range(120):
+            control.handle(1000.0 + 20 * turn, [Heard(liar, lie) for liar in liars])
+        bad = control.servers.failing(3400.0, control.servers.known["s1"], "look")
+        assert (bad > EJECT_FROM) is avoided
+
+
+def test_a_gateway_of_one_request_a_second_learns_from_its_peers():
+    control = Controller(settings(gateways=30, plans=(Plan("rated", 1e6, 1e6),)), 1)
+    control.handle(1000.0, [FLEET])
+    now, to_bad = 1000.0, 0
+    for turn in range(30):
+        news = encode(7, 0.2, [], [sighting("s1", 0, math.inf), sighting("s2", 0, 1.0)])
+        now += 500
+        control.handle(now, [Heard(1 + turn % 20, news)])
+        actions = control.handle(now + 1, [Arrival(turn, f"c{turn}", "look", "rated", now + 2500.0)])
+        for send in actions:
+            if isinstance(send, Send):
+                to_bad += send.server == "s1"
+                control.handle(now + 60, [Outcome(send.id, 0, send.server, 59.0, Result.OK, True)])
+    assert to_bad <= 1
+
+
+def test_peers_that_claim_any_room_do_not_open_the_cap():
+    control = Controller(settings(gateways=4), 1)
+    control.handle(1000.0, [FLEET])
+    for turn in range(200):
+        control.handle(1000.0 + 10 * turn, [Heard(1, encode(7, 1000.0, [], []))])
+    assert control.window.fleet_room <= 2 * 12 * 6 / 4
+
+
+# -- further attempts
+
+
+def test_overdue_tells_a_server_and_a_hall_from_the_fleet():
+    control = Controller(settings(gateways=4), 1)
+    control.handle(1000.0, [FLEET])
+    silent, well = control.servers.known["s0"], control.servers.known["s1"]
+    for backend, answered in ((silent, False), (well, True)) * 30:
+        for view in control.late_views(Attempt(backend, "look", 0.0)):
+            control.late.setdefault(view, Late(0.0, 0.0)).learn(1.0 if answered else 3.0, answered)
+    assert control.late_chance(Attempt(silent, "look", 0.0)) < 0.15
+    assert control.late_chance(Attempt(well, "look", 0.0)) > 0.5
+    same_hall = next(one for one in control.servers.known.values()
+                     if one.entry.zone == silent.entry.zone and one is not silent)
+    assert control.late_chance(Attempt(same_hall, "look", 0.0)) < 0.2
+    control.handle(2000.0, [Fleet((), True)])
+    control.handle(9000.0, [Woken("agenda")])
+    assert all(len(view) == 1 for view in control.late)  # what went is forgotten
+
+
+def test_the_worthiest_take_the_last_tokens():
+    """With the tokens nearly spent a cheap class gets no copy, and a dear one does."""
+    for name, sent in (("feed", 0), ("book", 1)):
+        play = Play(lambda *_: None, names=(name,), rate=0.001).run(0.1)
+        control = play.control
+        control.handle(play.now, [Arrival(1, "c", name, "rated", play.now + 2500.0)])
+        control.budget = 2.0
+        request = control.requests[1]
+        control.actions = []
+        assert control.again(request, 0.2) is bool(sent)
+        assert control.budget == 2.0 - RETRY_LEAST * sent
+
+
+def test_further_attempts_stay_under_their_share_at_any_failure_share():
+    for share in (0.05, 0.2, 0.5, 0.8, 1.0):
+        play = Play(swallowing(share), names=("look", "book"), leave_ms=2400.0).run(20)
+        further = sum(number > 0 for _, _, number, _ in play.sent)
+        first = len(play.sent) - further
+        assert further <= RETRY_PART / RETRY_LEAST * first + RETRY_MOST / RETRY_LEAST
+
+
+def test_five_percent_swallowed_in_time_with_a_release_and_a_silent_discovery():
+    """The incident: a fifth of the servers goes, word of it comes late, and one in 20 is swallowed at all."""
+    play = Play(swallowing(0.05), leave_ms=2400.0).run(6)
+    gone = "s5"
+    play.rule = lambda rng, name, server, number: (
+        None if server == gone or rng.random() < 0.05 else healthy(rng))
+    since = play.now
+    play.run(3)  # discovery is silent: it still lists the server
+    cold = Server("new", "z1", 9, State.READY, 1.0, play.now - 3000)
+    play.do(play.control.handle(play.now, [Fleet((*FLEET.servers[:5], cold))]))
+    play.run(8)
+    assert play.share_in_aim(since=since) > 0.93
+    assert not [one for one in play.sent if one[3] == gone and one[0] > since + 3000]
+    assert len([one for one in play.sent if one[3] == gone and one[0] > since + 1500]) <= 3
+    assert len(play.refused) < 0.03 * len(play.came)
+    ran = [number for _, number, attempt, _ in play.sent if play.names_of[number] == "debit" and attempt]
+    assert not ran
