Let the kit's fleet be started in another way, and judge kills beside quick restarts

Need: the simulation plays the kit's stand-ins and script, and starts gatekeepers as virtual processes.

Change: the supervisor's launch, ports and folder can be replaced; connections and calls of stand-ins stand in order of arrival; kills are remembered for a while.

--- a/plumpick/rehearsal/auditor.py
+++ b/plumpick/rehearsal/auditor.py
@@ -139,6 +139,7 @@
         self._lives: dict[str, _Life] = {}
         self._stores: dict[str, _Store] = {}
         self._down_since: dict[str, float] = {}  # gatekeepers that were killed,
+        self._killed: dict[str, deque[float]] = {}  # when each was killed of late
         self._over_since: dict[str, float] = {}  # and those that have ended in any way
         self._broken: list[tuple[float, _Request, Left]] = []  # judged once it is known who died
         self._expected_ends: set[str] = set()
@@ -311,6 +312,12 @@
         # What it held when it was killed is the client's to try again.
         if down is not None and down <= until_t and (record.why == "broken" or down >= request.asked.t):
             return
+        # A new process may start before the client notices the end of the one before.
+        if record.why == "broken" and any(
+            request.asked.t <= killed <= record.t <= killed + TOLERANCES["killed_early"]
+            for killed in self._killed.get(request.asked.gate, ())
+        ):
+            return
         text = (
             "no answer when the client's time was up"
             if record.why == "overdue"
@@ -518,6 +525,7 @@
             self._expected_ends.add(record.gate)
             if record.what == "kill":
                 self._down_since[record.gate] = record.t
+                self._killed.setdefault(record.gate, deque(maxlen=8)).append(record.t)
         elif record.what == "exited":
             self._over_since[record.gate] = record.t
             expected = record.gate in self._expected_ends
--- a/plumpick/rehearsal/fleet.py
+++ b/plumpick/rehearsal/fleet.py
@@ -4,14 +4,10 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import itertools
 import math
 import random
-import shutil
-import tempfile
 from collections.abc import Coroutine
-from pathlib import Path
 from typing import Any
 
 from plumpick.rehearsal.auditor import Auditor
@@ -85,7 +81,15 @@
 class Fleet:
     """A fleet that can be started, played with and ended. Everything it makes is gone after `close`."""
 
-    def __init__(self, around: Surroundings, scenario: Scenario, name: str, plant: str = "") -> None:
+    def __init__(
+        self,
+        around: Surroundings,
+        scenario: Scenario,
+        name: str,
+        plant: str = "",
+        supervise: type[Supervisor] = Supervisor,
+    ) -> None:
+        """`supervise` starts and ends the gatekeepers: as real processes, or as simulated ones."""
         self.around, self.scenario, self.name = around, scenario, name
         self.recorder = Recorder()
         self.auditor, self.service = Auditor(), Service()
@@ -121,8 +125,8 @@
             self.stage.refused = self.front.refused
             if isinstance(self.plant, OverCeiling):
                 self.plant.plans = {plan.name.encode() for plan in scenario.plans if plan.ceiling}
-        self.folder = Path(tempfile.mkdtemp(prefix="plumpick-"))
-        self.supervisor = Supervisor(
+        self.folder = supervise.make_folder()
+        self.supervisor = supervise(
             around,
             scenario,
             self.folder,
@@ -194,8 +198,7 @@
         for gate, door in zip(self.supervisor.gates, self.front.doors, strict=True):
             door.port = await self._door_port(gate)
             door.up = True
-        gc.collect()
-        gc.freeze()  # what the start made stays: looking through it again and again is a stall each time
+        self.around.settle()
 
     def _relayed(self, entry: Listed) -> str:
         assert self.stage is not None
@@ -247,7 +250,7 @@
             for agent in self.agents:
                 agent.close()
             self.relay.close()
-            shutil.rmtree(self.folder, ignore_errors=True)
+            self.supervisor.drop_folder()
 
     def _gate_ended(self, gate: Gatekeeper) -> None:
         door = self.front.doors[gate.number]
--- a/plumpick/rehearsal/licence_server.py
+++ b/plumpick/rehearsal/licence_server.py
@@ -106,7 +106,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         self.idle_t = self.server.now()
-        self.server.connections.add(self)
+        self.server.connections[self] = None
 
     def data_received(self, data: bytes) -> None:
         server = self.server
@@ -121,7 +121,7 @@
             server.take(self, message)
 
     def connection_lost(self, _problem: Exception | None) -> None:
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
         if self.job is not None:
             self.job.connection = None
             self.server.cancelled(self.job)
@@ -156,7 +156,7 @@
         self.faults = Faults()
         self.life, self.port, self.since_unix = 0, 0, 0.0
         self.silent = self.draining = self.down = False
-        self.connections: set[_Connection] = set()
+        self.connections: dict[_Connection, None] = {}  # in the order in which they came
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._frozen_until = 0.0
--- a/plumpick/rehearsal/roster.py
+++ b/plumpick/rehearsal/roster.py
@@ -48,10 +48,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        self.agent.calls.add(self)
+        self.agent.calls[self] = None
 
     def connection_lost(self, _problem: Exception | None) -> None:
-        self.agent.calls.discard(self)
+        self.agent.calls.pop(self, None)
         self.stop_waiting()
 
     def data_received(self, data: bytes) -> None:
@@ -78,7 +78,7 @@
         self.index = 1
         self.silent = False
         self.port = 0
-        self.calls: set[_Call] = set()
+        self.calls: dict[_Call, None] = {}  # in the order in which they came
         self.address_of: Callable[[Listed], str] = lambda entry: f"{HOST}:{entry.port}"
         self._changes: list[tuple[int, Listed]] = []
         self._held: list[tuple[_Call, Message]] = []  # what was asked while it is silent
--- a/plumpick/rehearsal/surroundings.py
+++ b/plumpick/rehearsal/surroundings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 import time
 from collections.abc import Callable, Coroutine
@@ -47,6 +48,12 @@
         """Call after so many milliseconds."""
         return self.loop.call_later(max(0.0, ms) / 1000, call, *arguments)
 
+    @staticmethod
+    def settle() -> None:
+        """What the start made stays: looking through it again and again is a stall each time."""
+        gc.collect()
+        gc.freeze()
+
     def spawn(self, tasks: set[asyncio.Task[Any]], work: Coroutine[Any, Any, None]) -> None:
         """Run beside; `tasks`, its owner's, holds it until it ends: the loop alone would not keep it."""
         task = self.loop.create_task(work)
