Seeded fault simulation: the daemon's code on a virtual clock and network, replayed

Need: the worst failures appear where loss, restarts and slow answers meet, and could not be had again.

Seeded fault simulation

--- /dev/null
+++ b/benchmarks/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Figures of the seeded simulation."""
--- /dev/null
+++ b/benchmarks/simulation/plants.py
@@ -0,0 +1,237 @@
+"""How many seeds it takes to find each of fifteen planted bugs.
+
+    python -m benchmarks.simulation.plants [--most 60] [--jobs 8] [--only NAME]
+
+Each plant swaps one function of the daemon or of the module for a wrong one; seeds 1, 2, 3, … are played
+until the rule breaks that it breaks.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
+from dataclasses import replace
+from typing import Any
+
+from anisefront.control import Controller, Quota, Servers
+from anisefront.interface import Refuse, Repeat, Result, State
+from plumpick import gatekeeper as heart
+from plumpick.admission import Admission
+from plumpick.clients import ClientConnection
+from plumpick.clock import Alarms
+from plumpick.config import WorkerList
+from plumpick.gatekeeper import Gatekeeper
+from plumpick.simulation.faults import case_of
+from plumpick.simulation.world import play
+from plumpick.workers import Attempt, WorkerConnection, Workers
+
+Swap = list[tuple[Any, str, Any]]  # owner, name, what stands there instead
+
+
+def anywhere() -> Swap:
+    """Further attempts go to any server, whatever the class."""
+    return [(Controller, "allowed", lambda self, request: None)]
+
+
+def other_hall() -> Swap:
+    """A keyed request is sent again to another hall."""
+    right = Controller.allowed
+    return [(Controller, "allowed", lambda self, request: None if request.kind.repeat is Repeat.KEYED
+             else right(self, request))]
+
+
+def refuses_all() -> Swap:
+    """What may have run is refused, as if a retry were harmless."""
+    def refuse(self: Controller, request: Any) -> None:
+        self.actions.append(Refuse(request.arrival.id, 250.0))
+        self.close(request)
+    return [(Controller, "refuse_or_fail", refuse)]
+
+
+def reset_never_ran() -> Swap:
+    """A connection that breaks after the last byte counts as one that never came up."""
+    right = WorkerConnection._fault
+
+    def fault(self: WorkerConnection, result: Result) -> None:
+        right(self, Result.CONNECT_FAILED if result is Result.RESET else result)
+    return [(WorkerConnection, "_fault", fault)]
+
+
+def ignores_drains() -> Swap:
+    """A server that drains is taken for one that is ready."""
+    right = Gatekeeper.listed
+
+    def listed(self: Gatekeeper, news: WorkerList) -> None:
+        entries = tuple(replace(one, server=replace(one.server, state=State.READY))
+                        if one.server.state is State.DRAINING else one for one in news.entries)
+        right(self, replace(news, entries=entries))
+    return [(Gatekeeper, "listed", listed)]
+
+
+def prefers_cold() -> Swap:
+    """What is new is thought idle, and gets all there is."""
+    right = Servers.choose
+
+    def choose(self: Servers, now: float, request: Any, group: Any) -> Any:
+        cold = [one for one in self.cold if group is None or one in group]
+        return cold[0] if cold else right(self, now, request, group)
+    return [(Servers, "choose", choose)]
+
+
+def no_guard() -> Swap:
+    """Deadlines are read half a second too late, by the guard and by the module."""
+    return [(heart, "GUARD_MS", -500.0), (heart, "MARGIN_MS", -500.0)]
+
+
+def late_answer_for_next() -> Swap:
+    """The connection of an attempt that was given up is used again."""
+    right = Attempt.end
+
+    def end(self: Attempt, result: Result, *more: Any, **others: Any) -> None:
+        connection, self.connection = self.connection, None
+        if connection is not None and self.done is not None and result is Result.CANCELLED:
+            connection.attempt = None
+            connection.pool.put_back(connection)
+            connection = None
+        self.connection = connection
+        right(self, result, *more, **others)
+    return [(Attempt, "end", end)]
+
+
+def forgets_bookings() -> Swap:
+    """A home forgets the units that it granted."""
+    return [(Quota, "book", lambda self, now, store, key, item, ceiling: None)]
+
+
+def ignores_slices() -> Swap:
+    """A gatekeeper on credit does not look at its slice of the ceiling."""
+    def draw(self: Quota, now: float, request: Any) -> bool:
+        request.paid = request.arrival.units
+        return True
+    return [(Quota, "unanswered", lambda self, now, request: draw(self, now, request))]
+
+
+def answers_twice() -> Swap:
+    """Every hundredth answer goes out twice."""
+    right, count = ClientConnection.answer, [0]
+
+    def answer(self: ClientConnection, *more: Any, **others: Any) -> None:
+        right(self, *more, **others)
+        count[0] += 1
+        if count[0] % 100 == 0 and self.transport is not None:
+            self.transport.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+    return [(ClientConnection, "answer", answer)]
+
+
+def ends_at_once() -> Swap:
+    """After SIGTERM nothing is waited for."""
+    return [(Gatekeeper, "busy", lambda self: False), (heart.Gatekeeper, "drain", lambda self: None)]
+
+
+def stands_still_and_closes() -> Swap:
+    """The sweep of connections goes by the clock alone, also after a standstill: as it was."""
+    right = Admission.sweep
+
+    def sweep(self: Admission, now: float, ending: bool) -> None:
+        self._swept_ms = -1.0
+        right(self, now, ending)
+    return [(Admission, "sweep", sweep)]
+
+
+def writes_after_the_end() -> Swap:
+    """A connection that comes up late carries its attempt, though it has ended."""
+    def dialled(self: Workers, worker: Any, attempt: Attempt, connection: WorkerConnection,
+                dial: Any) -> None:
+        worker.dialling.remove(attempt)
+        attempt.dial = None
+        if dial.cancelled() or dial.exception() is not None:
+            connection.abandon()
+            attempt.end(Result.CONNECT_FAILED)
+        else:
+            if attempt.dial_alarm is not None:
+                attempt.dial_alarm.cancel()
+            connection.carry(attempt)
+
+    def start(self: Workers, attempt: Attempt, allow_ms: float) -> None:
+        right(self, attempt, allow_ms)
+        if attempt.dial is not None:  # a dial is never called off
+            dial, attempt.dial = attempt.dial, None
+            self.__dict__.setdefault("kept", []).append(dial)
+    right = Workers.start
+    return [(Workers, "_dialled", dialled), (Workers, "start", start)]
+
+
+def rearms_at_once() -> Swap:
+    """A timer that is due arms itself again for the same instant."""
+    right = Alarms.at
+
+    def at(self: Alarms, when_ms: float, call: Callable[[], None]) -> Any:
+        def again() -> None:
+            call()
+            self._loop.call_soon(again)
+        return right(self, when_ms, again)
+    return [(Alarms, "at", at)]
+
+
+# Each with the rules that it may break first.
+PLANTS: dict[str, tuple[Callable[[], Swap], tuple[str, ...]]] = {
+    "anywhere": (anywhere, ("effects-once",)),
+    "other-hall": (other_hall, ("effects-once",)),
+    "refuses-all": (refuses_all, ("effects-once",)),
+    "reset-never-ran": (reset_never_ran, ("effects-once",)),
+    "ignores-drains": (ignores_drains, ("drains-kept",)),
+    "prefers-cold": (prefers_cold, ("cold-servers",)),
+    "no-guard": (no_guard, ("no-request-lost",)),
+    "late-answer-for-next": (late_answer_for_next, ("no-request-lost",)),
+    "forgets-bookings": (forgets_bookings, ("ceilings",)),
+    "ignores-slices": (ignores_slices, ("ceilings",)),
+    "answers-twice": (answers_twice, ("no-request-lost",)),
+    "ends-at-once": (ends_at_once, ("no-request-lost",)),
+    "stands-still-and-closes": (stands_still_and_closes, ("no-request-lost",)),
+    "writes-after-the-end": (writes_after_the_end, ("no-request-lost", "drains-kept", "effects-once")),
+    "rearms-at-once": (rearms_at_once, ("did-not-end",)),
+}
+
+
+@contextmanager
+def planted(name: str) -> Iterator[None]:
+    """The daemon with that bug, until the end of the block."""
+    swaps = PLANTS[name][0]()
+    before = [(owner, key, getattr(owner, key)) for owner, key, _ in swaps]
+    for owner, key, value in swaps:
+        setattr(owner, key, value)
+    try:
+        yield
+    finally:
+        for owner, key, value in before:
+            setattr(owner, key, value)
+
+
+def seeds_to_find(name: str, most: int) -> tuple[str, int, str]:
+    """The first seed of 1, 2, … that breaks its rule; 0 where none of so many does."""
+    with planted(name):
+        for seed in range(1, most + 1):
+            result = play(case_of(seed))
+            if result.rule in PLANTS[name][1]:
+                return name, seed, f"{result.rule}: {result.text}"
+    return name, 0, ""
+
+
+def main() -> None:
+    """Print the table."""
+    flags = argparse.ArgumentParser(description=__doc__)
+    flags.add_argument("--most", type=int, default=60)
+    flags.add_argument("--jobs", type=int, default=8)
+    flags.add_argument("--only", default="")
+    given = flags.parse_args()
+    names = [name for name in PLANTS if given.only in name]
+    print("| planted bug | found by seed | what was seen |\n| --- | --- | --- |")
+    with ProcessPoolExecutor(given.jobs) as pool:
+        for name, seed, text in pool.map(seeds_to_find, names, [given.most] * len(names)):
+            print(f"| {name} | {seed or 'none'} | {text} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/simulation/real_against_virtual.py
@@ -0,0 +1,63 @@
+"""The same scenario by `rehearse` (real processes, real sockets) and by the simulation.
+
+    python -m benchmarks.simulation.real_against_virtual [--scenarios calm swallowing] [--seeds 2]
+
+Prints service of both and their difference, for each scenario the mean over seeds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from dataclasses import replace
+from statistics import mean
+from typing import Any
+
+from plumpick.rehearsal.fleet import Fleet, too_slow
+from plumpick.rehearsal.scenario import load
+from plumpick.rehearsal.surroundings import Surroundings
+from plumpick.simulation import world as virtual
+from plumpick.simulation.faults import Case
+
+
+async def real(name: str, seed: int) -> tuple[float, str]:
+    """Service of a rehearsal, and why it does not count, if it does not."""
+    fleet = Fleet(Surroundings(asyncio.get_running_loop(), seed), load(name), name)
+    try:
+        await fleet.start()
+        await fleet.play()
+    finally:
+        await fleet.close()
+    return float(fleet.service.as_dict()["service"]), too_slow(fleet.auditor)
+
+
+def simulated(name: str, seed: int) -> tuple[float, str]:
+    """Service of the same in virtual time, and the rule that broke, if one did."""
+    scenario = load(name)
+    case = replace(Case(seed), seconds=scenario.seconds, load=scenario.load.share,
+                   gatekeepers=scenario.fleet.gatekeepers, servers=scenario.fleet.servers)
+    before: Any = virtual.scenario_of
+    virtual.scenario_of = lambda _case: scenario
+    try:
+        result = virtual.play(case)
+    finally:
+        virtual.scenario_of = before
+    return result.service, result.rule
+
+
+def main() -> None:
+    """Print the table."""
+    flags = argparse.ArgumentParser(description=__doc__)
+    flags.add_argument("--scenarios", nargs="*", default=["calm", "swallowing", "restarts"])
+    flags.add_argument("--seeds", type=int, default=2)
+    given = flags.parse_args()
+    print("| scenario | rehearse | simulate | difference | remarks |\n| --- | --- | --- | --- | --- |")
+    for name in given.scenarios:
+        both = [(asyncio.run(real(name, seed)), simulated(name, seed)) for seed in range(1, given.seeds + 1)]
+        first, second = mean(one[0][0] for one in both), mean(one[1][0] for one in both)
+        remarks = "; ".join(text for one in both for _, text in one if text)
+        print(f"| {name} | {first:.3f} | {second:.3f} | {second - first:+.3f} | {remarks} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/plumpick/cli.py
+++ b/plumpick/cli.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 from importlib import metadata
 
@@ -60,6 +61,22 @@
     audit.add_argument("history")
     audit.add_argument("--json", action="store_true", help="print rules and service as JSON")
     audit.set_defaults(run="audit")
+    simulate = tools.add_parser("simulate", help="play seeded faults on a virtual clock and network")
+    simulate.add_argument("--seeds", default="1-100", metavar="A-B", help="play these (1-100)")
+    simulate.add_argument("--seed", type=int, metavar="N", help="play this one and tell its story")
+    simulate.add_argument("--replay", metavar="FILE", help="play a saved case")
+    simulate.add_argument("--jobs", type=int, default=os.cpu_count() or 1, help="processes")
+    simulate.add_argument("--minutes", type=float, default=0.0, help="begin no seed after so long")
+    simulate.add_argument("--seconds", type=float, default=30.0, help="virtual seconds of a seed")
+    simulate.add_argument("--out", metavar="DIR", help="write the summary and failing cases there")
+    simulate.add_argument(
+        "--history", metavar="FILE", help="with --seed: write the records, for `plumpick audit`"
+    )
+    simulate.add_argument("--shrink", action="store_true", help="cut a failing case down")
+    simulate.add_argument(
+        "--twice", action="store_true", help="play it twice and find the first step that differs"
+    )
+    simulate.set_defaults(run="simulate")
     return top
 
 
@@ -74,6 +91,10 @@
 
         return serve()
     try:
+        if given.run == "simulate":
+            from plumpick.simulation.commands import simulate
+
+            return int(simulate(given))
         from plumpick.rehearsal import commands
     except ModuleNotFoundError as problem:
         if problem.name not in ("msgspec", "matplotlib"):
--- /dev/null
+++ b/plumpick/simulation/faults.py
@@ -0,0 +1,150 @@
+"""Cases: what one seed plays. Each draws its own few kinds of faults, and how strong, so that rare ones meet.
+
+Source of the method: swarm testing (Groce and others, 2012): a run with every kind of fault reaches fewer
+states than many runs with a random part of them each. A case is data: it can be written down, cut down and
+played again.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import asdict, dataclass, field, replace
+from typing import Any
+
+SECONDS, GATES, SERVERS = 30.0, 3, 12
+SERVER_FAULTS = ("swallow", "error", "fast-error", "reset-before", "reset-after", "slow-after-record",
+                 "spoilt", "half-speed", "freeze")
+# What bends time: a rule that goes by the clock alone is not judged while these last, and `AFTER_S` after.
+BENDS = ("still", "loss", "cut-to-server", "cut-from-server", "slow-link", "few-descriptors")
+AFTER_S = 3.0
+
+
+class CaseError(ValueError):
+    """A case that cannot be played; the text names what is wrong."""
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One thing that goes wrong at `at_s`, for `for_s`; `with_` holds what its kind needs."""
+
+    kind: str
+    at_s: float
+    for_s: float = 0.0
+    with_: dict[str, Any] = field(default_factory=dict)
+
+    def __str__(self) -> str:
+        more = ", ".join(f"{key} {value}" for key, value in self.with_.items())
+        lasting = f" for {self.for_s:g} s" if self.for_s else ""
+        return f"{self.at_s:g} s: {self.kind}{lasting}{f' ({more})' if more else ''}"
+
+
+@dataclass(frozen=True)
+class Case:
+    """All that a run depends on, beside the program."""
+
+    seed: int
+    seconds: float = SECONDS
+    gatekeepers: int = GATES
+    servers: int = SERVERS
+    load: float = 0.15  # inside the quotas, of what the servers can do
+    skew_ms: tuple[float, ...] = ()  # of each gatekeeper's clock
+    impatient: float = 0.0
+    faults: tuple[Fault, ...] = ()
+
+    def as_json(self) -> str:
+        """The case as text."""
+        return json.dumps(asdict(self), indent=1)
+
+    def bends(self, t_ms: float, kinds: tuple[str, ...] = BENDS, gate: str = "") -> bool:
+        """Whether time was bent at that time of the run, or just before; with `gate`, at that one."""
+        return any(fault.kind in kinds and fault.at_s * 1000 <= t_ms
+                   <= (fault.at_s + fault.for_s + AFTER_S) * 1000
+                   and (not gate or gate == f"n{fault.with_.get('gate')}") for fault in self.faults)
+
+
+def case_from(text: str) -> Case:
+    """The case in a text of JSON. Raises CaseError."""
+    try:
+        value = json.loads(text)
+        faults = tuple(Fault(one["kind"], float(one["at_s"]), float(one["for_s"]), dict(one["with_"]))
+                       for one in value.pop("faults"))
+        unknown = [fault.kind for fault in faults if fault.kind not in KINDS]
+        if unknown:
+            raise CaseError(f"there is no fault {unknown[0]!r}; there are: {', '.join(KINDS)}")
+        value["skew_ms"] = tuple(value.get("skew_ms", ()))
+        return Case(**value, faults=faults)
+    except (ValueError, TypeError, KeyError, AttributeError) as problem:
+        if isinstance(problem, CaseError):
+            raise
+        raise CaseError(f"no case: {type(problem).__name__}: {problem}") from problem
+
+
+Draw = tuple[float, dict[str, Any]]  # how long, and with what
+
+
+def _gate(rng: random.Random, case: Case) -> dict[str, Any]:
+    return {"gate": rng.randrange(case.gatekeepers)}
+
+
+def _server(rng: random.Random, case: Case) -> dict[str, Any]:
+    return {"server": rng.randrange(case.servers)}
+
+
+def _both(rng: random.Random, case: Case) -> dict[str, Any]:
+    return _gate(rng, case) | _server(rng, case)
+
+
+def _round(value: float) -> float:
+    return round(value, 3)
+
+
+# How long each kind of fault lasts and what it needs; drawn in this order, from one source of chance.
+KINDS: dict[str, Any] = {
+    "kill": lambda r, c: (0.0, _gate(r, c) | {"back_s": _round(r.uniform(0.3, 2.5))}),
+    "restart": lambda r, c: (0.0, _gate(r, c)),
+    "restart-cut-short": lambda r, c: (0.0, _gate(r, c) | {
+        "after_s": _round(r.uniform(0.1, 2.0)), "back_s": _round(r.uniform(0.3, 1.5))}),
+    "reload": lambda r, c: (0.0, {}),
+    "roster-silent": lambda r, c: (_round(r.uniform(2, 10)), {}),
+    "release": lambda r, c: (_round(r.uniform(4, 15)), {"share": _round(r.uniform(0.1, 0.6))}),
+    "silent-server": lambda r, c: (_round(r.uniform(2, 12)), {"count": r.randint(1, 2)}),
+    "server-fault": lambda r, c: (_round(r.uniform(1, 8)), {
+        "fault": r.choice(SERVER_FAULTS), "count": r.choice((0, 1, 1, 2, 4)),
+        "share": _round(r.choice((0.02, 0.1, 0.5, 1.0))), "by_ms": _round(r.uniform(300, 2500))}),
+    "hot-firm": lambda r, c: (_round(r.uniform(3, 10)), {
+        "plan": r.choice(("basico", "estandar", "amplio")), "times": _round(r.uniform(2, 6))}),
+    "split": lambda r, c: (_round(r.uniform(2, 10)), _gate(r, c)),
+    "still": lambda r, c: (_round(r.choice((0.05, 0.2, 0.6, 1.5, 4.0)) * r.uniform(0.8, 1.2)), _gate(r, c)),
+    "pieces": lambda r, c: (_round(r.uniform(3, 20)), {"share": _round(r.choice((0.1, 0.5, 1.0)))}),
+    "loss": lambda r, c: (_round(r.uniform(1, 6)), {"share": _round(r.choice((0.005, 0.03, 0.1)))}),
+    "resets": lambda r, c: (_round(r.uniform(1, 8)), {"share": _round(r.choice((0.002, 0.01, 0.05)))}),
+    "slow-link": lambda r, c: (_round(r.uniform(1, 6)), {"ms": _round(r.uniform(2, 40))}),
+    "datagrams": lambda r, c: (_round(r.uniform(2, 15)), {
+        "loss": _round(r.choice((0.0, 0.1, 0.5, 1.0))), "twice": _round(r.choice((0.0, 0.1, 0.5))),
+        "late_ms": _round(r.choice((0.0, 20.0, 200.0)))}),
+    "cut-to-server": lambda r, c: (_round(r.uniform(0.3, 6)), _both(r, c)),
+    "cut-from-server": lambda r, c: (_round(r.uniform(0.3, 6)), _both(r, c)),
+    "cut-roster": lambda r, c: (_round(r.uniform(0.5, 8)), _gate(r, c)),
+    "refusing": lambda r, c: (_round(r.uniform(0.5, 6)), _server(r, c)),
+    "mute": lambda r, c: (_round(r.uniform(0.5, 6)), _server(r, c)),
+    "few-descriptors": lambda r, c: (_round(r.uniform(2, 10)), _gate(r, c) | {"left": r.randint(0, 6)}),
+}
+ON_SHARE, MOST_TIMES = 0.3, 3
+
+
+def case_of(seed: int, seconds: float = SECONDS) -> Case:
+    """The case of a seed: it switches on its own part of the kinds, each one to three times."""
+    rng = random.Random(f"case {seed}")
+    case = Case(seed, seconds, load=_round(rng.choice((0.06, 0.06, 0.06, 0.12, 0.12, 0.2, 0.3, 0.8))),
+                impatient=rng.choice((0.0, 0.0, 0.05, 0.3)))
+    case = replace(case, skew_ms=tuple(
+        _round(rng.uniform(-4, 4)) if rng.random() < 0.5 else 0.0 for _ in range(case.gatekeepers)))
+    faults = []
+    for kind, draw in KINDS.items():
+        if rng.random() >= ON_SHARE:
+            continue
+        for _ in range(rng.randint(1, MOST_TIMES)):
+            for_s, with_ = draw(rng, case)
+            faults.append(Fault(kind, _round(rng.uniform(2.0, seconds - 3.0)), for_s, with_))
+    return replace(case, faults=tuple(sorted(faults, key=lambda fault: fault.at_s)))
--- /dev/null
+++ b/tests/simulation/test_machine.py
@@ -0,0 +1,338 @@
+"""The virtual machine and network by themselves: time, processes, connections and what breaks them."""
+
+import asyncio
+import signal
+from dataclasses import replace
+
+import pytest
+
+from plumpick.simulation.loop import Machine, Process, RunAway
+from plumpick.simulation.network import Cut, Network
+
+HOST = "127.0.0.1"
+
+
+class Net:
+    """A machine with two processes, one that listens."""
+
+    def __init__(self, seed=1):
+        self.machine = Machine(seed)
+        self.marks = []
+        self.network = Network(self.machine, self.marks.append)
+        self.script = Process(self.machine, "script")
+        self.one, self.two = Process(self.machine, "one"), Process(self.machine, "two")
+        self.network.label_of = lambda port: "two"
+
+    def run(self, work, until=60.0, process=None):
+        """Play until the work is done; its result."""
+        task = []
+        owner = process or self.one
+
+        async def main():
+            try:
+                return await work()
+            finally:
+                self.machine.stopped = True
+        owner.call_soon(lambda: task.append(owner.create_task(main())))
+        self.machine.run(until)
+        return task[0].result()
+
+
+class Keeper(asyncio.Protocol):
+    """Keeps what comes."""
+
+    def __init__(self):
+        self.got, self.ends, self.lost, self.writable = b"", 0, [], True
+        self.transport = None
+        self.over = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.got += data
+
+    def eof_received(self):
+        self.ends += 1
+
+    def connection_lost(self, problem):
+        self.lost.append(type(problem).__name__ if problem else "closed")
+
+    def pause_writing(self):
+        self.writable = False
+
+    def resume_writing(self):
+        self.writable = True
+
+
+async def pair(net, backlog=100):
+    """A server in the one process, a connection to it from the other."""
+    served = []
+
+    def make():
+        served.append(Keeper())
+        return served[-1]
+    listener = net.network.listen(net.two, make, HOST, 0, backlog)
+    port = listener.address[1]
+    loop = asyncio.get_running_loop()
+    _, client = await loop.create_connection(Keeper, HOST, port)
+    await asyncio.sleep(0.01)
+    return client, served[0], listener
+
+
+def test_time_moves_only_when_nothing_is_ready_and_timers_come_in_order():
+    net, seen = Net(), []
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        for ms in (30, 10, 20):
+            loop.call_later(ms / 1000, seen.append, ms)
+        before = loop.time()
+        for _ in range(100):
+            await asyncio.sleep(0)
+        assert loop.time() == before
+        await asyncio.sleep(3600)
+        return loop.time() - before
+    assert net.run(work, until=4000.0) == pytest.approx(3600)
+    assert seen == [10, 20, 30]
+
+
+def test_a_timer_that_arms_itself_again_for_the_same_instant_is_caught():
+    net = Net()
+
+    def again():
+        net.one.call_soon(again)
+    net.one.call_soon(again)
+    with pytest.raises(RunAway, match="again"):
+        net.machine.run(1.0)
+    later = Net()
+
+    def at_once():
+        later.one.call_later(0.0, at_once)
+    later.one.call_soon(at_once)
+    with pytest.raises(RunAway):
+        later.machine.run(1.0)
+
+
+def test_streams_time_outs_and_tasks_of_asyncio_run_on_it():
+    net = Net()
+
+    async def work():
+        async def echo(reader, writer):
+            writer.write(await reader.readline())
+            writer.close()
+
+        def make():
+            reader = asyncio.StreamReader(loop=net.two)
+            return asyncio.StreamReaderProtocol(reader, echo, loop=net.two)
+        port = net.network.listen(net.two, make, HOST, 0, 5).address[1]
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"hello\n")
+        assert await reader.read() == b"hello\n"
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await asyncio.Event().wait()
+        return await asyncio.to_thread(lambda: 7)
+    assert net.run(work) == 7
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_bytes_come_whole_and_in_order_whatever_the_weather(seed):
+    net = Net(seed)
+    net.network.weather = replace(net.network.weather, cut_share=1.0, loss=0.3)
+    sent = bytes(range(256)) * 2000
+
+    async def work():
+        client, server, _ = await pair(net)
+        client.transport.set_write_buffer_limits(high=1000)
+        for start in range(0, len(sent), 777):
+            client.transport.write(sent[start:start + 777])
+        assert not client.writable
+        await asyncio.sleep(600)
+        assert client.writable and server.got == sent
+        client.transport.write_eof()
+        await asyncio.sleep(2)
+        return server.ends, server.lost, client.lost
+    assert net.run(work, until=2000.0) == (1, ["closed"], ["closed"])
+
+
+def test_who_does_not_read_holds_up_who_writes():
+    net = Net()
+
+    async def work():
+        client, server, _ = await pair(net)
+        server.transport.pause_reading()
+        client.transport.write(b"x" * 500_000)
+        await asyncio.sleep(5)
+        assert not server.got and not client.writable
+        server.transport.resume_reading()
+        await asyncio.sleep(5)
+        return len(server.got), client.writable
+    assert net.run(work) == (500_000, True)
+
+
+def test_a_reset_loses_the_rest_of_a_message_and_tells_both_sides():
+    net = Net()
+
+    async def work():
+        client, server, _ = await pair(net)
+        net.network.weather = replace(net.network.weather, reset=1.0)
+        client.transport.write(b"0123456789" * 10)
+        await asyncio.sleep(1)
+        return len(server.got), client.lost, server.lost
+    got, client, server = net.run(work)
+    assert got < 100 and client == ["ConnectionResetError"] == server
+    assert not net.one.in_use and net.two.in_use == 1  # what listens
+
+
+def test_a_cut_in_one_direction_holds_what_goes_there_until_it_heals():
+    net = Net()
+
+    async def work():
+        client, server, _ = await pair(net)
+        cut = Cut("one", "two")
+        net.network.cuts.append(cut)
+        client.transport.write(b"there")
+        server.transport.write(b"back")
+        await asyncio.sleep(2)
+        assert client.got == b"back" and not server.got
+        net.network.heal(cut)
+        await asyncio.sleep(1)
+        return server.got
+    assert net.run(work) == b"there"
+
+
+def test_connections_are_refused_never_come_up_or_wait_in_a_full_backlog():
+    net = Net()
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        with pytest.raises(ConnectionRefusedError):
+            await loop.create_connection(Keeper, HOST, 9)
+        _, _, listener = await pair(net, backlog=1)
+        port = listener.address[1]
+        net.network.refusing.add("two")
+        with pytest.raises(ConnectionRefusedError):
+            await loop.create_connection(Keeper, HOST, port)
+        net.network.refusing.clear()
+        for trouble in ("mute", "backlog"):
+            if trouble == "mute":
+                net.network.mute.add("two")
+            else:
+                net.network.mute.clear()
+                net.two.stand_still(5)
+                await loop.create_connection(Keeper, HOST, port)
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await loop.create_connection(Keeper, HOST, port)
+        return net.one.in_use
+    assert net.run(work) == 2
+    assert {"a connection was refused", "a knock was not heard", "a backlog was full"} <= set(net.marks)
+
+
+def test_descriptors_run_out_at_a_connect_and_at_a_listener():
+    net = Net()
+
+    async def work():
+        _, _, listener = await pair(net)
+        net.one.descriptors = net.one.in_use
+        with pytest.raises(OSError, match="too many"):
+            await asyncio.get_running_loop().create_connection(Keeper, HOST, listener.address[1])
+        net.one.descriptors = 100
+        net.two.descriptors = net.two.in_use
+        _, client = await asyncio.get_running_loop().create_connection(Keeper, HOST, listener.address[1])
+        client.transport.write(b"early")
+        await asyncio.sleep(0.5)
+        assert len(listener.queue) == 1  # it is up for the client, and waits
+        net.two.descriptors = 100
+        await asyncio.sleep(1.5)
+        return len(listener.queue)
+    assert net.run(work) == 0
+
+
+def test_a_process_that_dies_runs_no_more_and_resets_what_it_held():
+    net, ran = Net(), []
+
+    async def work():
+        client, _, listener = await pair(net)
+        net.two.call_later(1.0, ran.append, "late")
+
+        async def forever():
+            await asyncio.sleep(0.5)
+            ran.append("task")
+        net.two.call_soon(lambda: net.two.create_task(forever()))
+        await asyncio.sleep(0.1)
+        net.two.kill()
+        await asyncio.sleep(5)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.get_running_loop().create_connection(Keeper, HOST, listener.address[1])
+        return client.lost
+    assert net.run(work) == ["ConnectionResetError"]
+    assert not ran and net.two.exit_code == -9
+
+
+def test_a_process_that_stands_still_goes_on_where_it_was_and_its_kernel_meanwhile():
+    net, ran = Net(), []
+
+    async def work():
+        client, server, _ = await pair(net)
+        net.two.call_later(0.5, lambda: ran.append(net.two.time()))
+        net.two.stand_still(3.0)
+        client.transport.write(b"meanwhile")
+        await asyncio.sleep(2)
+        assert not server.got and not ran and not server.transport.is_quiet()
+        await asyncio.sleep(2)
+        return server.got
+    assert net.run(work) == b"meanwhile"
+    assert ran and ran[0] >= 3.0
+
+
+def test_signals_reach_their_handler_and_end_who_has_none():
+    net, seen = Net(), []
+    net.two.add_signal_handler(signal.SIGTERM, seen.append, "term")
+    net.two.signal(signal.SIGTERM)
+    net.machine.run(1.0)
+    assert seen == ["term"] and not net.two.dead
+    net.two.signal(signal.SIGHUP)
+    assert net.two.dead and net.two.exit_code == -signal.SIGHUP
+
+
+def test_datagrams_are_lost_doubled_and_overtake_one_another():
+    net = Net()
+
+    class Ear(asyncio.DatagramProtocol):
+        got = []
+
+        def datagram_received(self, data, address):
+            self.got.append(data)
+
+    async def work():
+        ear, _ = await net.two.create_datagram_endpoint(Ear, (HOST, 0))
+        mouth, _ = await net.one.create_datagram_endpoint(asyncio.DatagramProtocol, (HOST, 0))
+        net.network.weather = replace(net.network.weather, datagram_loss=0.3, datagram_twice=0.3,
+                                      datagram_late_ms=50.0)
+        for number in range(200):
+            mouth.sendto(b"%d" % number, ear.get_extra_info("sockname"))
+        await asyncio.sleep(1)
+    net.run(work)
+    numbers = [int(one) for one in Ear.got]
+    assert 100 < len(set(numbers)) < 180 < len(numbers) + 40
+    assert len(numbers) > len(set(numbers)) and numbers != sorted(numbers)
+
+
+def test_clocks_of_processes_differ():
+    machine = Machine(1)
+    ahead, behind = Process(machine, "a", skew_ms=4.0), Process(machine, "b", skew_ms=-3.0)
+    fired = []
+    ahead.call_later(1.0, lambda: fired.append(machine.now))
+    behind.call_later(1.0, lambda: fired.append(machine.now))
+    assert ahead.time() - behind.time() == pytest.approx(0.007)
+    machine.run(2.0)
+    assert fired == [pytest.approx(1.0)] * 2
+
+
+def test_an_exception_that_nobody_takes_is_told():
+    net = Net()
+    net.one.call_soon(lambda: 1 / 0)
+    net.machine.run(1.0)
+    assert len(net.machine.problems) == 1 and "ZeroDivisionError" in net.machine.problems[0]
