State in advance how far quotas and ceilings can be passed; ceilings within 2 % of a minute

Need: users want the error of quotas before it happens. Cause of the ceilings' part: what was drawn may be sent on up to 3.25 s later (held until the aim, and attempts that found no connection), on top of what the window itself fills: 3 to 5 % of a minute, and more than the aim of 2 %.

Change: `anisefront/bounds.py` computes for each plan, window and situation (service, one home or all restarting, a split, messages lost) the most units beyond, each term with the line that keeps it; `plumpick bounds CONFIG [--json]` prints it. The ceiling's parts make 0.96 of it together (`CEILING_USE`). `python -m benchmarks.quota_windows` sets simulated runs beside the bounds; a home that forgets what it granted passes them.

The bound on the ceiling is at most 2 % over a minute for the site's ranges of rates, bursts and ceilings. Not done: state that outlives a home, parts that move in a split (docs/ROADMAP.md).

--- /dev/null
+++ b/anisefront/bounds.py
@@ -0,0 +1,148 @@
+"""How far quotas and ceilings can be passed, from the settings alone: no I/O, no clock.
+
+Every figure is an upper bound on the units that all gateways together grant one customer of a plan within a
+window, beyond `burst + rate x window` (its quota) or `ceiling burst + ceiling rate x window` (its ceiling).
+The derivation stands in docs/design/quotas.md; each term here names the line of `control.py` that keeps it.
+A customer is taken to name one set of gateways, as the protocol has it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from anisefront.control import CEILING_USE, DEMAND_MEMORY_MS, OWN_PART
+from anisefront.interface import Plan, Settings
+
+WINDOWS_S = (1.0, 10.0, 60.0)
+MOST_SPREAD = 4  # gateways of a customer's set, as the protocol has it at this site
+DIAL_S = 0.25  # for which a connection is waited for at most; a first attempt that found none is made again
+
+
+class BoundsError(ValueError):
+    """An argument that makes no sense; the text names it."""
+
+
+class Situation(Enum):
+    """What has become of the shared count."""
+
+    SERVICE = "in service"
+    ONE_HOME = "one home restarts"
+    ALL_HOMES = "all gateways restart"
+    SPLIT = "a split into two sides"
+    LOSS = "messages are lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """The most units beyond, for one plan, window and situation."""
+
+    plan: str
+    situation: Situation
+    window_s: float
+    quota: float  # units that the quota allows in the window
+    beyond_quota: float
+    ceiling: float  # units that the ceiling allows; 0: the plan has none
+    beyond_ceiling: float  # as sent on to servers
+
+    @property
+    def ceiling_share(self) -> float:
+        """Units beyond the ceiling as a share of what it allows."""
+        return self.beyond_ceiling / self.ceiling if self.ceiling else 0.0
+
+
+def held_s(settings: Settings) -> float:
+    """For how long at most after its units are drawn a try comes whole to its first server, in seconds.
+
+    `Controller.on_arrival` puts "hopeless" on the agenda: by then it is sent on or refused, and that is
+    before the aim (the deadline, where late answers have worth). Its time counts from the arrival and units
+    are drawn later, so this is more than can be. On top come attempts that found no connection."""
+    longest_ms = max(kind.deadline_ms if kind.late_worth > 0 else min(kind.deadline_ms, kind.aim_ms)
+                     for kind in settings.classes)
+    return longest_ms / 1000 + DIAL_S * settings.max_attempts
+
+
+def spread_of(settings: Settings, spread: int | None) -> int:
+    """The size of a customer's set that is reckoned with."""
+    if spread is not None and spread < 1:
+        raise BoundsError(f"spread: {spread} is no number of gateways")
+    return min(settings.gateways, MOST_SPREAD if spread is None else spread)
+
+
+def beyond_quota(plan: Plan, settings: Settings, situation: Situation, window_s: float, *,
+                 spread: int | None = None, loss: float = 0.0, restarts: int = 1, far: int | None = None
+                 ) -> float:
+    """Units beyond the quota. `restarts`: of the home within the window; `far`: gateways of the set that are
+    cut off from the home (all but one, by default); `loss`: share of messages lost, from 0 to 1."""
+    count = spread_of(settings, spread)
+    if not 0 <= loss <= 1:
+        raise BoundsError(f"loss: {loss} is no share")
+    if restarts < 0 or window_s <= 0:
+        raise BoundsError("restarts and windows are not below nothing")
+    if not plan.rate_per_s:
+        return 0.0
+    # What each gateway may draw without asking (Quota.account: own never holds more; Quota.unanswered: one
+    # request of any size on credit). The home hears of it (SPENT) and its store goes below nothing for it.
+    # What was drawn before the window may be sent on in it.
+    own = count * (OWN_PART * plan.burst + settings.max_units) + plan.rate_per_s * held_s(settings)
+    if situation is Situation.SERVICE:
+        return own
+    if situation is Situation.LOSS:
+        # A SPENT that is lost is booked nowhere: of the draws of all own buckets, which fill at the quota's
+        # rate in sum, and of what they held.
+        return own + loss * (own + plan.rate_per_s * window_s)
+    if situation in (Situation.ONE_HOME, Situation.ALL_HOMES):
+        # Quota.at_home: a new store is full. A customer has one home, so all restarting is one for it. What
+        # its gateways drew while it was away is booked nowhere, but nor did the home grant then.
+        return own + restarts * plan.burst
+    # A split: the far side lives on own buckets, which fill at their part of the quota: as last told for
+    # twice DEMAND_MEMORY_MS (Quota.account), after that at the even slice.
+    cut_off = count - 1 if far is None else far
+    if not 0 <= cut_off < max(2, count):
+        raise BoundsError(f"far: {cut_off} of {count} gateways")
+    if not cut_off:
+        return own
+    told_s = min(window_s, 2 * DEMAND_MEMORY_MS / 1000)
+    return own + plan.rate_per_s * (told_s + (window_s - told_s) * cut_off / count)
+
+
+def together(plan: Plan, settings: Settings, window_s: float, *, spread: int | None = None, loss: float,
+             restarts: int, split: bool) -> float:
+    """Units beyond the quota where all of it comes at once: the sum of what each situation adds."""
+    def of(situation: Situation) -> float:
+        return beyond_quota(plan, settings, situation, window_s, spread=spread, loss=loss,
+                            restarts=restarts)
+
+    plain = of(Situation.SERVICE)
+    kinds = [Situation.LOSS, Situation.ALL_HOMES] + [Situation.SPLIT] * split
+    return plain + sum(of(kind) - plain for kind in kinds)
+
+
+def beyond_ceiling(plan: Plan, settings: Settings, window_s: float) -> float:
+    """Units sent on beyond the ceiling, in any situation.
+
+    Its parts are split for good (HOME_CEILING at the home, REST_CEILING evenly over the set), begin empty
+    with every process (`Store.ceiling`, `Account.ceiling`) and are never given back, so no loss, split or
+    restart grants more. What was drawn may be sent on later, and comes on top of what the window itself
+    fills, so the parts make only CEILING_USE of the ceiling together."""
+    if window_s <= 0:
+        raise BoundsError("windows are not below nothing")
+    allowed = plan.ceiling_burst + plan.ceiling_per_s * window_s
+    drawn = plan.ceiling_burst + plan.ceiling_per_s * (window_s + held_s(settings))
+    return max(0.0, CEILING_USE * drawn - allowed)
+
+
+def table(settings: Settings, *, spread: int | None = None, loss: float = 0.08, restarts: int = 1,
+          windows_s: tuple[float, ...] = WINDOWS_S) -> list[Bound]:
+    """All bounds, for each plan, situation and window. Raises BoundsError."""
+    rows = []
+    for plan in settings.plans:
+        for situation in Situation:
+            for window_s in windows_s:
+                ceiling = (plan.ceiling_burst + plan.ceiling_per_s * window_s) if plan.ceiling_per_s else 0.0
+                rows.append(Bound(
+                    plan.name, situation, window_s, plan.burst + plan.rate_per_s * window_s,
+                    beyond_quota(plan, settings, situation, window_s, spread=spread, loss=loss,
+                                 restarts=restarts),
+                    ceiling, beyond_ceiling(plan, settings, window_s) if ceiling else 0.0))
+    return rows
--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -55,7 +55,9 @@
 # Quota.
 DEMAND_MEMORY_MS = 3000.0  # over which a customer's use is averaged
 OWN_PART = 0.03  # of the burst that all own buckets hold together: what they hold the home may lend as well
-HOME_CEILING = 0.5  # of a ceiling that the home may grant; the rest is split evenly over the set
+CEILING_USE = 0.96  # of a ceiling that its parts make together: what is drawn may be sent on later, and
+# would come on top of what a minute fills (bounds.py)
+HOME_CEILING, REST_CEILING = 0.5 * CEILING_USE, 0.5 * CEILING_USE  # for the home to grant; split over the set
 ASK_START_MS, ASK_TIMES, ASK_LEAST_MS = 60.0, 2.5, 30.0  # usual time of a home's answer; late is so much
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
 RESERVE = 0.8  # of the burst that what is worth nothing leaves in store, and less the more it is worth
@@ -233,7 +235,7 @@
         part = min(1.0, mine / account.total) if account.total else 1 / account.spread
         account.own = min(plan.burst * OWN_PART * part, account.own + plan.rate_per_s * part * gone_s)
         # A ceiling is split for good and its parts start empty: a restart can't grant again what was spent.
-        rest = (1 - HOME_CEILING) / account.spread
+        rest = REST_CEILING / account.spread
         account.ceiling = min(plan.ceiling_burst * rest, account.ceiling + plan.ceiling_per_s * rest * gone_s)
         return account
 
@@ -244,10 +246,10 @@
         for name, account in list(self.accounts.items()):
             plan, gone_s = account.plan, (now - account.at_ms) / 1000
             idle = gone_s * 1000 > FORGET_MS and id(account) not in open_now and not account.out
-            rate, ceiling = plan.rate_per_s / account.spread, plan.ceiling_per_s * (1 - HOME_CEILING)
+            rate, ceiling = plan.rate_per_s / account.spread, plan.ceiling_per_s * REST_CEILING
             if idle and account.own + rate * gone_s >= 0 and (
                     not ceiling or account.ceiling + ceiling / account.spread * gone_s
-                    >= plan.ceiling_burst * (1 - HOME_CEILING) / account.spread):
+                    >= plan.ceiling_burst * REST_CEILING / account.spread):
                 del self.accounts[name]
         for key, store in list(self.stores.items()):
             plan, gone_s = store.plan, (now - store.at_ms) / 1000
--- /dev/null
+++ b/benchmarks/quota_windows.py
@@ -0,0 +1,142 @@
+"""The worst window of simulated runs beside the bounds that the program states.
+
+    python -m benchmarks.quota_windows [--seeds 1-200] [--jobs 8]
+
+Each seed plays splits, lost datagrams, kills, restarts and a firm that crowds onto one gatekeeper. For each
+plan the most units sent on beyond the quota, and beyond the ceiling, in any window, over all firms; beside it
+what the bounds allow for what went wrong. One row over a bound ends it with exit code 1.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+from collections import defaultdict
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from typing import Any
+
+from anisefront.bounds import beyond_ceiling, together
+from anisefront.settings import settings_from
+from plumpick.rehearsal.records import Asked, Record, Took
+from plumpick.simulation.commands import seeds_of
+from plumpick.simulation.faults import KINDS, Case, Fault
+from plumpick.simulation.world import Result, World
+
+KINDS_HERE = ("kill", "restart", "split", "datagrams", "hot-firm")
+
+
+class Windows:
+    """A listener of records: each firm's units as they are first sent on, against its quota and its ceiling.
+
+    A bucket of the burst that fills at the rate, and may go below nothing, is as far below as the worst
+    window of any length was beyond `burst + rate x window`."""
+
+    def __init__(self, quotas: dict[str, dict[str, float]]) -> None:
+        self._quotas = quotas
+        self._asked: dict[str, Asked] = {}
+        self._levels: dict[tuple[str, str], tuple[float, float]] = {}
+        self.worst: defaultdict[tuple[str, str], float] = defaultdict(float)  # by plan and kind: units beyond
+
+    def feed(self, record: Record) -> None:
+        """The next record."""
+        if isinstance(record, Asked):
+            self._asked[record.id] = record
+        elif isinstance(record, Took) and record.id in self._asked:
+            asked = self._asked.pop(record.id)
+            terms = self._quotas[asked.plan]
+            for kind, rate, burst in (("quota", terms["rate"], terms["burst"]),
+                                      ("ceiling", terms["ceiling_rate"], terms["ceiling_burst"])):
+                if not rate:
+                    continue
+                level, at = self._levels.get((asked.firm, kind), (burst, record.t))
+                level = min(burst, level + (record.t - at) / 1000 * rate) - asked.units
+                self._levels[asked.firm, kind] = level, record.t
+                self.worst[asked.plan, kind] = max(self.worst[asked.plan, kind], -level)
+
+
+@dataclass
+class Row:
+    """A plan's worst windows in one run, and what the bounds allow."""
+
+    plan: str
+    quota: float
+    quota_bound: float
+    ceiling: float
+    ceiling_bound: float
+
+
+def case_of_splits(seed: int) -> Case:
+    """A case of what this is about."""
+    rng = random.Random(f"splits {seed}")
+    case = Case(seed, load=0.2, gatekeepers=rng.choice((3, 4)))
+    faults = [Fault("hot-firm", 2.5, 15.0, {"plan": rng.choice(("basico", "estandar", "amplio")),
+                                            "times": round(rng.uniform(3, 8), 2)})]
+    for kind in KINDS_HERE:
+        for _ in range(rng.randint(0, 2)):
+            for_s, with_ = KINDS[kind](rng, case)
+            faults.append(Fault(kind, round(rng.uniform(2, 16), 3), for_s, with_))
+    return replace(case, faults=tuple(sorted(faults, key=lambda fault: fault.at_s)))
+
+
+def play(case: Case, judge: bool = True) -> tuple[Result, list[Row]]:
+    """A run, and each plan's row. Without `judge` a broken rule does not end it."""
+    world = World(case)
+    windows = Windows(world.fleet.quotas)
+    world.fleet.recorder.listeners.append(windows)
+    if not judge:
+        world.fleet.recorder.listeners.remove(world.fleet.auditor)
+    settings_value: dict[str, Any] = world.fleet.supervisor.settings_of(0)
+    settings = settings_from(settings_value)
+    result = world.play()
+    restarts = sum(fault.kind in ("kill", "restart") for fault in case.faults)
+    loss = max([fault.with_["loss"] for fault in case.faults if fault.kind == "datagrams"], default=0.0)
+    split = any(fault.kind == "split" for fault in case.faults)
+    rows = []
+    for plan in settings.plans:
+        rows.append(Row(
+            plan.name, round(windows.worst[plan.name, "quota"], 2),
+            together(plan, settings, case.seconds, spread=case.gatekeepers, restarts=restarts, split=split,
+                     loss=1 - (1 - loss) * (1 - world.fleet.scenario.peers.loss)),
+            round(windows.worst[plan.name, "ceiling"], 2),
+            beyond_ceiling(plan, settings, 1.0) if plan.ceiling_per_s else 0.0))
+    return result, rows
+
+
+def one(seed: int) -> tuple[int, Result, list[Row]]:
+    """A seed."""
+    result, rows = play(case_of_splits(seed))
+    return seed, result, rows
+
+
+def main() -> int:
+    """Print the table; 1 where a bound or a rule was broken."""
+    flags = argparse.ArgumentParser(description=__doc__)
+    flags.add_argument("--seeds", default="1-200")
+    flags.add_argument("--jobs", type=int, default=8)
+    given = flags.parse_args()
+    worst: dict[tuple[str, str], tuple[float, float, float, int]] = {}
+    over = count = 0
+    with ProcessPoolExecutor(given.jobs) as pool:
+        for seed, result, rows in pool.map(one, seeds_of(given.seeds)):
+            count += 1
+            if result.failed:
+                over += 1
+                print(f"seed {seed}: {result.rule}: {result.text}")
+            for row in rows:
+                for kind, seen, bound in (("quota", row.quota, row.quota_bound),
+                                          ("ceiling", row.ceiling, row.ceiling_bound)):
+                    over += seen > bound
+                    part = seen / bound if bound else 0.0
+                    if part >= worst.get((row.plan, kind), (0.0, 0.0, -1.0, 0))[2]:
+                        worst[row.plan, kind] = seen, bound, part, seed
+    print(f"{count} seeds, {over} over a bound\n| plan | of its | worst window | its bound | part | seed |\n"
+          "| --- | --- | --- | --- | --- | --- |")
+    for (plan, kind), (seen, bound, part, seed) in sorted(worst.items()):
+        print(f"| {plan} | {kind} | {seen:.1f} units beyond | {bound:.1f} | {part:.2f} | {seed} |")
+    return 1 if over else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/plumpick/cli.py
+++ b/plumpick/cli.py
@@ -61,6 +61,13 @@
     audit.add_argument("history")
     audit.add_argument("--json", action="store_true", help="print rules and service as JSON")
     audit.set_defaults(run="audit")
+    bounds = tools.add_parser("bounds", help="how far quotas and ceilings can be passed, by a configuration")
+    bounds.add_argument("config", help="a gatekeeper's configuration")
+    bounds.add_argument("--json", action="store_true", help="print it as JSON")
+    bounds.add_argument("--spread", type=int, help="gatekeepers of a firm's set (4, or all)")
+    bounds.add_argument("--loss", type=float, default=0.08, help="share of messages lost (0.08)")
+    bounds.add_argument("--restarts", type=int, default=1, help="of a home within a window (1)")
+    bounds.set_defaults(run="bounds")
     simulate = tools.add_parser("simulate", help="play seeded faults on a virtual clock and network")
     simulate.add_argument("--seeds", default="1-100", metavar="A-B", help="play these (1-100)")
     simulate.add_argument("--seed", type=int, metavar="N", help="play this one and tell its story")
@@ -90,6 +97,10 @@
         from plumpick.__main__ import main as serve
 
         return serve()
+    if given.run == "bounds":
+        from plumpick.tools.bounds import bounds
+
+        return bounds(given)
     try:
         if given.run == "simulate":
             from plumpick.simulation.commands import simulate
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,100 @@
+"""The bounds on quotas and ceilings: their figures, and simulated runs beside them."""
+
+import json
+from dataclasses import replace
+
+import pytest
+
+from anisefront.bounds import BoundsError, Situation, beyond_ceiling, beyond_quota, held_s, table
+from anisefront.interface import Plan, Repeat, RequestClass, Scope, Settings
+from benchmarks.quota_windows import case_of_splits, play
+from benchmarks.simulation.plants import planted
+from plumpick import cli
+
+CLASSES = (RequestClass("seat-check", 750, 2000, 3, Repeat.SAFE),
+           RequestClass("seat-checkout", 2000, 7500, 3, Repeat.KEYED, scope=Scope.ZONE, window_ms=15_000),
+           RequestClass("hours-debit", 2000, 7500, 2, Repeat.UNSAFE))
+
+
+def site(rate=8.0, burst_s=2.0, times=2.0, **more):
+    plan = Plan("amplio", rate, rate * burst_s, ceiling_per_s=rate * times,
+                ceiling_burst=rate * burst_s * times, ceiling_slack=1.0)
+    values = dict(gateways=3, number=0, zone="a", classes=CLASSES, plans=(Plan("basico", 0.8, 3.5), plan),
+                  warm_up_ms=17_000, cold_from=0.25, fall_multiple=2.5, fall_window_ms=1000, max_attempts=5)
+    return Settings(**(values | more))
+
+
+@pytest.mark.parametrize("rate", [6.1, 11.0])
+@pytest.mark.parametrize("burst_s", [1.0, 2.9])
+@pytest.mark.parametrize("times", [1.7, 2.3])
+def test_the_hard_ceiling_is_passed_by_two_per_cent_of_a_minute_at_most(rate, burst_s, times):
+    for settings in (site(rate, burst_s, times), site(rate, burst_s, times, gateways=4)):
+        rows = [row for row in table(settings) if row.plan == "amplio" and row.window_s == 60]
+        assert {row.situation for row in rows} == set(Situation)
+        assert all(row.ceiling_share <= 0.02 for row in rows)
+
+
+def test_each_situation_adds_what_it_stands_for():
+    settings = site()
+    plan = settings.plans[0]
+
+    def of(situation, window_s=60.0, **more):
+        return beyond_quota(plan, settings, situation, window_s, **more)
+    plain = of(Situation.SERVICE)
+    assert 0 < plain < plan.burst * 2 + 3 * settings.max_units
+    assert of(Situation.ONE_HOME, restarts=2) == pytest.approx(plain + 2 * plan.burst)
+    assert of(Situation.LOSS, loss=0.0) == plain < of(Situation.LOSS, loss=0.08)
+    assert of(Situation.SPLIT, far=0) == plain
+    # For six seconds the far side goes by what it was told, then by the even slice of two of three.
+    assert of(Situation.SPLIT) == pytest.approx(plain + 0.8 * (6 + 54 * 2 / 3))
+    assert of(Situation.SPLIT, spread=1) == of(Situation.SERVICE, spread=1)
+    assert beyond_quota(Plan("free"), settings, Situation.SPLIT, 60.0) == 0
+    assert held_s(settings) == pytest.approx(2.0 + 5 * 0.25)
+    amplio = settings.plans[1]
+    assert beyond_ceiling(amplio, settings, 1.0) > beyond_ceiling(amplio, settings, 60.0)
+
+
+@pytest.mark.parametrize(
+    "wrong", [{"loss": 1.5}, {"loss": -0.1}, {"restarts": -1}, {"spread": 0}, {"far": 7}])
+def test_what_makes_no_sense_is_named(wrong):
+    settings = site()
+    with pytest.raises(BoundsError):
+        beyond_quota(settings.plans[0], settings, Situation.SPLIT, 60.0, **wrong)
+    with pytest.raises(BoundsError):
+        beyond_quota(settings.plans[0], settings, Situation.SERVICE, 0.0)
+
+
+def test_no_window_of_a_simulated_run_is_beyond_the_bound():
+    """Splits, losses, kills and a firm that crowds onto one side."""
+    for seed in range(1, 7):
+        result, seen = play(replace(case_of_splits(seed), seconds=20.0))
+        assert not result.failed, result.text
+        assert all(row.quota <= row.quota_bound and row.ceiling <= row.ceiling_bound for row in seen), seen
+        assert any(row.quota > 0 for row in seen)
+
+
+def test_a_loosened_rule_is_caught_by_the_windows():
+    with planted("forgets-bookings"):
+        _, seen = play(replace(case_of_splits(2), seconds=20.0), judge=False)
+    assert any(row.quota > row.quota_bound for row in seen)
+
+
+def test_the_command_prints_the_table(tmp_path, capsys):
+    settings = {
+        "balancers": 3, "myNumber": 0,
+        "classes": [{"name": "seat-check", "aimMs": 750, "deadlineMs": 2000, "repeat": "retryable"}],
+        "packages": [{"name": "amplio", "perSecond": 8, "storeSize": 16, "hardRate": 16, "hardBurst": 32}],
+        "rules": {"warmUpMs": 1, "coldFrom": 0.25, "fallMultiple": 2.5, "tipAfterMs": 1000},
+        "limits": {"maxAttempts": 5}}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"settings": settings}))
+    assert cli.main(["bounds", str(path)]) == 0
+    printed = capsys.readouterr().out
+    assert "amplio" in printed and "a split into two sides" in printed
+    assert cli.main(["bounds", str(path), "--json"]) == 0
+    rows = json.loads(capsys.readouterr().out)["bounds"]
+    assert len(rows) == len(Situation) * 3
+    assert all(row["ceiling_share"] <= 0.02 for row in rows if row["window_s"] == 60)
+    for wrong in (["bounds", "/nowhere.json"], ["bounds", str(path), "--loss", "2"]):
+        assert cli.main(wrong) == 2
+        assert capsys.readouterr().err.count("\n") == 1
