Begin a new store with what its askers' recent asking leaves, not full

Change: each question carries what its gatekeeper was asked over the last 3 s; a new store is full up to half of the quota asked, empty from the whole of it on.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -60,6 +60,7 @@
 HOME_CEILING, REST_CEILING = 0.5 * CEILING_USE, 0.5 * CEILING_USE  # for the home to grant; split over the set
 ASK_START_MS, ASK_TIMES, ASK_LEAST_MS = 60.0, 2.5, 30.0  # usual time of a home's answer; late is so much
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
+NEW_PART = 0.5  # of a quota asked by one gateway of late that still lets a new store begin full
 RESERVE = 0.8  # of the burst that what is worth nothing leaves in store, and less the more it is worth
 LEASE_AIMS = 1.5  # a slot whose end is never told is free again after so many aims
 TELL_PART, GAP_MOST_MS = 0.75, 60.0  # of an inbox that all others may fill; what waits for company
@@ -364,7 +365,12 @@
         name = store_name(item)
         store = self.stores.get(name)
         if store is None:
-            store = self.stores[name] = Store(plan, plan.burst, now)
+            # Danger: a home that restarts has forgotten what it granted; a full store would grant it again.
+            # Who asks tells how much of late: one that asks for its quota and more has emptied its store.
+            rate = plan.rate_per_s
+            asked_before = max(0.0, item.asked_per_s - item.units * 1000 / DEMAND_MEMORY_MS)
+            kept = max(0.0, min(1.0, (rate - asked_before) / (NEW_PART * rate))) if rate else 1.0
+            store = self.stores[name] = Store(plan, plan.burst * kept, now)
         queued = any(ask.key == key for ask in store.queue)
         asked = item.kind in (Kind.ASK, Kind.AGAIN)
         if asked and key in store.done:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,7 +6,9 @@
 import pytest
 
 from anisefront.bounds import BoundsError, Situation, beyond_ceiling, beyond_quota, held_s, table
-from anisefront.interface import Plan, Repeat, RequestClass, Scope, Settings
+from anisefront.control import Controller
+from anisefront.interface import Heard, Plan, Repeat, RequestClass, Scope, Settings, Tell
+from anisefront.messages import Item, Kind, decode, encode
 from benchmarks.quota_windows import case_of_splits, play
 from benchmarks.simulation.plants import planted
 from plumpick import cli
@@ -98,3 +100,16 @@
     for wrong in (["bounds", "/nowhere.json"], ["bounds", str(path), "--loss", "2"]):
         assert cli.main(wrong) == 2
         assert capsys.readouterr().err.count("\n") == 1
+
+
+@pytest.mark.parametrize("asked_per_s, granted", [(0.33, True), (1.0, True), (8.0, False)])
+def test_a_home_that_comes_back_grants_nothing_again_to_who_has_asked_for_all_of_it(asked_per_s, granted):
+    """With a full store each restart of a home was worth a burst more to the firms that ask for the most."""
+    plan = Plan("basico", 2.0, 8.0)
+    home = Controller(site(plans=(plan,), may_tell=True), 1)
+    home.handle(1000.0, [])
+    ask = Item(Kind.ASK, 7, 1, 1.0, asked_per_s, 1, 0)
+    told = [one for one in home.handle(1001.0, [Heard(1, encode(5, 1.0, [ask], []))])
+            if isinstance(one, Tell)]
+    kinds = {item.kind for one in told for item in decode(one.data).items}
+    assert (Kind.GRANT in kinds) is granted
