Simulated listener: drop a flag and a toggle that had no effect

Cause: read once more, `_retry` was cleared at the start of each accept and so never kept a retry away, and `reset` was cleared and set again around a call that looks at it only later.

Change: both are gone; what happens is the same.

--- a/plumpick/simulation/network.py
+++ b/plumpick/simulation/network.py
@@ -249,7 +249,6 @@
         self.address, self.backlog = address, backlog
         self.sockets = [Named(address)]
         self.queue: deque[End] = deque()
-        self._retry = False
 
     def close(self) -> None:
         if self.network.listeners.get(self.address) is self:
@@ -267,21 +266,16 @@
 
     def accept(self) -> None:
         """Take in what waits; runs in the listener's process."""
-        self._retry = False
         while self.queue and self.is_serving():
             if not self.process.take():
                 self.network.mark("descriptors ran out at a listener")
-                if not self._retry:
-                    self._retry = True
-                    self.process.call_later(RETRY_ACCEPT_S, self.accept)
+                self.process.call_later(RETRY_ACCEPT_S, self.accept)
                 return
             end = self.queue.popleft()
             end.protocol = self.factory()
             end.protocol.connection_made(end)
             if end.reset:
-                end.reset = False
                 end.process.call_soon(end._lost, ConnectionResetError(errno.ECONNRESET, "connection reset"))
-                end.reset = True
             elif end.inbox:
                 end.process.call_soon(end._read)
 
