Take in what waited through a standstill beyond the limit, and read it before any goes

Change: beyond that limit half of the descriptors that connections to servers leave unused may be taken for the moment; a millisecond later, when all are read, what is over the limit goes as before. The case is saved in the corpus; it fails with the old limit and holds with this one.

--- a/plumpick/admission.py
+++ b/plumpick/admission.py
@@ -38,9 +38,12 @@
     def __len__(self) -> int:
         return len(self.all)
 
-    def came(self, client: ClientConnection, now: float) -> bool:
-        """A new connection; False if there is no room at all."""
-        if len(self.all) >= self.hard:
+    def came(self, client: ClientConnection, now: float, spare: int = 0) -> bool:
+        """A new connection; False if there is no room at all. `spare`: descriptors that nobody else uses now.
+
+        Danger: after a standstill of ours all that waits comes at one go, first those whose clients have long
+        gone, last those that still wait for an answer. Whatever is over the limits goes once all are read."""
+        if len(self.all) >= self.hard + spare:
             return False
         self.all[client] = None
         self._owing[client] = now
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -118,7 +118,8 @@
     # -- clients
 
     def client_came(self, client: ClientConnection) -> None:
-        if not self.admission.came(client, self.clock.now()):
+        spare = self.workers.unused_connections() // 2
+        if not self.admission.came(client, self.clock.now(), spare):
             client.drop()
         elif len(self.admission) > self.admission.most and not self._making_room:
             # Not at once: of those that came in one go, who has a request here is read first, and stays.
--- a/plumpick/workers.py
+++ b/plumpick/workers.py
@@ -239,6 +239,10 @@
         self._connections = 0
         alarms.at(clock.now() + SWEEP_MS, self._sweep)
 
+    def unused_connections(self) -> int:
+        """How many more connections may be made."""
+        return self._max - self._connections
+
     # -- discovery
 
     def update(self, news: WorkerList) -> list[Entry]:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -59,3 +59,16 @@
     admission, idle, owing = crowd()
     swept(admission, 100.0, OWED_MS + 200.0)
     assert owing.closed == "gave up" and [client for client in idle if client.closed]
+
+
+def test_what_waited_through_a_standstill_comes_in_beyond_the_limit_as_far_as_others_leave_room():
+    """Found by the simulation (seed 122): those that came last, still waiting, were dropped for the dead."""
+    admission = Admission(100)
+    clients = [Client() for _ in range(admission.hard + 10)]
+    assert all(admission.came(client, 0.0, 10) for client in clients)
+    assert not admission.came(Client(), 0.0, 10)
+    for client in clients[-admission.most:]:
+        admission.asked(client)  # it is read: a whole request has come
+    admission.make_room()
+    assert len(admission) == admission.most
+    assert [client.closed for client in clients[-admission.most:]] == [""] * admission.most
