--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -88,7 +88,7 @@
     assert all(admission.came(client, 0.0) for client in clients) and not admission.came(Client(), 0.0)
     assert admission.drop_ended(0.0, has_ended)
     assert [client for client in clients if client.closed == "dropped"] == [clients[5], clients[7]]
-    assert admission.came(Client(), 0.0) and admission.came(Client(), 0.0) and not admission.came(Client(), 0.0)
+    assert [admission.came(Client(), 0.0) for _ in range(3)] == [True, True, False]
     before = len(looks)
     assert not admission.drop_ended(0.0, has_ended) and not admission.drop_ended(1.0, has_ended)
     assert len(looks) - before <= admission.hard
