Quotas beside an even split and one open counter; what ten thousand firms cost

Need: the comparison with the two usual ways, and figures for many firms. Change: benchmarks/quota_ways (service with and without the failures, worst windows) with a test that tells the ways apart, and benchmarks/many_firms.

No code of the daemon changed.

--- /dev/null
+++ b/benchmarks/many_firms.py
@@ -0,0 +1,91 @@
+"""What ten thousand firms cost one gatekeeper's module: memory, messages, time.
+
+    python -m benchmarks.many_firms [--firms 10000] [--gateways 4] [--seconds 5]
+
+Every firm asks once within so many seconds of modelled time, at one gatekeeper, which is the home of its part
+of them; the others tell nothing. Prints the entries kept, their bytes as the allocator counts them, the longest turn of the module beside
+the median one, messages a second to the busiest peer, and what is kept once all have been quiet for long.
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+import tracemalloc
+from collections import Counter
+from statistics import median
+
+from anisefront.control import FORGET_MS, Controller
+from anisefront.interface import (
+    Arrival, Cancel, ClientGone, Fleet, Outcome, Plan, Repeat, RequestClass, Result, Scope, Send, Server,
+    Settings, State, Tell, Wake, Woken,
+)
+
+CLASSES = (RequestClass("seat-check", 750, 2000, 3, Repeat.SAFE),
+           RequestClass("seat-checkout", 2000, 7500, 3, Repeat.KEYED, scope=Scope.ZONE, window_ms=15_000),
+           RequestClass("hours-debit", 2000, 7500, 2, Repeat.UNSAFE))
+PLANS = (Plan("basico", 0.8, 3.5), Plan("amplio", 8.0, 16.0, ceiling_per_s=16.0, ceiling_burst=32.0))
+TICK_MS, ANSWER_MS = 4.0, 60.0
+
+
+def play(firms: int, gateways: int, seconds: float) -> dict[str, float]:
+    """One run; the figures by name."""
+    settings = Settings(
+        gateways=gateways, number=0, zone="a", classes=CLASSES, plans=PLANS, warm_up_ms=17_000,
+        cold_from=0.25, fall_multiple=2.5, fall_window_ms=1000, max_attempts=5, tick_ms=TICK_MS,
+        may_tell=True, inbox_per_s=60)
+    control, now, serial = Controller(settings, 1), 1000.0, 0
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    events: list[object] = [Fleet(tuple(Server(f"s{n}", "a", 0, State.READY) for n in range(200)))]
+    later: list[tuple[float, object]] = []
+    turns, told = [], Counter[int]()
+    kept = most = 0.0
+    end = now + seconds * 1000
+    while now < end + 2.5 * FORGET_MS:
+        now += TICK_MS
+        while serial < firms and now < end and serial < firms * (1 - (end - now) / (seconds * 1000)):
+            kind, plan = CLASSES[serial % 3], PLANS[serial % 10 == 0]
+            events.append(Arrival(serial, f"firm-{serial}", kind.name, plan.name, now + kind.deadline_ms, 1.0,
+                                  0, gateways))
+            later.append((now + kind.deadline_ms, ClientGone(serial)))
+            serial += 1
+        events += [event for at, event in later if at <= now]
+        later = [(at, event) for at, event in later if at > now]
+        begin = time.perf_counter()
+        actions = control.handle(now, events)  # type: ignore[arg-type]
+        turns.append(time.perf_counter() - begin)
+        events = []
+        for action in actions:
+            if isinstance(action, Send):
+                done = Outcome(action.id, 0, action.server, ANSWER_MS, Result.OK, True)
+                later.append((now + ANSWER_MS, done))
+            elif isinstance(action, Wake):
+                later.append((now + action.after_ms, Woken(action.name)))
+            elif isinstance(action, Tell):
+                told[action.receiver] += 1
+            elif isinstance(action, Cancel):
+                later.append((now, Outcome(action.id, action.attempt, "", 0.0, Result.CANCELLED, True)))
+        if now >= end > now - TICK_MS:
+            kept = float(len(control.quota.accounts) + len(control.quota.stores))
+            most = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return {"entries": kept, "bytes": most, "median turn, ms": 1000 * median(turns),
+            "longest turn, ms": 1000 * max(turns),
+            "messages a second to one peer": max(told.values()) / seconds,
+            "entries after a long quiet": float(len(control.quota.accounts) + len(control.quota.stores))}
+
+
+def main() -> None:
+    """Print the figures."""
+    flags = argparse.ArgumentParser(description=__doc__)
+    flags.add_argument("--firms", type=int, default=10_000)
+    flags.add_argument("--gateways", type=int, default=4)
+    flags.add_argument("--seconds", type=float, default=5.0)
+    given = flags.parse_args()
+    for name, value in play(given.firms, given.gateways, given.seconds).items():
+        print(f"{name:32} {value:,.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/quota_ways.py
+++ b/benchmarks/quota_ways.py
@@ -5,7 +5,8 @@
 *Even split*: each gatekeeper of a firm's set has its part of quota and ceiling for good and asks nobody. *One
 counter, open*: each unit is asked for at one place (here the firm's home, which dies with its gatekeeper and
 begins again as ours does); where it does not answer twice, the request is let in. Splits, lost datagrams,
-kills, restarts and a firm that crowds, as in quota_windows. For each way: service in time of 1; the units
+kills, restarts and a firm that crowds, as in quota_windows. For each way: service in time of 1, the same
+without the failures (the firm crowds all the same) and what of it is left; the units
 beyond `burst + rate x window` in the worst window of any firm, as its mean over seeds and at most, for each
 plan with a quota; and beyond the hard ceiling.
 """
@@ -16,6 +17,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack, contextmanager
+from dataclasses import replace
 from statistics import mean
 from typing import Any
 from unittest.mock import patch
@@ -85,14 +87,17 @@
         yield
 
 
-def one(job: tuple[str, int]) -> tuple[str, float, dict[str, float]]:
-    """A seed in a way: its name, service, and units beyond by plan and kind."""
+def one(job: tuple[str, int]) -> tuple[str, float, float, dict[str, float]]:
+    """A seed in a way: its name, service with and without the failures, and units beyond by plan and kind."""
     name, seed = job
+    case = case_of_splits(seed)
+    crowd = tuple(fault for fault in case.faults if fault.kind == "hot-firm")
     with way(name):
-        result, rows = play(case_of_splits(seed), judge=False)
+        result, rows = play(case, judge=False)
+        calm, _ = play(replace(case, faults=crowd), judge=False)
     beyond = {f"{row.plan}, quota": row.quota for row in rows if row.quota_bound}
     beyond |= {f"{row.plan}, ceiling": row.ceiling for row in rows if row.ceiling_bound}
-    return name, result.service, beyond
+    return name, result.service, calm.service, beyond
 
 
 def main() -> None:
@@ -104,13 +109,15 @@
     seeds = list(seeds_of(given.seeds))
     with ProcessPoolExecutor(given.jobs) as pool:
         results = list(pool.map(one, [(name, seed) for name in WAYS for seed in seeds]))
-    kinds = sorted(results[0][2])
-    print("| way | service | " + " | ".join(kinds) + " |\n| --- | --- |" + " --- |" * len(kinds))
+    kinds = sorted(results[0][3])
+    print("| way | service | without failures | ratio | " + " | ".join(kinds) + " |\n|"
+          + " --- |" * (4 + len(kinds)))
     for name in WAYS:
         mine = [result for result in results if result[0] == name]
-        cells = [f"{mean(beyond[kind] for _, _, beyond in mine):.1f}, "
-                 f"at most {max(beyond[kind] for _, _, beyond in mine):.1f}" for kind in kinds]
-        print(f"| {name} | {mean(service for _, service, _ in mine):.3f} | " + " | ".join(cells) + " |")
+        cells = [f"{mean(beyond[kind] for *_, beyond in mine):.1f}, "
+                 f"at most {max(beyond[kind] for *_, beyond in mine):.1f}" for kind in kinds]
+        service, calm = mean(one[1] for one in mine), mean(one[2] for one in mine)
+        print(f"| {name} | {service:.3f} | {calm:.3f} | {service / calm:.3f} | " + " | ".join(cells) + " |")
 
 
 if __name__ == "__main__":
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from anisefront import control
 from anisefront.bounds import BoundsError, Situation, beyond_ceiling, beyond_quota, held_s, table
-from anisefront.control import Controller
+from anisefront.control import Controller, Quota
 from anisefront.interface import Heard, Plan, Repeat, RequestClass, Scope, Settings, Tell
 from anisefront.messages import Item, Kind, decode, encode
+from benchmarks.quota_ways import WAYS, way
 from benchmarks.quota_windows import case_of_splits, play
 from benchmarks.simulation.plants import planted
 from plumpick import cli
@@ -81,6 +83,20 @@
     assert any(row.quota > row.quota_bound for row in seen)
 
 
+def test_the_usual_ways_are_told_apart_and_leave_the_module_as_it_was():
+    """A counter that lets in while silent passes the bounds; an even split keeps them and serves less."""
+    before = dict(vars(Quota)), control.HOME_CEILING, control.OWN_PART
+    case = case_of_splits(3)
+    runs = {}
+    for name in WAYS:
+        with way(name):
+            runs[name] = play(case, judge=False)
+    over = {name: any(row.quota > row.quota_bound for row in rows) for name, (_, rows) in runs.items()}
+    assert over == {"plumpick": False, "even split": False, "one counter, open": True}
+    assert runs["even split"][0].service < runs["plumpick"][0].service
+    assert before == (dict(vars(Quota)), control.HOME_CEILING, control.OWN_PART)
+
+
 def test_the_command_prints_the_table(tmp_path, capsys):
     settings = {
         "balancers": 3, "myNumber": 0,
