--- a/benchmarks/many_firms.py
+++ b/benchmarks/many_firms.py
@@ -3,8 +3,9 @@
     python -m benchmarks.many_firms [--firms 10000] [--gateways 4] [--seconds 5]
 
 Every firm asks once within so many seconds of modelled time, at one gatekeeper, which is the home of its part
-of them; the others tell nothing. Prints the entries kept, their bytes as the allocator counts them, the longest turn of the module beside
-the median one, messages a second to the busiest peer, and what is kept once all have been quiet for long.
+of them; the others tell nothing. Prints the entries kept, their bytes as the allocator counts them, the
+median and the longest turn of the module, messages a second to the busiest peer, and what is kept once all
+have been quiet for long.
 """
 
 from __future__ import annotations
