One reckoning of our own standstills: the admission's, which the gatekeeper now asks

The condition that remembered it said the same twice. `System.is_quiet` and `has_ended` share their look at the socket, and benchmarks/many_firms takes its classes from the study rig. Otherwise behaviour is as before.

--- a/benchmarks/many_firms.py
+++ b/benchmarks/many_firms.py
@@ -18,22 +18,20 @@
 
 from anisefront.control import FORGET_MS, Controller
 from anisefront.interface import (
-    Arrival, Cancel, ClientGone, Fleet, Outcome, Plan, Repeat, RequestClass, Result, Scope, Send, Server,
-    Settings, State, Tell, Wake, Woken,
+    Arrival, Cancel, ClientGone, Fleet, Outcome, Plan, Result, Send, Server, Settings, State, Tell, Wake,
+    Woken,
 )
+from benchmarks.gray.world import CLASSES, COLD_FROM, TICK_MS, WARM_UP_MS
 
-CLASSES = (RequestClass("seat-check", 750, 2000, 3, Repeat.SAFE),
-           RequestClass("seat-checkout", 2000, 7500, 3, Repeat.KEYED, scope=Scope.ZONE, window_ms=15_000),
-           RequestClass("hours-debit", 2000, 7500, 2, Repeat.UNSAFE))
 PLANS = (Plan("basico", 0.8, 3.5), Plan("amplio", 8.0, 16.0, ceiling_per_s=16.0, ceiling_burst=32.0))
-TICK_MS, ANSWER_MS = 4.0, 60.0
+ANSWER_MS = 60.0
 
 
 def play(firms: int, gateways: int, seconds: float) -> dict[str, float]:
     """One run; the figures by name."""
     settings = Settings(
-        gateways=gateways, number=0, zone="a", classes=CLASSES, plans=PLANS, warm_up_ms=17_000,
-        cold_from=0.25, fall_multiple=2.5, fall_window_ms=1000, max_attempts=5, tick_ms=TICK_MS,
+        gateways=gateways, number=0, zone="a", classes=CLASSES, plans=PLANS, warm_up_ms=WARM_UP_MS,
+        cold_from=COLD_FROM, fall_multiple=2.5, fall_window_ms=1000, max_attempts=5, tick_ms=TICK_MS,
         may_tell=True, inbox_per_s=60)
     control, now, serial = Controller(settings, 1), 1000.0, 0
     tracemalloc.start()
--- a/plumpick/admission.py
+++ b/plumpick/admission.py
@@ -27,14 +27,14 @@
 class Admission:
     """The connections of clients."""
 
-    def __init__(self, sockets: int) -> None:
+    def __init__(self, sockets: int, now: float = -1.0) -> None:
         self.most, self.hard = int(sockets * MOST_PART), int(sockets * HARD_PART)
         self.idle_kept, self.crowd = int(sockets * IDLE_PART), int(sockets * CROWD_PART)
         self.all: dict[ClientConnection, None] = {}  # in the order in which they came
         self._owing: dict[ClientConnection, float] = {}
         self._idle: dict[ClientConnection, float] = {}
         self._leaving: dict[ClientConnection, float] = {}
-        self._swept_ms = self._look_ms = -1.0
+        self._swept_ms, self._look_ms = now, -1.0
 
     def __len__(self) -> int:
         return len(self.all)
@@ -94,12 +94,16 @@
                 self.left(client)
                 client.drop()
 
+    def late_ms(self, now: float) -> float:
+        """How late the next sweep is; over STILL_MS we stood still for so long."""
+        return now - self._swept_ms - SWEEP_MS if self._swept_ms >= 0 else 0.0
+
     def sweep(self, now: float, ending: bool) -> None:
         """Close what has had its time.
 
         Danger: after a standstill of ours this may come before what was sent meanwhile is read, and would
         close connections that hold whole requests. So a standstill counts on nobody's time."""
-        stood_ms = now - self._swept_ms - SWEEP_MS if self._swept_ms >= 0 else 0.0
+        stood_ms = self.late_ms(now)
         self._swept_ms = now
         if stood_ms > STILL_MS:
             for table in (self._owing, self._idle, self._leaving):
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -65,7 +65,7 @@
                                max_connections=int(config.sockets * WORKER_PART),
                                report_fields=config.settings.report_fields, is_quiet=system.is_quiet)
         self.peers = Peers(config, self.heard, system.datagrams)
-        self.admission = Admission(config.sockets)
+        self.admission = Admission(config.sockets, self.clock.now())
         self.forms = Forms(config.settings)
         self._standing = Standing(config.settings.gateways, config.settings.number)
         self.open: dict[int, Request] = {}
@@ -78,7 +78,7 @@
         self._end_ms = math.inf  # until then all that comes has to be answered
         self._making_room, self._log_fault_ms = False, 0.0
         self._has_ended = system.has_ended
-        self._swept_ms, self._stood_ms, self._stood_until_ms = self.clock.now(), 0.0, 0.0  # when, how long
+        self._stood_ms = self._stood_until_ms = 0.0  # for how long; until when what is read may be so old
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
             Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore}
@@ -248,16 +248,16 @@
 
     def _unread_ms(self, now: float) -> float:
         """For how long what is read now may have waited for us, at most."""
-        late_ms = now - self._swept_ms - SWEEP_MS
+        late_ms = self.admission.late_ms(now)
         if late_ms > STILL_MS:
             return late_ms
         return self._stood_ms if now < self._stood_until_ms else 0.0
 
     def _sweep(self) -> None:
         now = self.clock.now()
-        if self._unread_ms(now) > STILL_MS and now >= self._stood_until_ms:
-            self._stood_ms, self._stood_until_ms = self._unread_ms(now), now + MARGIN_MS
-        self._swept_ms = now
+        late_ms = self.admission.late_ms(now)
+        if late_ms > STILL_MS:
+            self._stood_ms, self._stood_until_ms = late_ms, now + MARGIN_MS
         line = self._standing.look(now, self.controller.silent_homes())
         if line:
             log.warning(line)
--- a/plumpick/system.py
+++ b/plumpick/system.py
@@ -15,6 +15,13 @@
 from plumpick.config import Config, load
 
 
+def _shows(transport: Any, what: int) -> bool:
+    """Whether the connection's socket shows that now, an error or a break included."""
+    watched = select.poll()
+    watched.register(transport.get_extra_info("socket").fileno(), what)
+    return bool(watched.poll(0))
+
+
 class System:
     """The real machine."""
 
@@ -29,16 +36,12 @@
     @staticmethod
     def is_quiet(transport: Any) -> bool:
         """Whether nothing waits on the connection: bytes, or its end, that the loop may not have read yet."""
-        watched = select.poll()
-        watched.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not watched.poll(0)
+        return not _shows(transport, select.POLLIN)
 
     @staticmethod
     def has_ended(transport: Any) -> bool:
         """Whether the other side has closed the connection, whatever is still unread on it."""
-        watched = select.poll()
-        watched.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(watched.poll(0))
+        return _shows(transport, select.POLLRDHUP)
 
     def settle(self) -> None:
         """What the start made stays: it need not be looked through again."""
