--- a/plumpick/rehearsal/records.py
+++ b/plumpick/rehearsal/records.py
@@ -289,6 +289,7 @@
 class Recorder:
     """Hands each record, at once, to all that listen; and writes it, where a file is given.
 
+    Ended is the last: what the fleet does while it is taken down belongs to no history.
     A file that can't be written is told once by `problem` and given up; the listeners go on.
     """
 
@@ -296,14 +297,16 @@
         self.listeners: list[Any] = []  # each has feed(record)
         self.problem: str = ""
         self._file: TextIO | None = None
-        self.count = 0
+        self._over = False
         self._last_t = 0.0
 
     def write_to(self, file: TextIO) -> None:
         self._file = file
 
     def __call__(self, record: Record) -> None:
-        self.count += 1
+        if self._over:
+            return
+        self._over = isinstance(record, Ended)
         if record.t < self._last_t:  # of one turn of the loop, noted a moment after what it caused
             record.t = self._last_t
         self._last_t = record.t
--- a/tests/rehearsal/test_records_and_wire.py
+++ b/tests/rehearsal/test_records_and_wire.py
@@ -8,6 +8,7 @@
 from plumpick.rehearsal.records import (
     Asked,
     Began,
+    Ended,
     HistoryError,
     Mark,
     Recorder,
@@ -125,3 +126,14 @@
 def test_what_the_protocol_does_not_have_is_a_fault(raw):
     with pytest.raises(WireError):
         Reader(True).feed(raw, 0.0)
+
+
+def test_the_end_of_a_history_is_its_last_record(tmp_path):
+    """Seen on a busy machine: word of the roster came while the fleet was taken down, behind the end."""
+    recorder, path = Recorder(), tmp_path / "history.jsonl"
+    recorder.write_to(path.open("w"))
+    for record in (Mark(1.0, "a"), Ended(2.0, 0.5, 0.5), Mark(3.0, "b")):
+        recorder(record)
+    recorder.close()
+    kept = [record_from(line) for line in path.read_text().splitlines()]
+    assert kept == [Mark(1.0, "a"), Ended(2.0, 0.5, 0.5)]
