One door: the HTTP front and the way to workers into packages, known by protocols alone

admission, clients and gatekeeper imported one another in a circle, so a second front had no way in. plumpick/fronts/door.py holds what a front and the heart know of one another (Ask, Asker, Front, Heart); fronts/http/ has connections, forms, admission and the front that owns them; upstream/ has the connections to workers and what a worker is sent. The heart imports no front, no front the heart or another: a test holds that. Behaviour is as before. With it two benchmarks that nothing uses yet: benchmarks/hot_path, and module_cpu without a subclass.

--- /dev/null
+++ b/benchmarks/hot_path.py
@@ -0,0 +1,411 @@
+"""What a request costs a gatekeeper: CPU, its own delay, memory; beside two relays on the same loop.
+
+    python -m benchmarks.hot_path [--seconds 2] [--runs 3] [--cases plain home ...] [--against DIR]
+
+A real gatekeeper on one core, stub workers that answer at once, closed-loop clients on others, all on
+loopback. Beside it, in the same run: `relay` passes bytes on over kept connections and reads nothing of them
+(the floor of the runtime); `proxy` parses both ways with the same parser and picks a worker at random (the
+floor of a proxy). With `--against DIR` another checkout's gatekeeper takes its turn at each case. Each figure
+is the median over runs. Columns: requests a second, CPU us a request (user and system, of the process), p50
+and p99 in ms as clients see them, peak memory in MB. `worker alone` has nothing between.
+
+Cases: clients (c1, c16, c64), quotas (plain: none; home-here, home-peer: three gatekeepers, one of them
+asked, each request asks its home), workers in the list (w100, w1000), firms (f1000, f50000).
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import json
+import os
+import random
+import resource
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import zlib
+from contextlib import ExitStack
+from dataclasses import dataclass, replace
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+import httptools
+import uvloop
+
+ROOT = Path(__file__).resolve().parents[1]
+HOST = "127.0.0.1"
+GATE_CORE, STUB_CORES, PEER_CORES, CLIENT_CORES = "0", "1,2", "5,6", "3,4"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: {\"util\":0.2,\"latency_ms\":20}\r\n\r\nok"
+WARM_S = 0.6
+
+
+@dataclass(frozen=True)
+class Case:
+    """One row of the table."""
+
+    name: str
+    clients: int = 16
+    plan: str = "free"
+    home: int = 0  # the gatekeeper that keeps the firms' stores
+    workers: int = 10
+    firms: int = 1
+
+
+PLAIN = Case("plain c16")
+CASES = (
+    PLAIN, replace(PLAIN, name="plain c1", clients=1), replace(PLAIN, name="plain c64", clients=64),
+    Case("home-here c16", plan="basico", firms=20), Case("home-peer c16", plan="basico", home=1, firms=20),
+    Case("home-peer c1", clients=1, plan="basico", home=1, firms=20),
+    replace(PLAIN, name="plain w100", workers=100), replace(PLAIN, name="plain w1000", workers=1000),
+    replace(PLAIN, name="plain f1000", firms=1000), replace(PLAIN, name="plain f50000", firms=50_000),
+)
+
+
+def pin(cores: str) -> None:
+    """Keep this process on those cores, as far as the machine has them."""
+    wanted = {int(core) for core in cores.split(",")} & os.sched_getaffinity(0)
+    if wanted:
+        os.sched_setaffinity(0, wanted)
+
+
+def ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
+    """Ports of the system's choice that were free just now."""
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
+
+
+# -- the processes beside the gatekeeper
+
+
+class Stub(asyncio.Protocol):
+    """A worker that answers each request at once; one request is one segment here."""
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.transport.write(ANSWER * data.count(b"\r\n\r\n"))
+
+
+class Relay(asyncio.Protocol):
+    """Bytes in, bytes out, over one kept connection to a worker for each client."""
+
+    def __init__(self, targets: list[int]) -> None:
+        self.targets, self.other, self.waiting = targets, None, b""
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        asyncio.get_running_loop().create_task(self.dial())
+
+    async def dial(self) -> None:
+        _, back = await asyncio.get_running_loop().create_connection(
+            lambda: Back(self.transport), HOST, random.choice(self.targets))
+        self.other = back.transport
+        self.other.write(self.waiting)
+
+    def data_received(self, data: bytes) -> None:
+        if self.other is None:
+            self.waiting += data
+        else:
+            self.other.write(data)
+
+
+class Back(asyncio.Protocol):
+    """The relay's side to a worker."""
+
+    def __init__(self, to: Any) -> None:
+        self.to = to
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.to.write(data)
+
+
+class Proxy(asyncio.Protocol):
+    """Parses a request, picks a worker at random, sends it on a kept connection, parses the answer."""
+
+    idle: dict[int, list[ProxyBack]] = {}
+
+    def __init__(self, targets: list[int]) -> None:
+        self.targets = targets
+        self.parser = httptools.HttpRequestParser(self)
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self.url, self.headers = b"", []
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append(b"%s: %s\r\n" % (name, value))
+
+    def on_message_complete(self) -> None:
+        message = b"%s %s HTTP/1.1\r\n%s\r\n" % (self.parser.get_method(), self.url, b"".join(self.headers))
+        target = random.choice(self.targets)
+        idle = self.idle.setdefault(target, [])
+        if idle:
+            idle.pop().carry(self, message)
+        else:
+            asyncio.get_running_loop().create_task(self.dial(target, message))
+
+    async def dial(self, target: int, message: bytes) -> None:
+        _, back = await asyncio.get_running_loop().create_connection(lambda: ProxyBack(target), HOST, target)
+        back.carry(self, message)
+
+    def answer(self, body: bytes) -> None:
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+class ProxyBack(asyncio.Protocol):
+    """The proxy's side to a worker."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def carry(self, front: Proxy, message: bytes) -> None:
+        self.front, self.body = front, []
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport.write(message)
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_body(self, part: bytes) -> None:
+        self.body.append(part)
+
+    def on_message_complete(self) -> None:
+        Proxy.idle[self.target].append(self)
+        self.front.answer(b"".join(self.body))
+
+
+async def serve(make: Any, listen: list[int]) -> None:
+    """Serve until killed; tells that it is up."""
+    loop = asyncio.get_running_loop()
+    for port in listen:
+        await loop.create_server(make, HOST, port, backlog=512)
+    print("up", flush=True)
+    await asyncio.Event().wait()
+
+
+# -- clients
+
+
+class Client(asyncio.Protocol):
+    """A closed loop: the next request goes out when the last is answered."""
+
+    def __init__(self, load: Load) -> None:
+        self.load, self.seen = load, b""
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.ask()
+
+    def ask(self) -> None:
+        self.began = time.perf_counter()
+        self.transport.write(self.load.message())
+
+    def data_received(self, data: bytes) -> None:
+        self.seen += data
+        head, split, body = self.seen.partition(b"\r\n\r\n")
+        if not split:
+            return
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r")[0])
+        if len(body) >= length:
+            self.seen = b""
+            self.load.answered(head, time.perf_counter() - self.began)
+            self.ask()
+
+
+class Load:
+    """So many clients at one port."""
+
+    def __init__(self, case: Case) -> None:
+        self.case, self.serial, self.took, self.wrong = case, itertools.count(), list[float](), 0
+        names = (f"{number:016x}" for number in itertools.count(1))
+        self.firms = itertools.cycle([firm.encode() for firm in itertools.islice(
+            (name for name in names if zlib.crc32(name.encode()) % 3 == case.home), case.firms)])
+
+    def message(self) -> bytes:
+        return (b"GET /seat-check HTTP/1.1\r\nHost: a\r\nX-Request-Id: %016x\r\nX-Tier: %s\r\n"
+                b"X-Api-Key: %s\r\nX-Deadline-Ms: 2000\r\nX-Call-Terms: units=1,spread=3,first=0\r\n\r\n" % (
+                    next(self.serial), self.case.plan.encode(), next(self.firms)))
+
+    def answered(self, head: bytes, took: float) -> None:
+        self.took.append(took)
+        self.wrong += not head.startswith(b"HTTP/1.1 200")
+
+    async def run(self, port: int, pid: int, seconds: float) -> dict[str, float]:
+        """The figures of one run."""
+        loop = asyncio.get_running_loop()
+        made = [await loop.create_connection(lambda: Client(self), HOST, port)
+                for _ in range(self.case.clients)]
+        await asyncio.sleep(WARM_S)
+        self.took.clear()
+        self.wrong, cpu, began = 0, cpu_of(pid), time.perf_counter()
+        await asyncio.sleep(seconds)
+        cpu, gone = cpu_of(pid) - cpu, time.perf_counter() - began
+        took, wrong = sorted(self.took), self.wrong
+        for transport, _ in made:
+            transport.abort()
+        count = max(1, len(took))
+        return {"rate": len(took) / gone, "cpu_us": cpu / count * 1e6, "p50": took[count // 2] * 1000,
+                "p99": took[int(count * 0.99)] * 1000, "mb": peak_of(pid), "wrong": wrong}
+
+
+def cpu_of(pid: int) -> float:
+    """CPU seconds of a process so far, user and system: from the scheduler, in ns."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9 if pid else 0.0
+
+
+def peak_of(pid: int) -> float:
+    """Peak resident memory in MB."""
+    if not pid:
+        return 0.0
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1024
+
+
+# -- gatekeepers
+
+
+def configuration(number: int, listen: int, peers: list[int], workers: list[int]) -> dict[str, Any]:
+    """A gatekeeper's file. Its discovery answers nothing: it starts from the known list."""
+    settings = {
+        "balancers": 3, "myNumber": number, "locality": "a", "tickMs": 4.0, "azs": ["a"],
+        "classes": [{"name": "seat-check", "aimMs": 750, "deadlineMs": 2000, "worth": 3,
+                     "repeat": "retryable"}],
+        "packages": [{"name": "free"}, {"name": "basico", "perSecond": 100_000, "storeSize": 30}],
+        "rules": {"warmUpMs": 17_000, "coldFrom": 0.25, "fallMultiple": 2.5, "tipAfterMs": 1000},
+        "limits": {"maxAttempts": 5, "mayTell": True, "cancel": True},
+        "report": {"how": "answers", "fields": ["util", "latency_ms"]},
+        "domain": {"inboxPerS": 0}}
+    listed = [{"name": f"w{place}", "zone": "a", "group": place, "status": "ready",
+               "address": f"{HOST}:{port}"} for place, port in enumerate(workers)]
+    return {"name": f"n{number}", "listen": f"{HOST}:{listen}", "discovery": f"{HOST}:9", "seed": "7",
+            "limits": {"sockets": 4096}, "settings": settings, "known": {"index": 1, "snapshot": True,
+                                                                         "endpoints": listed},
+            "peers": [f"{HOST}:{port}" for port in peers], "peer_listen": f"{HOST}:{peers[number]}"}
+
+
+class Processes(ExitStack):
+    """Processes that end with the block."""
+
+    def start(self, cores: str, words: list[str], **more: Any) -> subprocess.Popen[str]:
+        process = subprocess.Popen(["taskset", "-c", cores, *words], text=True, **more)
+        self.callback(lambda: (process.kill(), process.wait()))
+        return process
+
+    def role(self, cores: str, role: str, listen: list[int], targets: list[int]) -> subprocess.Popen[str]:
+        """One of the roles of this file."""
+        process = self.start(cores, [sys.executable, "-m", "benchmarks.hot_path", "--role", role], cwd=ROOT,
+                             stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        assert process.stdin is not None and process.stdout is not None
+        process.stdin.write(json.dumps([listen, targets]) + "\n")
+        process.stdin.flush()
+        assert process.stdout.readline() == "up\n"
+        return process
+
+    def gatekeepers(self, tree: Path, folder: Path, workers: list[int]) -> tuple[int, int]:
+        """Three of them; the port and process of the first."""
+        listen, peers = ports(3), ports(3, socket.SOCK_DGRAM)
+        first = 0
+        for number in (2, 1, 0):
+            path = folder / f"{number}.json"
+            path.write_text(json.dumps(configuration(number, listen[number], peers, workers)))
+            process = self.start(PEER_CORES if number else GATE_CORE, [sys.executable, "-m", "plumpick"],
+                                 cwd=tree, env={**os.environ, "BALANCER_CONFIG": str(path)},
+                                 stderr=subprocess.DEVNULL)
+            first = process.pid
+        for port in listen:
+            wait_up(port)
+        return listen[0], first
+
+
+def wait_up(port: int) -> None:
+    """Until /up is answered 200, for 20 s at most."""
+    end = time.monotonic() + 20
+    while time.monotonic() < end:
+        try:
+            with socket.create_connection((HOST, port), 1) as one:
+                one.sendall(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+                if one.recv(100).startswith(b"HTTP/1.1 200"):
+                    return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise SystemExit("a gatekeeper did not come up")
+
+
+def measure(side: str, case: Case, tree: Path, seconds: float) -> dict[str, float]:
+    """One run of one side of one case."""
+    with Processes() as processes, tempfile.TemporaryDirectory() as folder:
+        workers = ports(case.workers)
+        processes.role(STUB_CORES, "stub", workers, [])
+        port, pid = workers[0], 0
+        if side in ("relay", "proxy"):
+            port, = ports(1)
+            pid = processes.role(GATE_CORE, side, [port], workers).pid
+        elif side != "worker alone":
+            port, pid = processes.gatekeepers(tree, Path(folder), workers)
+        return uvloop.run(Load(case).run(port, pid, seconds))
+
+
+def main() -> None:
+    """Print the table."""
+    flags = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    flags.add_argument("--seconds", type=float, default=2.0)
+    flags.add_argument("--runs", type=int, default=3)
+    flags.add_argument("--cases", nargs="*", default=[""], help="parts of names of cases")
+    flags.add_argument("--against", default="")
+    flags.add_argument("--role", default="", help=argparse.SUPPRESS)
+    given = flags.parse_args()
+    resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
+    if given.role:
+        listen, targets = json.loads(sys.stdin.readline())
+        makers: dict[str, Any] = {"stub": Stub, "relay": lambda: Relay(targets),
+                                  "proxy": lambda: Proxy(targets)}
+        uvloop.run(serve(makers[given.role], listen))
+        return
+    pin(CLIENT_CORES)
+    print("| case | side | requests/s | CPU us | p50 ms | p99 ms | peak MB | CPU by proxy's | not 200 |\n"
+          "|" + " --- |" * 9)
+    for case in CASES:
+        if not any(part in case.name for part in given.cases):
+            continue
+        sides = {"this": ROOT} | ({"against": Path(given.against)} if given.against else {})
+        if case.name.startswith("plain c"):
+            sides |= {"proxy": ROOT, "relay": ROOT, "worker alone": ROOT}
+        rows: dict[str, list[dict[str, float]]] = {side: [] for side in sides}
+        for _ in range(given.runs):
+            for side, tree in sides.items():
+                rows[side].append(measure(side, case, tree, given.seconds))
+        def of(side: str, name: str, rows: Any = rows) -> float:
+            return median(row[name] for row in rows[side])
+        for side in sides:
+            ratio = f"{of(side, 'cpu_us') / of('proxy', 'cpu_us'):.2f}" if "proxy" in rows else ""
+            print(f"| {case.name} | {side} | {of(side, 'rate'):.0f} | {of(side, 'cpu_us'):.0f} | "
+                  f"{of(side, 'p50'):.2f} | {of(side, 'p99'):.2f} | {of(side, 'mb'):.1f} | {ratio} | "
+                  f"{sum(row['wrong'] for row in rows[side]):.0f} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/module_cpu.py
+++ b/benchmarks/module_cpu.py
@@ -28,11 +28,14 @@
 
     spent, calls = [0.0], [0]
 
-    class Timed(Controller):
+    class Timed:  # not a subclass: a compiled module allows none
+        def __init__(self, settings: Any, seed: int) -> None:
+            self.handle_it = Controller(settings, seed).handle
+
         def handle(self, now_ms: float, events: list[Any]) -> list[Any]:
             calls[0] += 1
             began = time.process_time()
-            actions = super().handle(now_ms, events)
+            actions = self.handle_it(now_ms, events)
             spent[0] += time.process_time() - began
             return actions
 
--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -18,14 +18,14 @@
 from anisefront.control import Controller, Quota, Servers
 from anisefront.interface import Refuse, Repeat, Result, State
 from plumpick import gatekeeper as heart
-from plumpick.admission import Admission
-from plumpick.clients import ClientConnection
+from plumpick.fronts.http.admission import Admission
+from plumpick.fronts.http.connections import ClientConnection
 from plumpick.clock import Alarms
 from plumpick.config import WorkerList
 from plumpick.gatekeeper import Gatekeeper
 from plumpick.simulation.faults import case_of
 from plumpick.simulation.world import play
-from plumpick.workers import Attempt, WorkerConnection, Workers
+from plumpick.upstream.workers import Attempt, WorkerConnection, Workers
 
 Swap = list[tuple[Any, str, Any]]  # owner, name, what stands there instead
 
--- a/plumpick/__main__.py
+++ b/plumpick/__main__.py
@@ -11,9 +11,9 @@
 
 import uvloop
 
-from plumpick.clients import ClientConnection
 from plumpick.config import Config, ConfigError, load
 from plumpick.discovery import Discovery
+from plumpick.fronts.http.front import HttpFront
 from plumpick.gatekeeper import Gatekeeper
 from plumpick.system import System
 
@@ -57,12 +57,14 @@
     reload_asked = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_asked.set)
     gatekeeper = Gatekeeper(config, loop, system=system)
+    front = HttpFront(gatekeeper, config.settings, config.sockets, system.has_ended)
+    gatekeeper.add(front)
     gatekeeper.listed(config.known)
     gatekeeper.peers.open(loop)
     discovery = Discovery(config.discovery, gatekeeper.listed)
     tasks = [loop.create_task(discovery.run()),
              loop.create_task(reload(config, discovery, reload_asked, system))]
-    server = await loop.create_server(lambda: ClientConnection(gatekeeper), *config.listen, backlog=BACKLOG,
+    server = await loop.create_server(front.connection, *config.listen, backlog=BACKLOG,
                                       reuse_address=True)
     try:
         await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
--- /dev/null
+++ b/plumpick/fronts/door.py
@@ -0,0 +1,79 @@
+"""The door between fronts and the heart: bytes become an `Ask`, which gets one final answer.
+
+A front knows the heart by `Heart` alone, the heart a front by `Front` and who has asked by `Asker`; no front
+knows another."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, Protocol
+
+from anisefront.interface import RequestClass
+from plumpick.clock import Alarms, Clock
+
+SWEEP_MS = 100.0  # how often fronts close what has had its time
+STILL_MS = 100.0  # a sweep so much late: we stood still
+
+
+class InUse(ValueError):
+    """The id of a request is that of another; the text says so."""
+
+
+class Ask(NamedTuple):
+    """A whole request: what the module decides by, and what a worker is sent."""
+
+    id: bytes
+    customer: str
+    kind: RequestClass
+    plan: str
+    wait_ms: float  # that its client waits, from when it was read
+    units: float
+    spread: int
+    first: int
+    is_repeat: bool
+    key: bytes | None
+    method: bytes
+    target: bytes
+    content_type: bytes | None
+    body: bytes
+
+
+class Asker(Protocol):
+    """Who has asked."""
+
+    def answer(self, status: int, body: bytes = b"", kind: bytes = b"", retry_in_ms: float = 0.0) -> None:
+        """The one final answer: a status of HTTP, and with 200 a worker's whole body and its type."""
+
+
+class Front(Protocol):
+    """What the heart asks of a front."""
+
+    def late_ms(self, now: float) -> float:
+        """How late its next sweep is: for so long we may have stood still."""
+
+    def sweep(self, now: float, ending: bool) -> None:
+        """Close what has had its time; `ending`: the gatekeeper keeps no connection any more."""
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is open."""
+
+    def busy(self) -> bool:
+        """Whether a connection is still open."""
+
+
+class Heart(Protocol):
+    """What a front asks of the heart."""
+
+    clock: Clock
+    alarms: Alarms
+    ready: bool
+    draining: bool
+
+    def spare_descriptors(self) -> int:
+        """Descriptors kept for workers that nobody uses now."""
+
+    def take(self, asker: Asker, ask: Ask) -> Any:
+        """A whole request has come in: from here on it is owed one final answer. Raises InUse. What it
+        returns names the request to `left`."""
+
+    def left(self, request: Any) -> None:
+        """Who asked that has gone; a request that has been answered is passed over."""
--- a/plumpick/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -8,8 +8,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from plumpick.fronts.door import STILL_MS, SWEEP_MS
+
 if TYPE_CHECKING:
-    from plumpick.clients import ClientConnection
+    from plumpick.fronts.http.connections import ClientConnection
 
 # Of the descriptors: all of clients; those and what has not gone yet; idle ones that may stay for long; and
 # what is a crowd of those that ask, as clients hold a third at most for requests.
@@ -20,8 +22,6 @@
 CROWDED_MS = 250.0  # or this long, while clients hold nearly all the connections that they may
 IDLE_MS = 60_000.0  # after so long it is closed in any case
 LINGER_MS, LINGER_MOST_MS = 1000.0, 5000.0  # what still comes after an error is read; without a byte, in all
-SWEEP_MS = 100.0
-STILL_MS = 100.0  # a sweep so much late: we stood still
 
 
 class Admission:
--- a/plumpick/clients.py
+++ b/plumpick/fronts/http/connections.py
@@ -7,10 +7,10 @@
 
 import httptools
 
-from plumpick.forms import BadRequest
+from plumpick.fronts.http.forms import BadRequest
 
 if TYPE_CHECKING:
-    from plumpick.gatekeeper import Gatekeeper, Request
+    from plumpick.fronts.http.front import HttpFront
 
 MAX_HEAD, MAX_BODY = 16 * 1024, 64 * 1024
 MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # of one message as it comes: chunks of a byte each take six
@@ -27,10 +27,10 @@
 class ClientConnection(asyncio.Protocol):
     """One connection of a client, which asks one thing at a time."""
 
-    def __init__(self, gatekeeper: Gatekeeper) -> None:
-        self.gatekeeper = gatekeeper
+    def __init__(self, front: HttpFront) -> None:
+        self.front, self.heart = front, front.heart
         self.transport: asyncio.Transport | None = None
-        self.request: Request | None = None  # taken and not answered yet
+        self.request: Any = None  # taken and not answered yet
         self.parser: Any = httptools.HttpRequestParser(self)
         self.ending = False  # nothing more is read from it
         self.excess = False  # more came before the answer: pipelined
@@ -52,7 +52,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        self.gatekeeper.client_came(self)
+        self.front.came(self)
 
     def data_received(self, data: bytes) -> None:
         if self.ending:
@@ -88,7 +88,7 @@
         self.ending = True
         self.parser = None  # it holds this connection: the two would wait for the collector
         request, self.request = self.request, None
-        self.gatekeeper.client_left(self, request)
+        self.front.left(self, request)
 
     # -- the parser's callbacks
 
@@ -98,7 +98,7 @@
             return
         self._clear()
         self.begun = True
-        self.gatekeeper.client_begins(self)
+        self.front.begins(self)
 
     def on_url(self, url: bytes) -> None:
         if not self.excess:
@@ -145,16 +145,16 @@
         self.begun = False
         self.keep = self.parser.should_keep_alive()  # the parser knows this here and no later
         if self.parser.get_method() == b"GET" and self.url == b"/up":
-            self.gatekeeper.admission.asked(self)
+            self.front.admission.asked(self)
             self._tell_readiness()
             return
         try:
-            self.request = self.gatekeeper.take(self)
+            self.request = self.front.take(self)
         except BadRequest as problem:
             self._turn_away(problem.status)
 
     def _tell_readiness(self) -> None:
-        if self.gatekeeper.ready:
+        if self.heart.ready:
             self.answer(200, b"up\n", b"text/plain")
         else:
             self.answer(503, b"not up\n", b"text/plain")
@@ -162,7 +162,7 @@
     def _turn_away(self, status: int) -> None:
         """A whole request that is not in order. The error goes out at once and the connection may stay, but
         for a while nothing is read from it: some ask the same again at full speed, and are as cheap so."""
-        if not self.keep or self.gatekeeper.draining:
+        if not self.keep or self.heart.draining:
             self.bad = status
             return
         self._clear()
@@ -173,7 +173,7 @@
         self.paused = True
         pause_ms = min(PAUSE_MOST_MS, PAUSE_MS * 2 ** min(self.bad_before, 10))
         self.bad_before += 1
-        self.gatekeeper.alarms.at(self.gatekeeper.clock.now() + pause_ms, self._read_on)
+        self.heart.alarms.at(self.heart.clock.now() + pause_ms, self._read_on)
 
     def _read_on(self) -> None:
         self.paused = False
@@ -187,7 +187,7 @@
         self.request = None
         if self.transport is None or self.transport.is_closing():
             return
-        close = self.ending or self.excess or self.gatekeeper.draining or not self.keep
+        close = self.ending or self.excess or self.heart.draining or not self.keep
         if status == 200 and not close and not kind:
             head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
         else:
@@ -199,7 +199,7 @@
         self._clear()
         if not close:
             self.transport.write(head + body)
-            self.gatekeeper.client_answered(self)
+            self.front.answered(self)
         elif self.excess:
             bad = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
             head = head.replace(b"Connection: close\r\n", b"")
@@ -230,8 +230,8 @@
 
     def _leave(self) -> None:
         self.ending, self.heard = True, False
-        self.leaving_ms = self.gatekeeper.clock.now()
-        self.gatekeeper.admission.leaves(self, self.leaving_ms)
+        self.leaving_ms = self.heart.clock.now()
+        self.front.admission.leaves(self, self.leaving_ms)
 
     # -- what the admission asks of it
 
--- /dev/null
+++ b/plumpick/fronts/http/front.py
@@ -0,0 +1,82 @@
+"""The HTTP front: its connections, which of them may stay, and the way of a request to the heart."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from anisefront.interface import Settings
+from plumpick.fronts.door import Ask, Heart, InUse
+from plumpick.fronts.http.admission import Admission
+from plumpick.fronts.http.connections import ClientConnection
+from plumpick.fronts.http.forms import BadRequest, Forms
+
+
+class HttpFront:
+    """All HTTP connections of clients. `has_ended` looks whether a transport's other side has ended it."""
+
+    def __init__(self, heart: Heart, settings: Settings, sockets: int,
+                 has_ended: Callable[[Any], bool]) -> None:
+        self.heart, self._has_ended = heart, has_ended
+        self.admission = Admission(sockets, heart.clock.now())
+        self.forms = Forms(settings)
+        self._making_room = False
+
+    def connection(self) -> ClientConnection:
+        """One more, for a listener."""
+        return ClientConnection(self)
+
+    # -- what connections tell
+
+    def came(self, client: ClientConnection) -> None:
+        now, spare = self.heart.clock.now(), self.heart.spare_descriptors()
+        if not self.admission.came(client, now, spare) and not (
+                self.admission.drop_ended(now, lambda other: self._has_ended(other.transport))
+                and self.admission.came(client, now, spare)):
+            client.drop()
+        elif len(self.admission) > self.admission.most and not self._making_room:
+            # Not at once: of those that came in one go, who has a request here is read first, and stays.
+            self._making_room = True
+            self.heart.alarms.at(self.heart.clock.now() + 1.0, self._make_room)
+
+    def _make_room(self) -> None:
+        self._making_room = False
+        self.admission.make_room()
+
+    def begins(self, client: ClientConnection) -> None:
+        self.admission.begins(client, self.heart.clock.now())
+
+    def take(self, client: ClientConnection) -> Any:
+        """A whole request has come in; raises BadRequest."""
+        headers, method = client.headers, client.parser.get_method()
+        form = self.forms.read(method, client.url, headers, bool(client.body))
+        try:
+            request = self.heart.take(client, Ask(
+                *form, method, client.url, headers.get(b"content-type"), bytes(client.body)))
+        except InUse as problem:
+            raise BadRequest(str(problem), 409) from problem
+        self.admission.asked(client)
+        return request
+
+    def answered(self, client: ClientConnection) -> None:
+        self.admission.answered(client, self.heart.clock.now())
+
+    def left(self, client: ClientConnection, request: Any) -> None:
+        self.admission.left(client)
+        if request is not None:
+            self.heart.left(request)
+
+    # -- what the heart asks
+
+    def late_ms(self, now: float) -> float:
+        return self.admission.late_ms(now)
+
+    def sweep(self, now: float, ending: bool) -> None:
+        self.admission.sweep(now, ending)
+
+    def close_idle(self) -> None:
+        for client in list(self.admission.all):
+            client.close_if_idle()
+
+    def busy(self) -> bool:
+        return bool(self.admission)
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -18,19 +18,18 @@
     Send, State, Subscribe, Tell, Wake, Woken,
 )
 from anisefront.standing import Standing
-from plumpick.admission import STILL_MS, SWEEP_MS, Admission
-from plumpick.clients import ClientConnection
 from plumpick.clock import Alarm, Alarms
 from plumpick.config import Config, WorkerList
-from plumpick.forms import BadRequest, Forms
+from plumpick.fronts.door import STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse
 from plumpick.peers import Peers
 from plumpick.system import System
-from plumpick.workers import Attempt, Workers
+from plumpick.upstream.message import head_of, message_of
+from plumpick.upstream.workers import Attempt, Workers
 
 MARGIN_MS = 20.0  # the module is told a deadline so much earlier: the wire and our timers take their time
 GUARD_MS = 5.0  # so long before the client gives up it is answered, come what may
-# Of the descriptors. Clients have up to 0.46 (see admission.py); the rest, 30 of the smallest limit of 256,
-# is for discovery, peers and the loop itself.
+# Of the descriptors. Clients have up to 0.46 (fronts/http/admission.py); the rest, 30 of the smallest limit
+# of 256, is for discovery, peers and the loop itself.
 WORKER_PART = 0.42
 LOG_EVERY_MS = 10_000.0  # a fault of the module is logged at most so often
 REMEMBER_MS = 2000.0  # for once to twice as long an id stays known after its request has ended
@@ -41,11 +40,10 @@
 class Request:
     """An open request."""
 
-    __slots__ = ("id", "name", "client", "message", "body", "sends", "guard")
+    __slots__ = ("id", "name", "asker", "head", "body", "sends", "guard")
 
-    def __init__(self, number: int, name: bytes, client: ClientConnection, message: bytes,
-                 body: bytes) -> None:
-        self.id, self.name, self.client, self.message, self.body = number, name, client, message, body
+    def __init__(self, number: int, name: bytes, asker: Asker, head: bytes, body: bytes) -> None:
+        self.id, self.name, self.asker, self.head, self.body = number, name, asker, head, body
         self.sends = 0
         self.guard: Alarm | None = None
 
@@ -65,8 +63,7 @@
                                max_connections=int(config.sockets * WORKER_PART),
                                report_fields=config.settings.report_fields, is_quiet=system.is_quiet)
         self.peers = Peers(config, self.heard, system.datagrams)
-        self.admission = Admission(config.sockets, self.clock.now())
-        self.forms = Forms(config.settings)
+        self._fronts: list[Front] = []
         self._standing = Standing(config.settings.gateways, config.settings.number)
         self.open: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # all that are out, also of ended requests
@@ -76,8 +73,7 @@
         self._events: list[Event] = []
         self._serial = 0
         self._end_ms = math.inf  # until then all that comes has to be answered
-        self._making_room, self._log_fault_ms = False, 0.0
-        self._has_ended = system.has_ended
+        self._log_fault_ms = 0.0
         self._stood_ms = self._stood_until_ms = 0.0  # for how long; until when what is read may be so old
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
@@ -119,61 +115,34 @@
         """A peer has told something."""
         self.notice(Heard(sender, data))
 
-    # -- clients
+    # -- fronts
 
-    def client_came(self, client: ClientConnection) -> None:
-        now, spare = self.clock.now(), self.workers.unused_connections() // 2
-        if not self.admission.came(client, now, spare) and not (
-                self.admission.drop_ended(now, lambda other: self._has_ended(other.transport))
-                and self.admission.came(client, now, spare)):
-            client.drop()
-        elif len(self.admission) > self.admission.most and not self._making_room:
-            # Not at once: of those that came in one go, who has a request here is read first, and stays.
-            self._making_room = True
-            self.alarms.at(self.clock.now() + 1.0, self._make_room)
+    def add(self, front: Front) -> None:
+        """One more door to ask at."""
+        self._fronts.append(front)
 
-    def _make_room(self) -> None:
-        self._making_room = False
-        self.admission.make_room()
+    def spare_descriptors(self) -> int:
+        return self.workers.unused_connections() // 2
 
-    def client_begins(self, client: ClientConnection) -> None:
-        self.admission.begins(client, self.clock.now())
-
-    def client_answered(self, client: ClientConnection) -> None:
-        self.admission.answered(client, self.clock.now())
-
-    def client_left(self, client: ClientConnection, request: Request | None) -> None:
-        self.admission.left(client)
-        if request is not None and self._close(request):
+    def left(self, request: Request) -> None:
+        if self._close(request):
             self.notice(ClientGone(request.id))
 
-    def take(self, client: ClientConnection) -> Request:
-        """A whole request has come in: from here on it is owed one final answer."""
-        now, headers, method = self.clock.now(), client.headers, client.parser.get_method()
-        form = self.forms.read(method, client.url, headers, bool(client.body))
+    def take(self, asker: Asker, ask: Ask) -> Request:
+        now = self.clock.now()
         # One id is one request: a second of that name, of whomever, would pass for a copy of the first.
-        if form.id in self._names or form.id in self._ended_names[0] or form.id in self._ended_names[1]:
-            raise BadRequest("x-request-id is in use", 409)
-        body = bytes(client.body)
-        parts = [method, b" ", client.url, b" HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: ", form.id]
-        if form.key is not None:
-            parts += (b"\r\nIdempotency-Key: ", form.key)
-        if b"content-type" in headers:
-            parts += (b"\r\nContent-Type: ", headers[b"content-type"])
-        if method != b"GET":
-            parts.append(b"\r\nContent-Length: %d" % len(body))
-        parts.append(b"\r\nX-Deadline-Ms: ")
+        if ask.id in self._names or ask.id in self._ended_names[0] or ask.id in self._ended_names[1]:
+            raise InUse("x-request-id is in use")
         self._serial += 1
         # What is read after a standstill of ours may have waited all through it; its client's time ran on.
-        wait_ms = max(form.wait_ms - self._unread_ms(now), min(form.wait_ms, 2 * MARGIN_MS))
+        wait_ms = max(ask.wait_ms - self._unread_ms(now), min(ask.wait_ms, 2 * MARGIN_MS))
         due_ms = min(now + wait_ms, max(self._end_ms, now + 2 * MARGIN_MS))
-        request = Request(self._serial, form.id, client, b"".join(parts), body)
+        request = Request(self._serial, ask.id, asker, head_of(ask), ask.body)
         request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
         self.open[request.id] = request
-        self._names.add(form.id)
-        self.admission.asked(client)
-        self.notice(Arrival(request.id, form.customer, form.kind.name, form.plan, due_ms - MARGIN_MS,
-                            form.units, form.first, form.spread, form.is_repeat))
+        self._names.add(ask.id)
+        self.notice(Arrival(request.id, ask.customer, ask.kind.name, ask.plan, due_ms - MARGIN_MS,
+                            ask.units, ask.first, ask.spread, ask.is_repeat))
         return request
 
     def _close(self, request: Request) -> bool:
@@ -189,7 +158,7 @@
     def _overdue(self, request: Request) -> None:
         """The last guard: the module has not answered, and the client is about to give up."""
         if self._close(request):
-            request.client.answer(504)
+            request.asker.answer(504)
             self.notice(ClientGone(request.id))
 
     # -- actions
@@ -200,7 +169,7 @@
             self.notice(Outcome(action.id, 0, action.server, 0.0, Result.MOOT, True))
             return
         number, request.sends = request.sends, request.sends + 1
-        message = b"%s%d\r\n\r\n%s" % (request.message, max(1, int(action.allow_ms)), request.body)
+        message = message_of(request.head, action.allow_ms, request.body)
         attempt = Attempt(request.id, number, action.server, message, self._ended)
         self.attempts[request.id, number] = attempt
         self.workers.start(attempt, action.allow_ms)
@@ -212,7 +181,7 @@
         request = self.open.get(attempt.request_id)
         if request is not None and result is Result.OK:
             self._close(request)
-            request.client.answer(200, body, kind)
+            request.asker.answer(200, body, kind)
         self.notice(Outcome(attempt.request_id, attempt.number, attempt.worker,
                             self.clock.now() - attempt.started_ms, result,
                             request is None or result is Result.OK, load=load))
@@ -220,12 +189,12 @@
     def _refuse(self, action: Refuse) -> None:
         request = self.open.get(action.id)
         if request is not None and self._close(request):
-            request.client.answer(503, retry_in_ms=action.retry_in_ms)
+            request.asker.answer(503, retry_in_ms=action.retry_in_ms)
 
     def _fail(self, action: Fail) -> None:
         request = self.open.get(action.id)
         if request is not None and self._close(request):
-            request.client.answer(502)
+            request.asker.answer(502)
 
     def _cancel(self, action: Cancel) -> None:
         attempt = self.attempts.get((action.id, action.attempt))
@@ -248,21 +217,25 @@
 
     def _unread_ms(self, now: float) -> float:
         """For how long what is read now may have waited for us, at most."""
-        late_ms = self.admission.late_ms(now)
+        late_ms = self._late_ms(now)
         if late_ms > STILL_MS:
             return late_ms
         return self._stood_ms if now < self._stood_until_ms else 0.0
 
+    def _late_ms(self, now: float) -> float:
+        return max((front.late_ms(now) for front in self._fronts), default=0.0)
+
     def _sweep(self) -> None:
         now = self.clock.now()
-        late_ms = self.admission.late_ms(now)
+        late_ms = self._late_ms(now)
         if late_ms > STILL_MS:
             self._stood_ms, self._stood_until_ms = late_ms, now + MARGIN_MS
         line = self._standing.look(now, self.controller.silent_homes())
         if line:
             log.warning(line)
         self.alarms.at(now + SWEEP_MS, self._sweep)
-        self.admission.sweep(now, self.draining)
+        for front in self._fronts:
+            front.sweep(now, self.draining)
 
     def _forget_names(self) -> None:
         self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
@@ -278,10 +251,10 @@
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is open."""
-        for client in list(self.admission.all):
-            client.close_if_idle()
+        for front in self._fronts:
+            front.close_idle()
 
     def busy(self) -> bool:
         """Whether anything taken is not answered, or not yet written out; new idle connections close."""
         self.close_idle()
-        return bool(self.open or self.admission)
+        return bool(self.open) or any(front.busy() for front in self._fronts)
--- /dev/null
+++ b/plumpick/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Who is asked: connections to workers, and the attempts on them."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,9 +8,10 @@
 import uvloop
 
 from anisefront.interface import Arrival, Fail, Outcome, Send
-from plumpick.clients import ClientConnection
 from plumpick.config import config_from
+from plumpick.fronts.http.front import HttpFront
 from plumpick.gatekeeper import Gatekeeper
+from plumpick.system import System
 
 HOST = "127.0.0.1"
 PATIENCE_S = 30.0  # for a whole scenario: only a hang takes so long
@@ -93,12 +94,15 @@
     def __init__(self, script=None, **more):
         self.script = script
         self.keeper = Gatekeeper(config_from(config(**more), {}), asyncio.get_running_loop(), script)
-        self.keeper.listed(self.keeper.config.known)
+        config_here = self.keeper.config
+        self.front = HttpFront(self.keeper, config_here.settings, config_here.sockets, System().has_ended)
+        self.keeper.add(self.front)
+        self.keeper.listed(config_here.known)
         self.server = None
 
     async def __aenter__(self):
         self.server = await asyncio.get_running_loop().create_server(
-            lambda: ClientConnection(self.keeper), HOST, 0)
+            self.front.connection, HOST, 0)
         self.port = self.server.sockets[0].getsockname()[1]
         self.keeper.ready = True
         return self
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,6 @@
 """Connections of clients and a standstill of our own process: no time of ours counts on theirs."""
 
-from plumpick.admission import OWED_MS, SPARED_MS, SWEEP_MS, Admission
+from plumpick.fronts.http.admission import OWED_MS, SPARED_MS, SWEEP_MS, Admission
 
 
 class Client:
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -21,10 +21,10 @@
     Wake,
     Woken,
 )
-from plumpick.admission import SWEEP_MS
+from plumpick.fronts.http.admission import SWEEP_MS
 from plumpick.clock import Alarms
 from plumpick.config import config_from, worker_list_from
-from plumpick.workers import MAX_BODY, REST_MS
+from plumpick.upstream.workers import MAX_BODY, REST_MS
 
 
 def one_worker(scenario, **script):
@@ -56,7 +56,7 @@
 
 def test_connections_are_kept_and_used_again(monkeypatch):
     """Seen on the first calm day: keep-alive was asked of the parser too late, and none was kept."""
-    monkeypatch.setattr("plumpick.workers.REST_MS", 0.0)
+    monkeypatch.setattr("plumpick.upstream.workers.REST_MS", 0.0)
 
     async def scenario(worker, gate, client):
         for number in range(5):
@@ -432,7 +432,7 @@
 
 
 def test_the_connections_to_one_worker_are_capped(monkeypatch):
-    monkeypatch.setattr("plumpick.workers.MAX_PER_WORKER", 1)
+    monkeypatch.setattr("plumpick.upstream.workers.MAX_PER_WORKER", 1)
 
     async def scenario(worker, gate, client):
         client.send(request())
@@ -525,7 +525,7 @@
         _, writer = await worker.asked()
         client.send(request())
         request_, = gate.keeper.open.values()
-        while not request_.client.excess:
+        while not request_.asker.excess:
             await asyncio.sleep(0)
         writer.write(answer(body=b"first"))
         assert (await client.answer())[::2] == (200, b"first")
@@ -619,13 +619,13 @@
 
 async def taken(gate, count):
     """Wait until so many connections are known."""
-    while len(gate.keeper.admission) < count:
+    while len(gate.front.admission) < count:
         await asyncio.sleep(0)
 
 
 def later(gate, ms):
     """Let so much time go by for the connections of clients, and no standstill of ours."""
-    admission, now = gate.keeper.admission, gate.keeper.clock.now() + ms
+    admission, now = gate.front.admission, gate.keeper.clock.now() + ms
     admission._swept_ms = now - SWEEP_MS
     admission.sweep(now, gate.keeper.draining)
 
@@ -637,11 +637,11 @@
     """Within 3 s, sweep and all; it was 11 s for half a request, and for ever for silence."""
     async def scenario(worker, gate, client):
         client.send(said)
-        while said and not any(one.size for one in gate.keeper.admission.all):
+        while said and not any(one.size for one in gate.front.admission.all):
             await asyncio.sleep(0)
         await taken(gate, 1)
         later(gate, 2000)
-        one, = gate.keeper.admission.all
+        one, = gate.front.admission.all
         assert not one.ending
         later(gate, 3000 - SWEEP_MS)
         told = await client.answer()
@@ -677,7 +677,7 @@
 
 def test_over_the_limit_the_refused_go_first_then_the_silent_then_the_idle_and_none_that_asked():
     async def scenario(worker, gate, client):
-        admission = gate.keeper.admission
+        admission = gate.front.admission
         client.send(request())
         await worker.asked()
         idle = await gate.client()
@@ -699,7 +699,7 @@
 
 def test_hundreds_that_connect_at_once_do_not_keep_others_out():
     async def scenario(worker, gate, client):
-        admission = gate.keeper.admission
+        admission = gate.front.admission
         await taken(gate, 1)
         crowd = [await gate.client() for _ in range(admission.hard + 20)]
         late = (await gate.client()).send(request())
@@ -721,7 +721,7 @@
 def test_idle_connections_beyond_those_kept_are_closed_after_a_while_the_longest_idle_first():
     """Seen with clients that ask once and stay: they held all connections that clients may hold."""
     async def scenario(worker, gate, client):
-        gate.keeper.admission.idle_kept = 1
+        gate.front.admission.idle_kept = 1
         first, second = client, await gate.client()
         for one in (first, second):
             one.send(request())
@@ -729,10 +729,10 @@
             writer.write(answer())
             await one.answer()
         later(gate, 1900)
-        assert len(gate.keeper.admission) == 2
+        assert len(gate.front.admission) == 2
         later(gate, 2100)
         assert await first.ends()
-        assert len(gate.keeper.admission) == 1
+        assert len(gate.front.admission) == 1
         later(gate, 61_000)
         assert await second.ends()
     one_worker(scenario)
@@ -741,7 +741,7 @@
 def test_in_a_crowd_idle_connections_go_sooner():
     """Seen: 128 that asked once came within 2 s and held all the connections that clients may hold."""
     async def scenario(worker, gate, client):
-        gate.keeper.admission.crowd = 1
+        gate.front.admission.crowd = 1
         other = await gate.client()
         for one in (client, other):
             one.send(request())
@@ -749,7 +749,7 @@
             writer.write(answer())
             await one.answer()
         later(gate, 300)
-        assert await client.ends() and len(gate.keeper.admission) == 1
+        assert await client.ends() and len(gate.front.admission) == 1
         later(gate, 300)
         other.send(request())
         assert (await worker.asked())[0] is not None
@@ -765,7 +765,7 @@
         gc.collect()
         gc.disable()
         try:
-            one = weakref.ref(*gate.keeper.admission.all)
+            one = weakref.ref(*gate.front.admission.all)
             client.close()
             while one() is not None:
                 await asyncio.sleep(0)
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -35,8 +35,9 @@
 
 def test_the_daemons_files_are_what_the_deploy_file_says_and_need_no_tool():
     node = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["node"]
-    assert sorted(node) == sorted(str(path.relative_to(ROOT)) for path in ROOT.glob("plumpick/*.py")
-                                  if path.name != "cli.py")
+    daemon = [*ROOT.glob("plumpick/*.py"), *ROOT.glob("plumpick/fronts/**/*.py"),
+              *ROOT.glob("plumpick/upstream/**/*.py")]
+    assert sorted(node) == sorted(str(path.relative_to(ROOT)) for path in daemon if path.name != "cli.py")
     for name in node:
         text = (ROOT / name).read_text()
         assert not re.search(r"plumpick\.(rehearsal|simulation|tools|cli)\b", text), name
@@ -47,3 +48,22 @@
     example, = re.findall(r"```python\n(.*?)```", readme, re.S)
     exec(compile(example, "README.md", "exec"), {})
     assert "send 1 to" in capsys.readouterr().out
+
+
+def imports_of(path):
+    """The modules of this repository that a file names in its imports, also those for types alone."""
+    tree = ast.parse(path.read_text())
+    return {node.module for node in ast.walk(tree) if isinstance(node, ast.ImportFrom) and node.module
+            and node.module.startswith(("plumpick", "anisefront"))}
+
+
+def test_the_heart_knows_no_front_and_no_front_the_heart_or_another():
+    door = "plumpick.fronts.door"
+    heart = imports_of(ROOT / "plumpick/gatekeeper.py")
+    assert {name for name in heart if name.startswith("plumpick.fronts")} == {door}
+    for path in (ROOT / "plumpick/fronts").glob("*/*.py"):
+        own = f"plumpick.fronts.{path.parent.name}."
+        others = {name for name in imports_of(path) if name.startswith("plumpick.") and name != door}
+        assert {name for name in others if not name.startswith(own)} <= {"plumpick.clock"}, path
+    for path in (ROOT / "plumpick/upstream").glob("*.py"):
+        assert not [name for name in imports_of(path) if name.startswith("plumpick.fronts") and name != door]
