--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Iterable
 from dataclasses import replace
+from typing import Any, TypeVar
 
 from anisefront.interface import (
     Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Refuse, Repeat,
@@ -24,6 +25,8 @@
     Account, Ask, Attempt, Backend, Lateness, QuotaState, Request, ServersState, Store, WindowState,
 )
 
+T = TypeVar("T")
+
 # Fuzzy shares (paper, Tables 6 and 7, absolute delay).
 ERROR_GAIN, CHANGE_GAIN, OUTPUT_GAIN = 0.4, 3.0, 0.01  # per second of error, of its change; share per output
 CENTRES = (-1.0, -0.5, 0.0, 0.5, 1.0)  # five triangles, each as wide as its neighbours' distance
@@ -104,7 +107,8 @@
 USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
 OF_REQUESTS = frozenset(("ask", "expired", "hedge", "overdue", "hopeless", "due"))  # agenda of one request
-TIDY_MS, FORGET_MS, AGENDA_SPARE = 1000.0, 8000.0, 256  # how often what is over is forgotten; after how long
+TIDY_MS, FORGET_MS, AGENDA_SPARE = 250.0, 8000.0, 256  # how often what is over is forgotten; after how long
+TIDY_PARTS, TIDY_LEAST = 20, 64  # of a long table so many-th is looked at each time; of a short one all
 CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
 
 
@@ -217,6 +221,17 @@
         return -math.expm1(-LATE_SPANS * (self.answers + LATE_PRIOR * prior) / (self.spans + LATE_PRIOR))
 
 
+def part_of(table: dict[T, Any], left: list[T]) -> list[T]:
+    """The next part of the names, all of them in turn; `left` holds those not looked at in this round.
+    Only who asks here may take names out of the table."""
+    if not left:
+        left += table
+    count = max(TIDY_LEAST, len(table) // TIDY_PARTS)
+    part = left[-count:]
+    del left[-count:]
+    return part
+
+
 def store_name(item: Item) -> int:
     """The store that an item of business is about: of a customer, and of the plan that is said to be its."""
     return item.tag << 4 | item.plan_index
@@ -265,9 +280,11 @@
 
     def forget(self, now: float, open_requests: Iterable[Request]) -> None:
         """Forget customers of whom nothing is open and whose buckets and stores are full again: they begin
-        anew with no more than that, so no quota is granted twice."""
+        anew with no more than that, so no quota is granted twice. Danger: among 50,000 a look at all of them
+        holds up everything else for 0.1 s and more; so each time a part of them is looked at."""
         open_now = {id(request.account) for request in open_requests}
-        for name, account in list(self.accounts.items()):
+        for name in part_of(self.accounts, self.accounts_left):
+            account = self.accounts[name]
             plan, gone_s = account.plan, (now - account.at_ms) / 1000
             idle = gone_s * 1000 > FORGET_MS and id(account) not in open_now and not account.out
             rate, ceiling = plan.rate_per_s / account.spread, plan.ceiling_per_s * REST_CEILING
@@ -275,7 +292,8 @@
                     not ceiling or account.ceiling + ceiling / account.spread * gone_s
                     >= plan.ceiling_burst * REST_CEILING / account.spread):
                 del self.accounts[name]
-        for key, store in list(self.stores.items()):
+        for key in part_of(self.stores, self.stores_left):
+            store = self.stores[key]
             plan, gone_s = store.plan, (now - store.at_ms) / 1000
             idle = gone_s * 1000 > FORGET_MS and not store.queue and store.wake_ms == math.inf
             if idle and store.level + plan.rate_per_s * gone_s >= plan.burst and (
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -167,6 +167,8 @@
     plan_index: dict[str, int] = field(default_factory=dict)
     accounts: dict[tuple[str, str, int, int], Account] = field(default_factory=dict)
     stores: dict[int, Store] = field(default_factory=dict)  # of which this gateway is the home, by store_name
+    accounts_left: list[tuple[str, str, int, int]] = field(default_factory=list)  # not tidied in this round
+    stores_left: list[int] = field(default_factory=list)
     asking: dict[int, Request] = field(default_factory=dict)  # by serial
     outbox: dict[int, list[Item]] = field(default_factory=dict)  # by gateway
     heard_ms: dict[int, float] = field(default_factory=dict)  # when other gateways last told us anything
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -4,7 +4,16 @@
 from test_rules import settings
 
 from anisefront import messages
-from anisefront.control import CENTRES, FORGET_MS, Controller, FuzzyShare, Window, store_name
+from anisefront.control import (
+    CENTRES,
+    FORGET_MS,
+    TIDY_LEAST,
+    TIDY_PARTS,
+    Controller,
+    FuzzyShare,
+    Window,
+    store_name,
+)
 from anisefront.interface import (
     Arrival,
     Cancel,
@@ -296,6 +305,20 @@
     assert not c.quota.accounts and not c.quota.stores
 
 
+def test_among_many_customers_a_part_is_looked_at_each_time_and_all_in_the_end():
+    """A look at 50,000 at a stroke held everything else up for 154 ms."""
+    c = gateway(gateways=1, number=0)
+    c.handle(1000, [FLEET])
+    c.handle(1001, [event for n in range(2000) for event in (ask(n, customer=f"c{n}"), ClientGone(n))])
+    late, left = 1001 + 10 * FORGET_MS, []
+    for _ in range(2 * TIDY_PARTS):
+        before = len(c.quota.accounts)
+        c.quota.forget(late, ())
+        left.append(len(c.quota.accounts))
+        assert before - left[-1] <= max(TIDY_LEAST, 2000 // TIDY_PARTS)
+    assert left[0] >= 1900 and left[-1] == 0 and not c.quota.stores and not c.quota.accounts_left
+
+
 def test_another_plan_or_set_in_a_customers_name_binds_nothing_of_its_own():
     c = gateway(gateways=1, number=0)
     c.handle(1000, [FLEET, ask(1, plan="open"), ask(2)])
