--- a/tests/test_quota_hard.py
+++ b/tests/test_quota_hard.py
@@ -176,8 +176,8 @@
 
 
 def test_a_low_ceiling_leaves_a_firm_its_whole_quota(monkeypatch):
-    """With half of the ceiling at the home, 1.7 times the quota granted 0.82 of it. Of 6,728 tries refused with
-    half of their quota unused, in two simulated days, 4,775 were of the plan with a ceiling."""
+    """With half of the ceiling at the home, 1.7 times the quota granted 0.82 of it. Of 6,728 tries refused
+    with half of their quota unused, in two simulated days, 4,775 were of the plan with a ceiling."""
     def play():
         rig = Rig(ceiling=1.7)
         rig.crowd([0, 1, 2, 3], 1.2 * rig.plan.rate_per_s, 0, 24_000)
