Ask a shared discovery for changes alone, wait for the turn, come again with full jitter

All 40 asked for the whole list and a watch within 0.3 s, gave a call up after 1 s, and came again after 20 ms to 0.5 s, in step: 72 to 181 calls a second turned away (503) for 33 s, two watches that ended empty, and not one list: to the end all 40 believed in 60 warm servers, while 54 of them were replaced (100 to 140 refused connects a second). Lines at fault: discovery.py, CALL_S = 1.0, FIRST_WAIT_S/MOST_WAIT_S, and the whole list after any failure.

Change: what is asked and when is decided in anisefront/watching.py. Of a shared service: a watch from the known list's version, 5 s more for its turn, the first call within 100 ms a gateway, one after a failure within a span of 200 ms a gateway that doubles up to 16 s. An agent of our own is asked as before. No wait for a first list where a watch says nothing.

--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -5,12 +5,14 @@
 import asyncio
 import logging
 import os
+import random
 import signal
 import sys
 from dataclasses import replace
 
 import uvloop
 
+from anisefront.watching import Watching
 from plumpick.config import Config, ConfigError, load
 from plumpick.discovery import Discovery
 from plumpick.fronts.http.front import HttpFront
@@ -61,13 +63,17 @@
     gatekeeper.add(front)
     gatekeeper.listed(config.known)
     gatekeeper.peers.open(loop)
-    discovery = Discovery(config.discovery, gatekeeper.listed)
+    shared, known = config.settings.must_subscribe, config.known.entries
+    plan = Watching(config.settings.gateways if shared else 0, config.known.index if known else None,
+                    random.Random(config.seed))
+    discovery = Discovery(config.discovery, gatekeeper.listed, plan)
     tasks = [loop.create_task(discovery.run()),
              loop.create_task(reload(config, discovery, reload_asked, system))]
     server = await loop.create_server(front.connection, *config.listen, backlog=BACKLOG,
                                       reuse_address=True)
     try:
-        await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
+        if not (shared and known):  # there a watch says nothing while nothing has changed
+            await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
     except TimeoutError:
         log.warning("discovery is silent; starting with the known list")
     system.settle()
--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -1,22 +1,23 @@
-"""Discovery: the whole list at the start, then a watch for changes, for as long as the gatekeeper runs."""
+"""Discovery: a watch for changes of the list of workers, for as long as the gatekeeper runs."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 
 import httptools
 
+from anisefront import watching
 from anisefront.settings import SettingsError
+from anisefront.watching import Watching
 from plumpick.config import Address, WorkerList, worker_list_from
 
 PATH = "/discovery/hosts"
-CALL_S = 1.0  # for what is answered at once: to connect, and the whole list
-WATCH_MS, WATCH_SPARE_S = 5000, 1.0  # a watch waits so long; one that is so much late is broken
-FIRST_WAIT_S, MOST_WAIT_S = 0.02, 0.5  # between calls that fail
 LEAST_GAP_S = 0.05  # between answers that bring nothing, should they come at once
+FAULT_WAIT_S = 0.5  # after a fault of ours
 MAX_ANSWER = 8 * 1024 * 1024
 
 log = logging.getLogger(__name__)
@@ -43,10 +44,12 @@
 
 
 class Discovery:
-    """Watches the list of workers and passes on all that it is told."""
+    """Watches the list of workers and passes on all that it is told. `plan`: what is asked, and when."""
 
-    def __init__(self, address: Address, told: Callable[[WorkerList], None]) -> None:
+    def __init__(self, address: Address, told: Callable[[WorkerList], None],
+                 plan: Watching | None = None) -> None:
         self._address, self._told = address, told
+        self._plan = plan or Watching(0, None, random.Random(0))  # an agent of our own: no chance in it
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._quiet = False  # a failure has been logged, and no success since
@@ -58,6 +61,7 @@
         """From now on ask at another address, beginning with its whole list."""
         if address != self._address:
             self._address, self._quiet = address, False
+            self._plan.afresh()
             self._moved.set()
 
     async def run(self) -> None:
@@ -74,36 +78,34 @@
                 ended, _ = await asyncio.gather(watch, moved, return_exceptions=True)
             if not self._moved.is_set():  # a fault of ours must not end the watch for good
                 log.error("the watch of discovery failed", exc_info=ended)
-                await asyncio.sleep(MOST_WAIT_S)
+                self._plan.afresh()
+                await asyncio.sleep(FAULT_WAIT_S)
 
     async def _watch(self) -> None:
-        """Ask and watch at one address. Any failure begins again with the whole list."""
-        loop, wait_s = asyncio.get_running_loop(), FIRST_WAIT_S
+        """Ask and watch at one address, as the plan has it."""
+        loop, plan = asyncio.get_running_loop(), self._plan
         try:
             while True:
+                call = plan.next()
+                if call.after_ms:
+                    await asyncio.sleep(call.after_ms / 1000)
+                asked_s, target = loop.time(), PATH
+                if call.since is not None:
+                    target = f"{PATH}?since={call.since}&timeout_ms={call.wait_ms:.0f}"
                 try:
-                    news = await self._call(PATH, CALL_S)
-                    if not news.complete:
-                        raise CallFailed("a change came where the whole list was asked for")
-                    self._take(news)
-                    wait_s = FIRST_WAIT_S
-                    while True:
-                        asked_s = loop.time()
-                        index = news.index
-                        news = await self._call(f"{PATH}?since={index}&timeout_ms={WATCH_MS}",
-                                                WATCH_MS / 1000 + WATCH_SPARE_S)
-                        if news.index < index and not news.complete:
-                            raise CallFailed("the version went back")
-                        self._take(news)
-                        if not news.entries and loop.time() - asked_s < LEAST_GAP_S:
-                            await asyncio.sleep(LEAST_GAP_S)
-                except CallFailed as problem:
+                    news = await self._call(target, call.within_ms / 1000)
+                    problem = plan.answered(news.index, news.complete)
+                except CallFailed as failure:
+                    problem = plan.failed(str(failure))
+                if problem:
                     self._hang_up()
                     if not self._quiet:
                         log.warning("discovery: %s", problem)
                     self._quiet = True
-                    await asyncio.sleep(wait_s)
-                    wait_s = min(MOST_WAIT_S, 2 * wait_s)
+                    continue
+                self._take(news)
+                if not news.entries and loop.time() - asked_s < LEAST_GAP_S:
+                    await asyncio.sleep(LEAST_GAP_S)
         finally:
             self._hang_up()
 
@@ -137,7 +139,7 @@
 
     async def _get(self, target: str) -> bytes:
         if self._writer is None:
-            async with asyncio.timeout(CALL_S):
+            async with asyncio.timeout(watching.CALL_MS / 1000):
                 self._reader, self._writer = await asyncio.open_connection(*self._address)
         assert self._reader is not None
         host = f"{self._address[0]}:{self._address[1]}"
