--- a/anisefront/watching.py
+++ b/anisefront/watching.py
@@ -2,12 +2,12 @@
 
 Two kinds of discovery. An agent of our own answers at once and at no cost: it is asked for the whole list,
 then watched, and asked again soon after a failure. A service that all gateways share has calls wait in turn
-and turns away what it cannot take in time. Danger: forty gateways that begin together, give up a call before its
-turn has come and ask again twice a second keep it at its limit for good; seen: not one list in 33 s, 2,500
-calls turned away. So there a watch begins from the list at hand (one call, not two, for what has changed),
-waits for its turn, and after a failure comes again by exponential back-off with full jitter (Brooker,
-"Exponential Backoff And Jitter", AWS Architecture Blog, 2015): anywhere within a span that doubles, so that
-calls do not fall in step."""
+and turns away what it cannot take in time. Danger: forty gateways that begin together, give up a call
+before its turn has come and ask again twice a second keep it at its limit for good; seen: not one list in
+33 s, 2,500 calls turned away. So there a watch begins from the list at hand (one call, not two, for what
+has changed), waits for its turn, and after a failure comes again by exponential back-off with full jitter
+(Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015): anywhere within a span that
+doubles, so that calls do not fall in step."""
 
 from __future__ import annotations
 
