Let life signs fill 0.3 of an inbox at most: forty gateways sent each other 78 a second

Lines at fault: Quota.ping, PING_MS for any number of gateways.

Change: ping_ms(settings), the time in which life signs of all others fill PING_PART of an inbox (500 ms up to ten gateways, as before; 2.2 s at forty); a gateway counts as lost after HOLD_PINGS of them; bounds.py states it so.

Tests: forty modules in the rig, life signs against business by inbox; both fail by the old pace.

--- a/anisefront/bounds.py
+++ b/anisefront/bounds.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from anisefront.control import CEILING_USE, HOLD_MS, OWN_PART, PING_ALL, PING_MS
+from anisefront.control import CEILING_USE, HOLD_PINGS, OWN_PART, PING_ALL, ping_ms
 from anisefront.interface import Plan, Settings
 
 WINDOWS_S = (1.0, 10.0, 60.0)
@@ -95,16 +95,16 @@
         # Quota.at_home: a new store is full. A customer has one home, so all restarting is one for it. What
         # its gateways drew while it was away is booked nowhere, but nor did the home grant then.
         return own + restarts * plan.burst
-    # A split: the far side lives on own buckets, which fill at their part of the quota. From HOLD_MS after
+    # A split: the far side lives on own buckets, which fill at their part of the quota. From HOLD_PINGS after
     # the last word on that is the even part (Quota.account), and the home keeps as much back
-    # (Quota.part_here); their last words may lie PING_MS apart (Quota.ping), and two more where signs
+    # (Quota.part_here); their last words may lie one apart (Quota.ping), and two more where signs
     # were lost. Before that, the far side's parts make the quota at most.
     cut_off = count - 1 if far is None else far
     if not 0 <= cut_off < max(2, count):
         raise BoundsError(f"far: {cut_off} of {count} gateways")
     if not cut_off:
         return own
-    unsure_s = min(window_s, (HOLD_MS + 3 * PING_MS) / 1000)
+    unsure_s = min(window_s, (HOLD_PINGS + 3) * ping_ms(settings) / 1000)
     # Among many gateways only those that asked a home of late give it life signs, so a firm that goes to a
     # gateway new to it has its even part there besides.
     new = 0.0 if settings.gateways - 1 <= PING_ALL else (window_s - unsure_s) * cut_off / count
--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -70,8 +70,9 @@
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
 NEW_PART = 0.5  # of a quota asked by a firm's gateways of late that still lets a new store begin full
 RESERVE = 0.8  # of the burst that what is worth nothing leaves in store, and less the more it is worth
-HOLD_MS = 2000.0  # a gateway that is silent for longer lives by its even part, and its home keeps that back
-PING_MS, PING_ALL = 500.0, 8  # a home hears its askers as often; with no more others than that, all do
+# A home hears its askers as often, with no more others than that all do; in a wide tier as often as life
+# signs of all fill so much of an inbox. Who is silent for so many times that lives by its even part.
+PING_MS, PING_ALL, PING_PART, HOLD_PINGS = 500.0, 8, 0.3, 4.0
 UNHEARD_MS, UNHEARD_MOST = 10_000.0, 256  # what went out while a home was silent is told it again after
 OUTBOX_MESSAGES = 4  # so many messages of business wait for one gateway at most
 LEASE_AIMS = 1.5  # a slot whose end is never told is free again after so many aims
@@ -232,6 +233,14 @@
     return part
 
 
+def ping_ms(settings: Settings) -> float:
+    """How long a gateway that asked a home is silent to it at most, messages lost aside.
+
+    Danger: the inbox is the tier's scarcest good. Seen at 40 gateways that each sent 39 life signs every
+    500 ms: 1,600 of 2,400 messages a second that all inboxes take, and one of five lost, business as well."""
+    return max(PING_MS, 1000 * (settings.gateways - 1) / (PING_PART * (settings.inbox_per_s or math.inf)))
+
+
 def store_name(item: Item) -> int:
     """The store that an item of business is about: of a customer, and of the plan that is said to be its."""
     return item.tag << 4 | item.plan_index
@@ -250,6 +259,7 @@
         # By name: an index of records compares all their fields.
         self.class_index = {kind.name: place for place, kind in enumerate(self.settings.classes)}
         self.plan_index = {plan.name: place for place, plan in enumerate(self.settings.plans)}
+        self.hold_ms = HOLD_PINGS * ping_ms(self.settings)
         self.boot, self.serial = random.Random(f"{self.boot}/{now}").choices(range(1 << 16), k=2)
         if self.pings_all():  # who tells nothing from the start may be cut off, and live by its own part
             self.last_ms = dict.fromkeys(set(range(self.settings.gateways)) - {self.settings.number}, now)
@@ -328,7 +338,7 @@
     def is_lost(self, now: float, other: int) -> bool:
         """Whether a gateway that spoke to us in this life has been silent for so long that each of us goes by
         its own part. Both reckon from what they heard last, so what the two take to be so is the same."""
-        return now - self.last_ms.get(other, now) > HOLD_MS
+        return now - self.last_ms.get(other, now) > self.hold_ms
 
     def is_heard(self, now: float, other: int) -> None:
         """A gateway has told us something. If it was silent, it may not have heard what we told it."""
@@ -362,10 +372,11 @@
     def ping(self, now: float) -> None:
         """A life sign, where nothing else was told of late, to the homes of our customers."""
         if self.settings.may_tell:
+            gap_ms = ping_ms(self.settings)
             wide = range(self.settings.gateways) if self.pings_all() else (
                 {account.home for account in self.accounts.values()})
             for other in wide:
-                if other != self.settings.number and now - self.told_ms.get(other, -math.inf) >= PING_MS:
+                if other != self.settings.number and now - self.told_ms.get(other, -math.inf) >= gap_ms:
                     self.outbox.setdefault(other, [])
 
     def ask(self, now: float, request: Request) -> None:
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -179,6 +179,7 @@
     heard: float = 0.0  # fading count of messages heard
     unheard: dict[int, list[tuple[float, Item]]] = field(default_factory=dict)  # told while it was silent
     flush_ms: float = 0.0
+    hold_ms: float = 2000.0  # a gateway that is silent for longer lives by its even part; its home keeps that
     silent: set[int] = field(default_factory=set)  # homes that left a question unanswered
 
 
--- a/tests/quota_rig.py
+++ b/tests/quota_rig.py
@@ -38,9 +38,10 @@
 class Rig:
     """`way(sender, receiver, now)` says how long a message takes, None for lost."""
 
-    def __init__(self, rate=8.0, burst=16.0, gateways=4, seed=1, way=lambda *_: 5.0, inbox=60.0, ceiling=0.0):
+    def __init__(self, rate=8.0, burst=16.0, gateways=4, seed=1, way=lambda *_: 5.0, inbox=60.0, ceiling=0.0,
+                 spread=4):
         self.plan = Plan("basico", rate, burst, ceiling_per_s=ceiling * rate, ceiling_burst=ceiling * burst)
-        self.way, self.inbox, self.gateways = way, inbox, gateways
+        self.way, self.inbox, self.gateways, self.spread = way, inbox, gateways, spread
         self.rng = random.Random(seed)
         self.now, self.queue, self.serial = 0.0, [], itertools.count()
         self.ids = itertools.count(1)
@@ -121,11 +122,12 @@
     # -- who asks
 
     def home(self, firm="f"):
-        return tag_of(firm) % self.gateways
+        return tag_of(firm) % min(self.spread, self.gateways)
 
     def ask(self, number, firm="f"):
         self.notice(number, self.life[number], Arrival(
-            next(self.ids), firm, "seat-check", "basico", self.now + 2000, 1.0, 0, min(4, self.gateways)))
+            next(self.ids), firm, "seat-check", "basico", self.now + 2000, 1.0, 0,
+            min(self.spread, self.gateways)))
 
     def crowd(self, gates, rate, from_ms, until_ms, firm="f"):
         """Poisson arrivals, at any of these gateways that is up; `rate` a second over all of them."""
--- a/tests/test_quota_hard.py
+++ b/tests/test_quota_hard.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -39,7 +40,7 @@
         assert rig.count(8000, 24_000, {3}) == pytest.approx(rate / 4 * 16, rel=0.25)
         assert rig.count(8000, 24_000, {0, 1, 2}) == pytest.approx(rate * 3 / 4 * 16, rel=0.25)
         assert rig.count(26_000, 30_000) >= rate * 4 * 0.7  # and after it, the whole quota again
-    monkeypatch.setattr(control, "HOLD_MS", math.inf)
+    monkeypatch.setattr(control, "HOLD_PINGS", math.inf)
     loose = [both_sides_crowd(seed) for seed in (1, 2, 3)]
     assert all(rig.count(8000, 24_000) > rate * 16 * 1.15 for rig in loose)
 
@@ -224,3 +225,35 @@
         rig.at(8000 + n, rig.ask, 0)
     rig.run(8500)
     assert rig.count(8000, 8500) == 16
+
+
+# ---- a wide tier --------------------------------------------------------------------------------
+
+
+def test_life_signs_of_forty_gateways_leave_their_inboxes_to_business():
+    """Each asks homes at all others. A sign of each to each every half second would be 78 a second."""
+    rig = Rig(rate=1.0, burst=4.0, gateways=40, spread=40)
+    for firm in range(120):
+        rig.crowd(range(40), 0.7, 0, 12_000, f"g{firm}")
+    rig.run(12_000)
+    signs, business = Counter(), Counter()
+    for t, _, receiver, news in rig.told:
+        if t >= 4000:
+            (business if news.items else signs)[receiver] += 1 / 8
+    assert max(signs.values()) <= 0.4 * rig.inbox
+    assert sum(business.values()) > sum(signs.values()) and max((signs + business).values()) < rig.inbox
+    assert not any(module.silent_homes() for module in rig.modules)  # and nobody is taken to be away
+
+
+def test_a_wide_tier_takes_longer_to_hold_a_gateway_for_lost_and_says_so():
+    """What `plumpick bounds` states of a split goes by the same pace."""
+    narrow, wide = Rig(gateways=4), Rig(gateways=40, spread=40)
+    plan = narrow.plan
+    def split(rig):
+        return beyond_quota(plan, rig.settings(0), Situation.SPLIT, 60.0, spread=4, far=3)
+    assert wide.modules[0].quota.hold_ms == narrow.modules[0].quota.hold_ms  # not begun yet
+    for rig in (narrow, wide):
+        rig.run(100)
+    assert narrow.modules[0].quota.hold_ms == 2000.0
+    assert 8000.0 < wide.modules[0].quota.hold_ms < 9000.0
+    assert split(wide) > split(narrow)
