Count over a whole tier what its gatekeepers did and believed: plumpick counts

Change: `python -m plumpick.tools.traced` serves as the daemon does and writes events, actions, dials, calls of discovery and beliefs as lines of JSON; `plumpick counts DIR` adds the logs of a tier up. Nothing of it is imported by the daemon.

--- a/plumpick/cli.py
+++ b/plumpick/cli.py
@@ -68,6 +68,11 @@
     bounds.add_argument("--loss", type=float, default=0.08, help="share of messages lost (0.08)")
     bounds.add_argument("--restarts", type=int, default=1, help="of a home within a window (1)")
     bounds.set_defaults(run="bounds")
+    counts = tools.add_parser("counts", help="add up what a whole tier did, from its gatekeepers' records")
+    counts.add_argument("folder", help="with a NAME.log of each gatekeeper (plumpick.tools.traced)")
+    counts.add_argument("--span", type=float, default=1000.0, metavar="MS", help="a row for so long (1000)")
+    counts.add_argument("--json", action="store_true", help="print it as JSON")
+    counts.set_defaults(run="counts")
     simulate = tools.add_parser("simulate", help="play seeded faults on a virtual clock and network")
     simulate.add_argument("--seeds", default="1-100", metavar="A-B", help="play these (1-100)")
     simulate.add_argument("--seed", type=int, metavar="N", help="play this one and tell its story")
@@ -101,6 +106,10 @@
         from plumpick.tools.bounds import bounds
 
         return bounds(given)
+    if given.run == "counts":
+        from plumpick.tools.counts import counts
+
+        return counts(given)
     try:
         if given.run == "simulate":
             from plumpick.simulation.commands import simulate
--- /dev/null
+++ b/plumpick/tools/counts.py
@@ -0,0 +1,150 @@
+"""`plumpick counts DIR`: what a whole tier did, added up from the records of its gatekeepers.
+
+A record is what `python -m plumpick.tools.traced` writes: lines with `@` and a JSON array of kind, Unix time
+in milliseconds and parts; what stands before the `@`, and lines without one, are skipped. One file a
+gatekeeper, named `NAME.log`."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from plumpick.cli import EXIT_HELD, EXIT_USAGE
+
+COLUMNS = ("arrival", "send", "credit", "refuse", "fail", "OK", "FULL", "CONNECT_FAILED", "RESET", "TIMEOUT",
+           "handshake", "call", "turned away", "tell", "sign", "heard")
+
+
+class CountsError(ValueError):
+    """Records that cannot be used; the text says why."""
+
+
+@dataclass(slots=True)
+class Slice:
+    """What passed over all gatekeepers within one span of time."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    workers: Counter[str] = field(default_factory=Counter)  # attempts, by worker
+    beliefs: list[dict[str, Any]] = field(default_factory=list)
+
+    def belief(self, name: str) -> float:
+        """The mean over gatekeepers of a figure that they believe; 0 where nobody told one."""
+        told = [row[name] for row in self.beliefs if isinstance(row.get(name), (int, float))]
+        return sum(told) / len(told) if told else 0.0
+
+
+def rows_of(lines: Iterable[str]) -> tuple[list[list[Any]], int]:
+    """The records in a log, and how many lines began like one and could not be read (torn, by a kill)."""
+    rows, torn = [], 0
+    for line in lines:
+        at = line.find('@["')
+        if at < 0:
+            continue
+        try:
+            row = json.loads(line[at + 1:])
+        except ValueError:
+            torn += 1
+            continue
+        if len(row) >= 2 and isinstance(row[0], str) and isinstance(row[1], (int, float)):
+            rows.append(row)
+        else:
+            torn += 1
+    return rows, torn
+
+
+def count_row(into: Slice, row: list[Any]) -> None:
+    """Add one record up. One whose parts are not as they should be raises IndexError or TypeError."""
+    kind = row[0]
+    if kind == "send":
+        into.workers[row[3]] += 1
+        into.counts["credit"] += bool(row[4]) and not row[5]
+    elif kind == "outcome":
+        into.counts[row[4]] += 1
+    elif kind == "dial":
+        into.counts["handshake"] += row[3] == "up"
+    elif kind == "call":
+        into.counts["turned away"] += row[3] != "ok"
+    elif kind == "tell":
+        into.counts["sign"] += not row[3]
+    elif kind == "belief":
+        into.beliefs.append(row[2])
+    into.counts[kind] += 1
+
+
+def add_up(rows: Iterable[list[Any]], span_ms: float) -> tuple[dict[int, Slice], int]:
+    """By slice from the first arrival on (earlier ones are below 0), and how many records were malformed.
+
+    Raises CountsError where no request ever came."""
+    rows = list(rows)
+    begun = min((row[1] for row in rows if row[0] == "arrival"), default=None)
+    if begun is None:
+        raise CountsError("no request in these records")
+    slices: dict[int, Slice] = {}
+    malformed = 0
+    for row in rows:
+        try:
+            count_row(slices.setdefault(int((row[1] - begun) // span_ms), Slice()), row)
+        except (IndexError, TypeError):
+            malformed += 1
+    return slices, malformed
+
+
+def summary(slices: dict[int, Slice]) -> dict[str, float]:
+    """Figures of the whole time: handshakes for each send, peak of calls and messages a slice, the highest
+    load of a worker over the mean of those that were sent anything in that slice."""
+    sends = sum(one.counts["send"] for one in slices.values())
+    total = sum(one.counts["handshake"] for one in slices.values())
+    tilts = [max(one.workers.values()) * len(one.workers) / sum(one.workers.values())
+             for one in slices.values() if sum(one.workers.values()) >= 4 * len(one.workers) > 0]
+    return {"sends": sends, "handshakes a send": round(total / max(1, sends), 3),
+            "calls of discovery, most in a slice": max(one.counts["call"] for one in slices.values()),
+            "messages, most in a slice": max(one.counts["tell"] for one in slices.values()),
+            "messages not taken in": sum(one.counts["tell"] - one.counts["heard"] for one in slices.values()),
+            "sends on credit": sum(one.counts["credit"] for one in slices.values()),
+            "worker's load over the mean, most": round(max(tilts, default=0.0), 2)}
+
+
+def text_of(slices: dict[int, Slice], span_ms: float) -> str:
+    """The table for a person: a row a slice, then what the gatekeepers believed on the mean."""
+    believed = ("warm", "cold", "silent", "limit")
+    lines = [f"{'s':>6}" + "".join(f"{name[:9]:>10}" for name in (*COLUMNS, *believed))]
+    for place in sorted(slices):
+        one = slices[place]
+        cells = [f"{one.counts[name]:>10}" for name in COLUMNS]
+        cells += [f"{one.belief(name):>10.1f}" for name in believed]
+        lines.append(f"{place * span_ms / 1000:>6.1f}" + "".join(cells))
+    return "\n".join(lines + [f"{name}: {value}" for name, value in summary(slices).items()])
+
+
+def counts(given: argparse.Namespace) -> int:
+    """The tool."""
+    files = sorted(Path(given.folder).glob("*.log"))
+    if not files or given.span <= 0:
+        problem = "no *.log there" if not files else "--span takes milliseconds above 0"
+        print(f"plumpick: {given.folder}: {problem}", file=sys.stderr)
+        return EXIT_USAGE
+    rows, torn = [], 0
+    try:
+        for path in files:
+            more, bad = rows_of(path.read_text(encoding="utf-8", errors="replace").splitlines())
+            rows, torn = rows + more, torn + bad
+        slices, malformed = add_up(rows, given.span)
+    except OSError as problem:
+        print(f"plumpick: {given.folder}: {problem.strerror}", file=sys.stderr)
+        return EXIT_USAGE
+    except CountsError as problem:
+        print(f"plumpick: {given.folder}: {problem}", file=sys.stderr)
+        return EXIT_USAGE
+    if given.json:
+        print(json.dumps({"slices": {place * given.span: dict(one.counts) for place, one in slices.items()},
+                          "summary": summary(slices), "torn": torn + malformed}, indent=1))
+    else:
+        print(text_of(slices, given.span))
+        print(f"{torn + malformed} lines could not be read")
+    return EXIT_HELD
--- /dev/null
+++ b/plumpick/tools/traced.py
@@ -0,0 +1,184 @@
+"""The daemon with a record of what it does: `python -m plumpick.tools.traced`, in place of `-m plumpick`.
+
+One line of JSON for each event and action of the module, each connection that is opened and each call of
+discovery goes to standard error, after `@`; `plumpick counts DIR` adds the logs of a whole tier up. The
+decisions are those of the daemon, compiled where they are. What the record costs is CPU: not for service."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+from typing import Any
+
+from plumpick import compiled
+
+BELIEF_MS = 100.0  # what the module believes is written so often
+KEPT_LINES = 50  # lines that wait to be written out together
+
+
+class Record:
+    """Lines of JSON on standard error, each with the kind of what passed and when, in Unix milliseconds."""
+
+    def __init__(self) -> None:
+        self._base_ms = time.time() * 1000 - time.monotonic() * 1000
+        self._lines: list[str] = []
+
+    def now(self) -> float:
+        """Unix time in milliseconds."""
+        return self._base_ms + time.monotonic() * 1000
+
+    def write(self, kind: str, *parts: Any) -> None:
+        """One line, soon."""
+        row = (kind, round(self.now(), 1), *parts)
+        self._lines.append("@" + json.dumps(row, separators=(",", ":")) + "\n")
+        if len(self._lines) >= KEPT_LINES:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write out what is kept."""
+        sys.stderr.write("".join(self._lines))
+        sys.stderr.flush()
+        self._lines = []
+
+
+class Recording:
+    """A controller that writes down what comes in and goes out, and leaves all else to the real one."""
+
+    def __init__(self, record: Record, inner: Any) -> None:
+        from anisefront import interface, messages
+        self._record, self._inner, self._face, self._decode = record, inner, interface, messages.decode
+        self._belief_ms = 0.0
+        self._requests: dict[int, Any] = {}  # the module's own records of those that are open
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._inner, name)
+
+    def handle(self, now_ms: float, events: list[Any]) -> list[Any]:
+        """One turn of the module."""
+        face = self._face
+        for event in events:
+            self._came(event)
+        actions: list[Any] = self._inner.handle(now_ms, events)
+        for event in events:
+            if isinstance(event, face.Arrival):
+                self._requests[event.id] = self._inner.requests.get(event.id)
+        for action in actions:
+            self._went(action)
+        for one in [*events, *actions]:
+            over = isinstance(one, (face.Refuse, face.Fail, face.ClientGone))
+            if over or isinstance(one, face.Outcome) and one.final:
+                self._requests.pop(one.id, None)
+        if now_ms >= self._belief_ms:
+            self._belief_ms = now_ms + BELIEF_MS
+            self._believed()
+            self._record.flush()
+        return actions
+
+    def _came(self, event: Any) -> None:
+        face, write = self._face, self._record.write
+        if isinstance(event, face.Arrival):
+            write("arrival", event.id, event.customer, event.plan_name, event.class_name, event.first_gateway,
+                  event.spread, int(event.is_repeat), round(event.due_ms - self._record.now()))
+        elif isinstance(event, face.Outcome):
+            write("outcome", event.id, event.server, event.result.name, round(event.took_ms, 1), event.load)
+        elif isinstance(event, face.ClientGone):
+            write("gone", event.id)
+        elif isinstance(event, face.Heard):
+            news = self._decode(event.data)
+            write("heard", event.sender, [item.kind for item in news.items] if news else None)
+        elif isinstance(event, face.Fleet):
+            write("list", int(event.complete), [(server.id, server.state.name, server.started_ms)
+                                                for server in event.servers])
+
+    def _went(self, action: Any) -> None:
+        face, write = self._face, self._record.write
+        if isinstance(action, face.Send):
+            request = self._inner.requests.get(action.id)
+            write("send", action.id, action.server, request.paid if request else 0.0,
+                  int(bool(request and request.answered)))
+        elif isinstance(action, face.Refuse):
+            write("refuse", action.id, round(action.retry_in_ms), self._state(action.id))
+        elif isinstance(action, face.Fail):
+            write("fail", action.id, self._state(action.id))
+        elif isinstance(action, face.Tell):
+            news = self._decode(action.data)
+            write("tell", action.receiver, [item.kind for item in news.items] if news else [],
+                  len(action.data))
+
+    def _state(self, number: int) -> str:
+        """How far a request had come: sent, held, or how its home had been heard."""
+        request = self._requests.get(number)
+        if request is None:
+            return "none"
+        if request.attempts:
+            return "sent"
+        if request.held or not request.waiting:
+            return "held"
+        return "asked" if request.answered else "unheard" if request.asks else "unasked"
+
+    def _believed(self) -> None:
+        window, servers, quota = self._inner.window, self._inner.servers, self._inner.quota
+        self._record.write("belief", {
+            "limit": round(window.limit, 2), "out": round(window.out, 2), "cut": round(window.cut, 2),
+            "room": round(window.room, 2), "fleet_room": round(window.fleet_room, 2),
+            "idle": round(window.idle, 2), "held": len(self._inner.held), "waiting": len(quota.asking),
+            "silent": len(quota.silent), "rtt": round(quota.rtt_ms, 1), "warm": len(servers.warm),
+            "cold": len(servers.cold), "near": len(servers.near), "suspects": len(servers.suspects),
+            "budget": round(self._inner.budget, 1)})
+
+
+def main() -> int:
+    """Serve as the daemon does, with a record; the exit code."""
+    which = compiled.use()
+    import uvloop  # only now, as the daemon: what follows imports the decisions
+
+    from anisefront.control import Controller
+    from plumpick import daemon
+
+    record, plain = Record(), daemon.Gatekeeper
+
+    class Loop(uvloop.Loop):  # type: ignore[misc]
+        async def create_connection(self, factory: Any, host: str, port: int) -> Any:
+            began = record.now()
+            try:
+                made = await super().create_connection(factory, host, port)
+            except BaseException as problem:  # told and passed on, a cancelling too
+                record.write("dial", host, type(problem).__name__, round(record.now() - began, 1))
+                raise
+            record.write("dial", host, "up", round(record.now() - began, 1))
+            return made
+
+    class Discovery(daemon.Discovery):
+        async def _call(self, target: str, limit_s: float) -> Any:
+            began = record.now()
+            try:
+                news = await super()._call(target, limit_s)
+            except BaseException as problem:
+                record.write("call", target, str(problem) or type(problem).__name__,
+                             round(record.now() - began))
+                raise
+            record.write("call", target, "ok", round(record.now() - began), len(news.entries))
+            return news
+
+    def gatekeeper(config: Any, loop: Any, system: Any) -> Any:
+        with open(os.environ["BALANCER_CONFIG"], encoding="utf-8") as file:
+            for key, value in json.load(file)["settings"].items():
+                record.write("settings", key, value)
+        return plain(config, loop, Recording(record, Controller(config.settings, config.seed)), system)
+
+    def run(serving: Any) -> None:
+        with asyncio.Runner(loop_factory=Loop) as runner:
+            runner.run(serving)
+        record.flush()
+
+    daemon.Discovery = Discovery  # type: ignore[misc]
+    daemon.Gatekeeper = gatekeeper  # type: ignore[assignment,misc]
+    daemon.uvloop = type("Uvloop", (), {"run": staticmethod(run)})  # type: ignore[assignment]
+    return daemon.main(which)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
