--- /dev/null
+++ b/tests/simulation/test_wide_tier.py
@@ -0,0 +1,36 @@
+"""Forty gatekeepers and sixty servers on the virtual machine: the troubles of a wide tier, all rules checked."""
+
+import pytest
+
+from plumpick.simulation.faults import Case, Fault
+from plumpick.simulation.world import World
+
+SECONDS, LOAD = 12.0, 0.1
+
+HERD = tuple(Fault("kill", round(4.0 + number * 0.01, 3), 0.0, {"gate": number, "back_s": 1.5})
+             for number in range(30))
+JOIN = (Fault("release", 3.0, 7.0, {"share": 0.6}),)
+ZONE = (Fault("silent-server", 3.0, 4.0, {"count": 20}),)
+
+
+def tier(faults):
+    """What came of it, and the pairs of gatekeeper and server that had a request."""
+    pairs, gates = set(), {}
+
+    def note(record):
+        if type(record).__name__ == "Asked":
+            gates[record.id] = record.gate
+        if type(record).__name__ == "Took":
+            pairs.add((gates[record.id], record.server))
+    world = World(Case(11, seconds=SECONDS, gatekeepers=40, servers=60, load=LOAD, faults=faults), record=note)
+    return world.play(), pairs
+
+
+@pytest.mark.parametrize("faults, least", [((), 0.9), (HERD, 0.75), (JOIN, 0.85), (ZONE, 0.85)],
+                         ids=["calm", "herd", "join", "zone"])
+def test_all_rules_hold_and_most_is_served(faults, least):
+    result, pairs = tier(faults)
+    assert not result.failed and not result.problems, (result.rule, result.text, result.problems)
+    assert result.requests > 300 and result.service >= least
+    if not faults:  # each server is met through a few gatekeepers alone
+        assert 60 <= len(pairs) <= 9 * 60
