--- a/tests/simulation/test_wide_tier.py
+++ b/tests/simulation/test_wide_tier.py
@@ -1,4 +1,4 @@
-"""Forty gatekeepers and sixty servers on the virtual machine: the troubles of a wide tier, all rules checked."""
+"""Forty gatekeepers and sixty servers on the virtual machine: a wide tier in trouble, all rules checked."""
 
 import pytest
 
@@ -22,8 +22,8 @@
             gates[record.id] = record.gate
         if type(record).__name__ == "Took":
             pairs.add((gates[record.id], record.server))
-    world = World(Case(11, seconds=SECONDS, gatekeepers=40, servers=60, load=LOAD, faults=faults), record=note)
-    return world.play(), pairs
+    case = Case(11, seconds=SECONDS, gatekeepers=40, servers=60, load=LOAD, faults=faults)
+    return World(case, record=note).play(), pairs
 
 
 @pytest.mark.parametrize("faults, least", [((), 0.9), (HERD, 0.75), (JOIN, 0.85), (ZONE, 0.85)],
