--- a/anisefront/aperture.py
+++ b/anisefront/aperture.py
@@ -7,7 +7,7 @@
 their names, each as long as its capacity; gateways stand at equal distances on it, and each takes the arc
 that begins where it stands. All arcs are alike long and cover each point equally often, so the load over
 all is even by capacity, also where each knows nothing of the others but how many they are. Where lists
-differ for a while, so do arcs a little, and that is all. """
+differ for a while, so do arcs a little, and that is all."""
 
 from __future__ import annotations
 
--- a/plumpick/tools/traced.py
+++ b/plumpick/tools/traced.py
@@ -10,10 +10,10 @@
 import json
 import os
 import sys
-import time
 from typing import Any
 
 from plumpick import compiled
+from plumpick.clock import Clock
 
 BELIEF_MS = 100.0  # what the module believes is written so often
 KEPT_LINES = 50  # lines that wait to be written out together
@@ -23,13 +23,9 @@
     """Lines of JSON on standard error, each with the kind of what passed and when, in Unix milliseconds."""
 
     def __init__(self) -> None:
-        self._base_ms = time.time() * 1000 - time.monotonic() * 1000
+        self.now = Clock().now
         self._lines: list[str] = []
 
-    def now(self) -> float:
-        """Unix time in milliseconds."""
-        return self._base_ms + time.monotonic() * 1000
-
     def write(self, kind: str, *parts: Any) -> None:
         """One line, soon."""
         row = (kind, round(self.now(), 1), *parts)
