--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -15,9 +15,11 @@
 from typing import Any, TypeVar
 
 from anisefront import aperture
+from anisefront.bans import Bans
+from anisefront.draining import Draining
 from anisefront.interface import (
-    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Plan, Refuse, Repeat,
-    RequestClass, Result, Scope, Send, Settings, Started, State, Subscribe, Tell, Wake,
+    Action, Arrival, Call, Cancel, ClientGone, Doors, Event, Fail, Fleet, Heard, Order, Outcome, Plan, Refuse,
+    Repeat, RequestClass, Result, Said, Scope, Send, Settings, Started, State, Subscribe, Tell, Wake,
 )
 from anisefront.messages import (
     MAX_ITEMS, MAX_SIGHTINGS, Item, Kind, Sighting, decode, encode, ratio_of, server_tag, sighting, tag_of,
@@ -638,6 +640,19 @@
         self.sort(now)
         return [backend for backend in before if backend.entry.state is not State.READY]
 
+    def order(self, now: float, call: Call, name: str) -> str:
+        """The operator's word on a server; what is wrong with it, or nothing."""
+        if call is Call.DISABLE:
+            wrong = self.bans.disable(name, self.known)
+        else:
+            back, wrong = name in self.bans, self.bans.enable(now, name, self.known)
+            if back and name in self.known:  # it is a new life, and has no past
+                old = self.known[name]
+                self.known[name] = new = Backend(old.entry, place=old.place)
+                self.by_tag[server_tag(name)] = new
+        self.sort(now)
+        return wrong
+
     def forget(self) -> None:
         """Of servers that have gone nothing is kept, once nothing is out there: ids may be ever new."""
         self.known = {name: backend for name, backend in self.known.items()
@@ -647,8 +662,8 @@
     def sort(self, now: float) -> None:
         """The servers that are ready, by warmth."""
         self.warm, self.cold, self.capacity = [], [], 0.0
-        ready = [(backend, self.warmth(now, backend)) for backend in self.known.values()
-                 if backend.entry.state is State.READY]
+        ready = [(backend, self.warmth(now, backend)) for name, backend in self.known.items()
+                 if backend.entry.state is State.READY and name not in self.bans]
         for backend, share in ready:
             (self.warm if share >= 1 else self.cold).append(backend)
             self.capacity += share
@@ -692,8 +707,9 @@
 
     def warmth(self, now: float, backend: Backend) -> float:
         """The share of its capacity that a server surely has by now."""
-        age, warm_up = now - backend.entry.started_ms, self.settings.warm_up_ms
-        if not backend.entry.started_ms or age >= warm_up:
+        began_ms = self.bans.began_ms(now, backend.entry.id, backend.entry.started_ms)
+        age, warm_up = now - began_ms, self.settings.warm_up_ms
+        if not began_ms or age >= warm_up:
             return 1.0
         return self.settings.cold_from + (1 - self.settings.cold_from) * max(0.0, age) / warm_up
 
@@ -720,6 +736,10 @@
             # Danger: a cold server falls over for good when all gateways overdo it. So chance decides, once
             # for each attempt: over all gateways it gets the part that its warmth is of the fleet of late.
             request.toss_ms = now + TOSS_MS
+            for backend in self.near_cold:  # one that the operator put back shows at once whether it serves
+                free = backend not in request.tried and (group is None or backend in group)
+                if free and self.bans.is_owed(now, backend.entry.id) and self.may_warm(now, backend):
+                    return backend
             toss = self.rng.random() * self.reference * self.near_part
             for backend in self.near_cold:
                 toss -= self.warmth(now, backend)
@@ -828,7 +848,8 @@
         self.settings, self.rng = settings, random.Random(seed)
         self.classes = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name: plan for plan in settings.plans}
-        self.window, self.servers = Window(settings.gateways), Servers(settings, self.rng, list(self.classes))
+        self.window, self.servers = Window(settings.gateways), Servers(
+            settings, self.rng, list(self.classes), Bans(settings.warm_up_ms))
         self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - ANSWER_PART), 1 / len(settings.classes))
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
@@ -848,6 +869,7 @@
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
         self.wake_ms = math.inf  # the wake-up that is asked for
         self.tidy_ms = 0.0
+        self.draining = Draining()
         self.faults: list[Exception] = []  # raised by events of this turn
         self.actions: list[Action] = []
 
@@ -901,6 +923,8 @@
                 self.close(self.requests[event.id])
             case Heard():
                 self.on_heard(event)
+            case Order():
+                self.on_order(event)
             case Fleet() if not event.failed:
                 left += self.servers.update(self.now, event)
                 self.window.set_limit(self.servers.capacity)
@@ -937,6 +961,8 @@
         elif what == "store":
             self.quota.stores[number].wake_ms = math.inf
             self.quota.serve(self.now, number)
+        elif what == "door":
+            self.actions.append(Doors(self.draining.stage(self.now)))
         elif what == "subscribe":
             self.actions += [Subscribe()] * self.settings.must_subscribe
         elif request is None or request.streaming:
@@ -1046,6 +1072,20 @@
         for item in news.items:
             self.quota.hear(self.now, event.sender, news.boot, item)
 
+    def on_order(self, order: Order) -> None:
+        """An operator's call; it is in force before it is answered."""
+        wrong = ""
+        if order.call is Call.DRAIN:
+            for at_ms, _ in self.draining.drain(self.now):
+                self.plan_at(at_ms, "door")
+        elif order.call is Call.UNDRAIN:
+            if self.draining.undrain() is not None:
+                self.plan_at(self.now, "door")
+        else:
+            wrong = self.servers.order(self.now, order.call, order.server)
+            self.window.set_limit(self.servers.capacity)
+        self.actions.append(Said(order.number, wrong))
+
     def on_arrival(self, arrival: Arrival) -> None:
         # Compiled, each is looked at when it is read; plain, what is of a wrong type would go some way.
         words = arrival.customer, arrival.class_name, arrival.plan_name
@@ -1125,6 +1165,7 @@
             self.waits[request.kind.name].append(self.now - request.came_ms)
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held, request.toss_ms = False, 0.0
+        self.servers.bans.sent(backend.entry.id)
         self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
         self.attempts[number, request.attempts] = Attempt(backend, request.kind.name, self.now)
         request.out[request.attempts] = backend
--- /dev/null
+++ b/anisefront/draining.py
@@ -0,0 +1,61 @@
+"""Sending clients away: what a drained gatekeeper still does for them, and until when. No I/O, no clock.
+
+After the operator's word the front learns by `/up` that it should send new connections elsewhere, which
+takes a moment; clients go on using the connections that they have. So at first only the answers change: each
+closes its connection. Then idle connections close, when no new one comes in any more and a request that
+crosses the close is sent again on a new one, elsewhere. What comes late, on a connection whose client writes
+slowly, is given an answer before the end, in place of its own time. At last those close on which no request
+has come whole. What is open is finished."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+IDLE_AFTER_MS = 500.0  # new connections come for 0.3 s more: the front asks each 0.1 s and sends for 0.2 s
+LATE_AFTER_MS = 1900.0  # nothing younger than 2 s may be open 4 s after the word; 0.1 s of that to spare
+LATE_FOR_MS = 2000.0  # so what comes from then on is answered within so long after that, whatever its time
+UNHEARD_AFTER_MS = 2500.0  # who connected in the first 0.3 s may take 2 s to write
+GRAIN_MS = 0.01  # a wake-up may be so early
+
+
+class Door(IntEnum):
+    """How the gatekeeper treats clients' connections; each stage keeps what those before it say."""
+
+    OPEN = 0  # connections are kept
+    LEAVING = 1  # `/up` says no; an answer closes its connection
+    IDLE = 2  # idle connections close
+    LATE = 3  # requests are answered within LATE_FOR_MS from the beginning of this stage
+    UNHEARD = 4  # all close on which no request has come whole
+
+
+class Draining:
+    """The state. `now` in milliseconds of any clock that only advances."""
+
+    def __init__(self) -> None:
+        self.since_ms: float | None = None
+
+    def drain(self, now: float) -> list[tuple[float, Door]]:
+        """The operator's word: what to do from now on, and when. Said twice, the first counts."""
+        if self.since_ms is not None:
+            return []
+        self.since_ms = now
+        return [(now, Door.LEAVING), (now + IDLE_AFTER_MS, Door.IDLE),
+                (now + LATE_AFTER_MS, Door.LATE), (now + UNHEARD_AFTER_MS, Door.UNHEARD)]
+
+    def undrain(self) -> Door | None:
+        """Clients are taken again; None if they were all along."""
+        if self.since_ms is None:
+            return None
+        self.since_ms = None
+        return Door.OPEN
+
+    def stage(self, now: float) -> Door:
+        """Which stage it is at this time."""
+        if self.since_ms is None:
+            return Door.OPEN
+        gone_ms = now - self.since_ms + GRAIN_MS
+        if gone_ms >= UNHEARD_AFTER_MS:
+            return Door.UNHEARD
+        if gone_ms >= LATE_AFTER_MS:
+            return Door.LATE
+        return Door.IDLE if gone_ms >= IDLE_AFTER_MS else Door.LEAVING
--- a/anisefront/interface.py
+++ b/anisefront/interface.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from anisefront.draining import Door
+
 
 class Repeat(Enum):
     """What a second run of a request would do."""
@@ -246,7 +248,25 @@
     name: str
 
 
-Event = Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted
+class Call(Enum):
+    """What an operator may order."""
+
+    DISABLE = "disable"  # nothing more to a worker
+    ENABLE = "enable"  # it is back
+    DRAIN = "drain"  # send clients away
+    UNDRAIN = "undrain"  # take them again
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An operator's call; `number` names it in the answer, `server` the worker that it is about."""
+
+    number: int
+    call: Call
+    server: str = ""
+
+
+Event = Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted | Order
 
 
 # ---- actions ------------------------------------------------------------------------------------
@@ -312,4 +332,19 @@
     """Ask discovery for changes from now on."""
 
 
-Action = Send | Refuse | Fail | Cancel | Wake | Tell | Probe | Subscribe
+@dataclass(frozen=True, slots=True)
+class Said:
+    """The answer to an order: what is wrong with it, or nothing where it is in force."""
+
+    number: int
+    wrong: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Doors:
+    """From now on treat clients' connections so."""
+
+    stage: Door
+
+
+Action = Send | Refuse | Fail | Cancel | Wake | Tell | Probe | Subscribe | Said | Doors
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from anisefront.bans import Bans
 from anisefront.interface import Arrival, Plan, RequestClass, Server, Settings
 from anisefront.messages import Item, Sighting
 
@@ -191,6 +192,7 @@
     settings: Settings
     rng: random.Random
     names: list[str]  # of the classes
+    bans: Bans
     known: dict[str, Backend] = field(default_factory=dict)
     by_tag: dict[int, Backend] = field(default_factory=dict)
     warm: list[Backend] = field(default_factory=list)  # ready and warm; ready and cold
--- a/plumpick/config.py
+++ b/plumpick/config.py
@@ -52,6 +52,7 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    management: Address | None = None  # where operators call; None: nowhere
 
 
 def address_from(text: Any, path: str) -> Address:
@@ -104,6 +105,8 @@
     if peers and len(peers) != own.gateways:
         raise SettingsError(f"config.peers: {len(peers)} for {own.gateways} gatekeepers")
     peer_listen, peers_all = top.text("peer_listen", ""), top.text("peers_all", "")
+    # The file before the environment, as with the other addresses.
+    management = top.text("management", environment.get("BALANCER_MANAGEMENT", ""))
     return Config(
         name=top.text("name", environment.get("BALANCER_NAME")),
         listen=address_from(top.text("listen", environment.get("BALANCER_LISTEN")), "config.listen"),
@@ -113,7 +116,8 @@
         dial_timeout_ms=limits.number("dialTimeoutMs", 250.0), idle_ms=limits.number("connIdleMs", 15_000.0),
         known=worker_list_from(top.table("known", {"index": 0, "endpoints": []}).value, "config.known"),
         peer_listen=address_from(peer_listen, "config.peer_listen") if peer_listen else None, peers=peers,
-        peers_all=address_from(peers_all, "config.peers_all") if peers_all else None)
+        peers_all=address_from(peers_all, "config.peers_all") if peers_all else None,
+        management=address_from(management, "config.management") if management else None)
 
 
 def load(environment: Mapping[str, str]) -> Config:
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from dataclasses import replace
+from typing import Any
 
 import uvloop
 
@@ -49,6 +50,15 @@
         discovery.move(news.discovery)
 
 
+async def open_office(config: Config, gatekeeper: Gatekeeper, loop: asyncio.AbstractEventLoop) -> Any:
+    """Where operators call. Imported only here: where there is no such address it costs nothing."""
+    from plumpick.fronts.management import ManagementFront, listening
+    front = ManagementFront(gatekeeper)
+    gatekeeper.sweeps.append(front.sweep)
+    assert config.management is not None
+    return await listening(front, config.management, loop)
+
+
 async def serve(config: Config, system: System | None = None) -> None:
     """Run one gatekeeper until SIGTERM, then finish what it has taken."""
     system = system or System()
@@ -71,13 +81,14 @@
              loop.create_task(reload(config, discovery, reload_asked, system))]
     server = await loop.create_server(front.connection, *config.listen, backlog=BACKLOG,
                                       reuse_address=True)
+    office = await open_office(config, gatekeeper, loop) if config.management else None
     try:
         if not (shared and known):  # there a watch says nothing while nothing has changed
             await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
     except TimeoutError:
         log.warning("discovery is silent; starting with the known list")
     system.settle()
-    gatekeeper.ready = True
+    gatekeeper.come_up()
     log.info("gatekeeper %s is up", config.name)
 
     await stop.wait()
@@ -95,6 +106,8 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     gatekeeper.peers.close()
+    if office is not None:
+        office.close()
     log.info("gatekeeper %s has finished", config.name)
 
 
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -7,6 +7,7 @@
 
 from typing import Any, NamedTuple, Protocol
 
+from anisefront.draining import Door
 from anisefront.interface import RequestClass
 from plumpick.clock import Alarms, Clock
 
@@ -51,7 +52,8 @@
         """How late its next sweep is: for so long we may have stood still."""
 
     def sweep(self, now: float, ending: bool) -> None:
-        """Close what has had its time; `ending`: the gatekeeper keeps no connection any more."""
+        """Close what has had its time; `ending`: the gatekeeper keeps no connection any more. What is idle
+        or unheard closes besides as `Heart.door` has it."""
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is open."""
@@ -65,8 +67,9 @@
 
     clock: Clock
     alarms: Alarms
-    ready: bool
-    draining: bool
+    ready: bool  # what `/up` says
+    draining: bool  # each answer closes its connection
+    door: Door  # what else is closed
 
     def spare_descriptors(self) -> int:
         """Descriptors kept for workers that nobody uses now."""
@@ -77,3 +80,13 @@
 
     def left(self, request: Any) -> None:
         """Who asked that has gone; a request that has been answered is passed over."""
+
+
+class Office(Protocol):
+    """What the operators' front asks of the heart."""
+
+    clock: Clock
+    alarms: Alarms
+
+    def call(self, name: str, argument: str) -> tuple[bool, str]:
+        """Carry out an operator's call; whether that is refused, and what there is to say."""
--- a/plumpick/fronts/http/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -94,6 +94,11 @@
                 self.left(client)
                 client.drop()
 
+    def give_up_unheard(self) -> None:
+        """Those go on which no request has come whole."""
+        for client in list(self._owing):
+            client.send_away()
+
     def late_ms(self, now: float) -> float:
         """How late the next sweep is; over STILL_MS we stood still for so long."""
         return now - self._swept_ms - SWEEP_MS if self._swept_ms >= 0 else 0.0
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -257,6 +257,13 @@
         else:
             self.close_if_idle()
 
+    def send_away(self) -> None:
+        """No request may come any more; what is half there can be asked elsewhere."""
+        if self.begun:
+            self.refuse(503)
+        else:
+            self.close_if_idle()
+
     def drop(self) -> None:
         """Close at once."""
         self.ending = True
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from anisefront.draining import Door
 from anisefront.interface import Settings
 from plumpick.fronts.door import Ask, Heart, InUse
 from plumpick.fronts.http.admission import Admission
@@ -73,6 +74,10 @@
 
     def sweep(self, now: float, ending: bool) -> None:
         self.admission.sweep(now, ending)
+        if self.heart.door >= Door.IDLE:
+            self.close_idle()
+        if self.heart.door >= Door.UNHEARD:
+            self.admission.give_up_unheard()
 
     def close_idle(self) -> None:
         for client in list(self.admission.all):
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -13,9 +13,10 @@
 from typing import Any
 
 from anisefront.control import Controller
+from anisefront.draining import LATE_FOR_MS, Door
 from anisefront.interface import (
-    Action, Arrival, Cancel, ClientGone, Event, Fail, Fleet, Heard, Outcome, Probe, Refuse, Result,
-    Send, State, Subscribe, Tell, Wake, Woken,
+    Action, Arrival, Call, Cancel, ClientGone, Doors, Event, Fail, Fleet, Heard, Order, Outcome, Probe,
+    Refuse, Result, Said, Send, State, Subscribe, Tell, Wake, Woken,
 )
 from anisefront.standing import Standing
 from plumpick.clock import Alarm, Alarms
@@ -64,20 +65,27 @@
                                report_fields=config.settings.report_fields, is_quiet=system.is_quiet)
         self.peers = Peers(config, self.heard, system.datagrams)
         self._fronts: list[Front] = []
+        self.sweeps: list[Callable[[float], None]] = []  # of others that have to be looked after as often
         self._standing = Standing(config.settings.gateways, config.settings.number)
         self.open: dict[int, Request] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}  # all that are out, also of ended requests
         self.ready = self.draining = False
+        self.up = False  # it takes clients, by itself; `ready` is what the front is told
+        self.ending = self.ending_last = False  # told to end; and so late in it that nothing is kept
+        self.door = Door.OPEN
+        self._said: dict[int, str] = {}  # answers to orders, until they are picked up in the same turn
         self._names: set[bytes] = set()  # ids of the open requests, and of those ended of late and before
         self._ended_names: tuple[set[bytes], set[bytes]] = (set(), set())
         self._events: list[Event] = []
         self._serial = 0
         self._end_ms = math.inf  # until then all that comes has to be answered
+        self._late_end_ms = math.inf  # or until then, while clients are sent away
         self._log_fault_ms = 0.0
         self._stood_ms = self._stood_until_ms = 0.0  # for how long; until when what is read may be so old
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
-            Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore}
+            Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore, Said: self._say,
+            Doors: self._doors}
         self.alarms.at(self.clock.now() + SWEEP_MS, self._sweep)
         self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
 
@@ -90,6 +98,8 @@
         self._events.append(event)
 
     def _turn(self) -> None:
+        if not self._events:  # an order did not wait for the end of the loop's turn
+            return
         events, self._events = self._events, []
         actions: list[Action] = []
         try:
@@ -115,6 +125,49 @@
         """A peer has told something."""
         self.notice(Heard(sender, data))
 
+    # -- operators
+
+    def call(self, name: str, argument: str) -> tuple[bool, str]:
+        """An operator's call is in force before this returns: whether it is refused, and what to say."""
+        if name == "READY":
+            if self.ending or not self.up:
+                return True, "ending" if self.ending else "not up yet"
+            return False, "draining" if self.door else "ready"
+        order = Call(name.lower())
+        self._serial += 1
+        number = self._serial
+        self.notice(Order(number, order, argument))
+        self._turn()
+        wrong = self._said.pop(number, "the order failed; see the log")
+        what = f"{name}{' ' if argument else ''}{argument}"
+        log.info("operator: %s: %s", what, f"refused, {wrong}" if wrong else "done")
+        return bool(wrong), wrong or what
+
+    def _say(self, action: Said) -> None:
+        self._said[action.number] = action.wrong
+
+    def _doors(self, action: Doors) -> None:
+        """Clients are sent away, or taken again."""
+        before, self.door = self.door, action.stage
+        if before != self.door and Door.OPEN in (before, self.door):
+            log.info("clients are %s", "sent away" if self.door else "taken again")
+        if before < Door.LATE <= self.door:
+            self._late_end_ms = self.clock.now() + LATE_FOR_MS
+        elif self.door < Door.LATE:
+            self._late_end_ms = math.inf
+        self._open_or_not()
+        if self.door >= Door.IDLE:
+            self.close_idle()
+
+    def _open_or_not(self) -> None:
+        self.ready = self.up and not self.door and not self.ending
+        self.draining = self.ending_last or bool(self.door)
+
+    def come_up(self) -> None:
+        """It takes clients from now on."""
+        self.up = True
+        self._open_or_not()
+
     # -- fronts
 
     def add(self, front: Front) -> None:
@@ -136,7 +189,8 @@
         self._serial += 1
         # What is read after a standstill of ours may have waited all through it; its client's time ran on.
         wait_ms = max(ask.wait_ms - self._unread_ms(now), min(ask.wait_ms, 2 * MARGIN_MS))
-        due_ms = min(now + wait_ms, max(self._end_ms, now + 2 * MARGIN_MS))
+        end_ms = min(self._end_ms, self._late_end_ms)
+        due_ms = min(now + wait_ms, max(end_ms, now + 2 * MARGIN_MS))
         request = Request(self._serial, ask.id, asker, head_of(ask), ask.body)
         request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
         self.open[request.id] = request
@@ -235,7 +289,9 @@
             log.warning(line)
         self.alarms.at(now + SWEEP_MS, self._sweep)
         for front in self._fronts:
-            front.sweep(now, self.draining)
+            front.sweep(now, self.ending_last)
+        for sweep in self.sweeps:
+            sweep(now)
 
     def _forget_names(self) -> None:
         self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
@@ -243,11 +299,13 @@
 
     def leave(self, within_ms: float) -> None:
         """A planned end: what comes is served as before, but nothing is promised beyond that time."""
-        self.ready, self._end_ms = False, self.clock.now() + within_ms
+        self.ending, self._end_ms = True, self.clock.now() + within_ms
+        self._open_or_not()
 
     def drain(self) -> None:
         """From now on keep no connection."""
-        self.draining, self.ready = True, False
+        self.ending_last = True
+        self._open_or_not()
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is open."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -104,7 +104,7 @@
         self.server = await asyncio.get_running_loop().create_server(
             self.front.connection, HOST, 0)
         self.port = self.server.sockets[0].getsockname()[1]
-        self.keeper.ready = True
+        self.keeper.come_up()
         return self
 
     async def __aexit__(self, *_):
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,191 @@
+"""Operators' calls over loopback, and clients that are sent away."""
+
+import asyncio
+
+import pytest
+from fakes import HOST, Client, FakeWorker, Gate, answer, config, entry, listing, request, run
+
+from anisefront.control import Controller
+from plumpick.config import config_from, worker_list_from
+from plumpick.fronts.management import HARD, MAX_LINE, Line, ManagementFront, call_of, listening
+
+UP = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def say(port, data, end=False):
+    """The answer to what is sent on one connection, all of it; nothing where it just ends."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        writer.write(data)
+        if end:
+            writer.write_eof()
+        return (await reader.read()).decode()
+    except ConnectionError:
+        return ""
+    finally:
+        writer.close()
+
+
+def with_office(scenario, **more):
+    """A gatekeeper with one worker, w1, and its management port."""
+    async def whole():
+        async with FakeWorker() as worker:
+            known = listing(entry("w1", worker.port))
+            given = config_from(config(known=(), **more), {})
+            async with Gate(Controller(given.settings, 1), **more) as gate:
+                front = ManagementFront(gate.keeper)
+                loop = asyncio.get_running_loop()
+                server = await listening(front, (HOST, 0), loop)
+                gate.office = front
+                gate.keeper.sweeps.append(front.sweep)
+                gate.keeper.listed(worker_list_from(known, "list"))
+                try:
+                    await scenario(server.sockets[0].getsockname()[1], gate, worker)
+                finally:
+                    server.close()
+                    front.close()
+    run(whole())
+
+
+@pytest.mark.parametrize("line, call", [
+    (b"READY", ("READY", "")), (b"ready", ("READY", "")), (b"  DRAIN ", ("DRAIN", "")),
+    (b"disable s-5be2a07c", ("DISABLE", "s-5be2a07c")), (b"ENABLE S-5be2a07c", ("ENABLE", "S-5be2a07c"))])
+def test_calls_are_read_whatever_their_case_and_ids_as_they_stand(line, call):
+    assert call_of(line) == call
+
+
+@pytest.mark.parametrize("line", [
+    b"", b"STOP", b"READY now", b"DISABLE", b"DISABLE a b", b"DISABLE a\0", b"DISABLE \xc3\xa4", b"\0",
+    b"DRAIN a b c"])
+def test_what_is_no_call_is_named(line):
+    with pytest.raises(ValueError):
+        call_of(line)
+
+
+def test_a_line_is_whole_however_its_bytes_come_and_with_either_end():
+    for text in (b"DISABLE w1\r\nmore", b"DISABLE w1\nDRAIN\n"):
+        for cut in range(1, len(text)):
+            line = Line()
+            told = line.take(text[:cut])
+            assert (told if told is not None else line.take(text[cut:])) == b"DISABLE w1"
+    assert Line().take(b"READY", ended=True) == b"READY" and Line().take(b"", ended=True) is None
+
+
+def test_a_line_without_end_is_refused_before_it_fills_anything():
+    line = Line()
+    with pytest.raises(ValueError):
+        line.take(b"x" * 1_000_000)
+    assert len(line.text) <= MAX_LINE + 1
+
+
+def test_each_call_is_answered_and_the_connection_closed():
+    async def scenario(port, gate, _worker):
+        assert (await say(port, b"READY\n")).startswith("+OK")
+        assert (await say(port, b"DISABLE w1\r\n")).startswith("+OK")
+        assert (await say(port, b"DISABLE w1\n")).startswith("+OK")
+        assert (await say(port, b"ENABLE w1", end=True)).startswith("+OK")
+        assert (await say(port, b"READY\nDRAIN\n")).count("\n") == 1 and gate.keeper.ready
+        for wrong in (b"DISABLE w9\n", b"ENABLE w9\n", b"HELLO\n", b"DISABLE\n", b"\n", b"x" * 1_000_000):
+            assert (await say(port, wrong)).startswith("-ERR"), wrong
+    with_office(scenario)
+
+
+def test_before_it_is_up_and_once_it_ends_the_answer_is_no():
+    async def scenario(port, gate, _worker):
+        gate.keeper.up = False
+        assert (await say(port, b"READY\n")).startswith("-ERR")
+        gate.keeper.come_up()
+        gate.keeper.leave(2000.0)
+        assert (await say(port, b"READY\n")).startswith("-ERR")
+    with_office(scenario)
+
+
+def test_beside_callers_that_say_nothing_or_half_a_line_a_call_is_answered():
+    async def scenario(port, gate, _worker):
+        silent = [await asyncio.open_connection(HOST, port) for _ in range(200)]
+        for _, writer in silent[::2]:
+            writer.write(b"DISA")
+        assert (await say(port, b"READY\n")).startswith("+OK")
+        assert len(gate.office.callers) <= HARD
+        for _, writer in silent:
+            writer.transport.abort()
+    with_office(scenario)
+
+
+def test_a_caller_that_says_nothing_is_closed_in_time():
+    async def scenario(port, gate, _worker):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        while not gate.office.callers:
+            await asyncio.sleep(0)
+        gate.office.sweep(gate.keeper.clock.now() + 60_000.0)
+        assert await Client().open(port) and not await reader.read()
+        writer.close()
+    with_office(scenario)
+
+
+def test_a_banned_worker_is_sent_nothing_more_once_the_answer_is_there():
+    async def scenario(port, gate, worker):
+        client = await gate.client()
+        client.send(request())
+        _, writer = await worker.asked()
+        assert (await say(port, b"DISABLE w1\n")).startswith("+OK")
+        writer.write(answer())
+        assert (await client.answer())[0] == 200  # what is out may finish
+        assert (await client.send(request(deadline=100)).answer())[0] in (503, 504)
+        assert (await say(port, b"ENABLE w1\n")).startswith("+OK")
+        client.send(request())
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+    with_office(scenario)
+
+
+def test_drained_it_says_no_serves_what_comes_and_closes_behind_each_answer():
+    async def scenario(port, gate, worker):
+        idle, kept, slow = await gate.client(), await gate.client(), await gate.client()
+        await idle.send(UP).answer()
+        slow.send(request()[:-1])
+        kept.send(request())
+        _, writer = await worker.asked()
+        assert (await say(port, b"DRAIN\n")).startswith("+OK")
+        assert (await (await gate.client()).send(UP).answer())[0] == 503
+        writer.write(answer())
+        told = await kept.answer()
+        assert told[0] == 200 and told[1]["connection"] == "close" and await kept.ends()
+        assert await idle.ends()  # in half a second
+        assert (await slow.answer())[0] in (408, 503) and await slow.ends()  # its own time is nearly over
+        while gate.keeper.busy():
+            await asyncio.sleep(0.01)
+        assert (await say(port, b"UNDRAIN\n")).startswith("+OK")
+        again = await gate.client()
+        assert (await again.send(UP).answer())[0] == 200
+        again.send(request())
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert "connection" not in (await again.answer())[1]
+    with_office(scenario)
+
+
+def test_what_comes_late_in_a_drain_is_answered_before_its_end():
+    """A client that writes slowly; its request would be open, and young, when nothing may be left."""
+    async def scenario(port, gate, worker):
+        slow = await gate.client()
+        slow.send(request(deadline=10_000)[:-1])
+        await say(port, b"DRAIN\n")
+        while gate.keeper.door < 3:
+            await asyncio.sleep(0.01)
+        slow.send(b"\n")
+        await worker.asked()
+        assert next(iter(gate.keeper.open.values())).guard is not None
+        told = await slow.answer()  # within 2 s, not 10
+        assert told[0] in (502, 503, 504)
+    with_office(scenario)
+
+
+def test_an_end_during_a_drain_and_a_drain_during_an_end():
+    async def scenario(port, gate, _worker):
+        await say(port, b"DRAIN\n")
+        gate.keeper.leave(2000.0)
+        await say(port, b"UNDRAIN\n")
+        assert not gate.keeper.ready  # it ends all the same
+    with_office(scenario)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,186 @@
+"""The operator's word in the module: workers taken out and put back, clients sent away."""
+
+from dataclasses import replace
+
+from test_module import FLEET, ask, gateway, of, outcome
+from test_rules import settings
+
+from anisefront.bans import MOST_GONE, MOST_NAME, OWED_AFTER_MS, Bans
+from anisefront.control import Controller
+from anisefront.draining import (
+    IDLE_AFTER_MS,
+    LATE_AFTER_MS,
+    UNHEARD_AFTER_MS,
+    Door,
+    Draining,
+)
+from anisefront.interface import (
+    Arrival,
+    Call,
+    Doors,
+    Fleet,
+    Order,
+    Plan,
+    Refuse,
+    Result,
+    Said,
+    Send,
+    Server,
+    State,
+)
+
+FREE = "free"
+
+
+def order(gate, now, call, server="", number=1):
+    """What is wrong with a call; it is answered in its own turn."""
+    said, = of(Said, gate.handle(now, [Order(number, call, server)]))
+    assert said.number == number
+    return said.wrong
+
+
+def served(gate, now, count, first=1000):
+    """The servers that so many safe requests of as many firms go to, a dozen of them out at a time."""
+    sends, ended = [], 0
+    for number in range(first, first + count):
+        asked = ask(number, plan=FREE, due=now + 5000.0, customer=f"c{number}")
+        sends += of(Send, gate.handle(now, [asked]))
+        if len(sends) - ended > 12:
+            gate.handle(now + 1.0, [outcome(sends[ended], Result.OK)])
+            ended += 1
+        now += 10.0
+    for send in sends[ended:]:
+        gate.handle(now, [outcome(send, Result.OK)])
+    return [send.server for send in sends]
+
+
+def free_gateway(**more):
+    """A gateway with a plan that has no quota: no home is asked."""
+    given = settings(**more)
+    return Controller(replace(given, plans=(*given.plans, Plan(FREE)), gateways=1, number=0), 1)
+
+
+def test_a_banned_worker_gets_nothing_whatever_the_list_says():
+    gate = free_gateway()
+    gate.handle(0.0, [FLEET])
+    assert "s2" in served(gate, 0.0, 60, 500)
+    assert order(gate, 601.0, Call.DISABLE, "s2") == ""
+    assert "s2" not in served(gate, 610.0, 60)
+    gone = Fleet((Server("s2", "z0", 2, State.GONE),), complete=False)
+    back = Fleet((Server("s2", "z0", 2, State.READY, started_ms=900.0),), complete=False)
+    gate.handle(2000.0, [gone])
+    gate.handle(2001.0, [back])
+    gate.handle(2002.0, [FLEET])
+    assert "s2" not in served(gate, 2010.0, 60, 2000)
+
+
+def test_twice_out_and_once_back_is_back_and_unknown_ids_are_owed_a_no():
+    gate = free_gateway()
+    gate.handle(0.0, [FLEET])
+    assert order(gate, 1.0, Call.DISABLE, "s2") == order(gate, 2.0, Call.DISABLE, "s2") == ""
+    assert order(gate, 3.0, Call.ENABLE, "s2") == order(gate, 4.0, Call.ENABLE, "s2") == ""
+    assert "s2" in served(gate, 4.0 + OWED_AFTER_MS, 60)
+    assert order(gate, 2000.0, Call.DISABLE, "s99") and order(gate, 2001.0, Call.ENABLE, "s99")
+
+
+def test_who_comes_back_is_cold_and_gets_a_request_soon_but_no_crowd_of_them():
+    """Discovery never showed its restart. Without the debt chance alone would pass it by for long."""
+    gate = free_gateway()
+    gate.handle(0.0, [FLEET])
+    before = served(gate, 10.0, 120)
+    order(gate, 2000.0, Call.DISABLE, "s2")
+    order(gate, 3000.0, Call.ENABLE, "s2")
+    after = served(gate, 3000.0 + OWED_AFTER_MS, 120, 4000)
+    assert after[0] == "s2"
+    assert 0 < after.count("s2") < before.count("s2")
+
+
+def test_what_is_out_at_a_banned_worker_may_finish_and_no_further_attempt_goes_there():
+    gate = free_gateway()
+    gate.handle(0.0, [FLEET])
+    send, = of(Send, gate.handle(1.0, [ask(1, plan=FREE)]))
+    order(gate, 2.0, Call.DISABLE, send.server)
+    again, = of(Send, gate.handle(20.0, [outcome(send, Result.ERROR)]))
+    assert again.server != send.server
+
+
+def test_with_the_only_worker_out_requests_are_refused_in_time_with_advice():
+    gate = free_gateway()
+    gate.handle(0.0, [Fleet((Server("s2", "z0", 0, State.READY),))])
+    order(gate, 1.0, Call.DISABLE, "s2")
+    assert not of(Send, gate.handle(2.0, [ask(1, plan=FREE, due=2002.0)]))
+    refused, now = [], 2.0
+    while not refused and now < 2002.0:
+        now += 10.0
+        refused = of(Refuse, gate.handle(now, []))
+    assert refused and now < 1100.0
+
+
+def test_bans_are_bounded_by_the_list_and_a_number_of_those_gone_and_none_is_forgotten():
+    bans = Bans(9000.0)
+    for number in range(MOST_GONE + 5):
+        wrong = bans.disable(f"w{number}", {f"w{number}"})
+    assert wrong and len(bans) == MOST_GONE and "w0" in bans
+    assert bans.disable("x" * (MOST_NAME + 1), {"x" * (MOST_NAME + 1)})
+    assert not bans.enable(1.0, "w0", ()) and "w0" not in bans
+
+
+def test_a_return_is_forgotten_once_warm():
+    bans = Bans(9000.0)
+    bans.disable("w", {"w"})
+    bans.enable(100.0, "w", {"w"})
+    assert bans.began_ms(5000.0, "w", 0.0) == 100.0 and bans.began_ms(5000.0, "w", 4000.0) == 4000.0
+    assert bans.began_ms(9100.0, "w", 0.0) == 0.0 and bans.state() == ((), ())
+
+
+def test_a_ban_passes_to_another_process_and_wins_over_a_return():
+    first, second = Bans(9000.0), Bans(9000.0)
+    first.disable("a", {"a"})
+    first.disable("b", {"b"})
+    first.enable(50.0, "b", {"b"})
+    second.take_over(*first.state())
+    assert "a" in second and "b" not in second and second.began_ms(60.0, "b", 0.0) == 50.0
+    assert not second.is_owed(50.0 + OWED_AFTER_MS, "b")
+
+
+def test_a_drain_goes_through_its_stages_and_the_second_word_changes_nothing():
+    gate = gateway()
+    gate.handle(0.0, [FLEET])
+    stages, now = [], 0.0
+    while now < UNHEARD_AFTER_MS + 500.0:
+        events = [Order(1, Call.DRAIN)] if now in (100.0, 400.0) else []
+        stages += [(now, doors.stage) for doors in of(Doors, gate.handle(now, events))]
+        now += 10.0
+    assert stages == [(100.0, Door.LEAVING), (100.0 + IDLE_AFTER_MS, Door.IDLE),
+                      (100.0 + LATE_AFTER_MS, Door.LATE), (100.0 + UNHEARD_AFTER_MS, Door.UNHEARD)]
+
+
+def test_taken_back_at_any_moment_the_doors_are_open_at_once_and_stay_so():
+    for back in (101.0, 700.0, 2200.0, 3000.0):
+        gate = gateway()
+        gate.handle(0.0, [FLEET])
+        gate.handle(100.0, [Order(1, Call.DRAIN)])
+        now, last = 100.0, None
+        while now < 6000.0:
+            now += 1.0
+            for doors in of(Doors, gate.handle(now, [Order(2, Call.UNDRAIN)] if now == back else [])):
+                last = doors.stage
+                assert now < back or last is Door.OPEN
+            if now == back:
+                assert last is Door.OPEN
+
+
+def test_drained_again_after_it_was_taken_back_the_stages_count_from_the_second_word():
+    draining = Draining()
+    draining.drain(0.0)
+    draining.undrain()
+    assert draining.undrain() is None
+    draining.drain(1000.0)
+    assert draining.stage(1000.0 + IDLE_AFTER_MS - 1.0) is Door.LEAVING
+
+
+def test_a_drained_gateway_still_serves_what_comes():
+    gate = free_gateway()
+    gate.handle(0.0, [FLEET])
+    gate.handle(1.0, [Order(1, Call.DRAIN)])
+    assert of(Send, gate.handle(2.0, [Arrival(1, "c", "look", FREE, 3000.0)]))
