Upgrades: the listener, idle connections and the state pass to the next process

Cause: the second process ended with 1, its address was in use. Change: plumpick/handover (a Unix socket in TMPDIR, SCM_RIGHTS, checked messages), anisefront/estate.py (the state, nothing granted twice), Household/Office in daemon.py. Checked: state, spoilt states, messages cut anywhere, the program upgraded twice under load (nothing lost, refused or reset), a new and an old process killed, foreign and dead sockets in TMPDIR.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -14,12 +14,13 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from anisefront import aperture
+from anisefront import aperture, estate
 from anisefront.bans import Bans
 from anisefront.draining import Draining
 from anisefront.interface import (
-    Action, Arrival, Call, Cancel, ClientGone, Doors, Event, Fail, Fleet, Heard, Order, Outcome, Plan, Refuse,
-    Repeat, RequestClass, Result, Said, Scope, Send, Settings, Started, State, Subscribe, Tell, Wake,
+    Action, Arrival, Call, Cancel, ClientGone, Doors, Estate, Event, Fail, Fleet, Heard, Inherit, Leave,
+    Order, Outcome, Plan, Refuse, Repeat, RequestClass, Result, Resume, Said, Scope, Send, Settings, Started,
+    State, Subscribe, Tell, Wake,
 )
 from anisefront.messages import (
     MAX_ITEMS, MAX_SIGHTINGS, Item, Kind, Sighting, decode, encode, ratio_of, server_tag, sighting, tag_of,
@@ -278,7 +279,7 @@
             spread, tag = max(1, min(arrival.spread, self.settings.gateways)), tag_of(arrival.customer)
             home = (arrival.first_gateway + tag % spread) % self.settings.gateways
             account = self.accounts[name] = Account(plan, tag, spread, home, now)
-        gone_s = (now - account.at_ms) / 1000
+        gone_s = 0.0 if self.heir else (now - account.at_ms) / 1000
         account.at_ms = now
         account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
         alone = account.home in self.silent and self.is_lost(now, account.home)
@@ -375,7 +376,7 @@
 
     def ping(self, now: float) -> None:
         """A life sign, where nothing else was told of late, to the homes of our customers."""
-        if self.settings.may_tell:
+        if self.settings.may_tell and not self.heir:
             gap_ms = ping_ms(self.settings)
             wide = range(self.settings.gateways) if self.pings_all() else (
                 {account.home for account in self.accounts.values()})
@@ -429,10 +430,11 @@
         if request.paid and (not request.attempts or request.plan.max_out):
             self.tell_home(now, Kind.BACK, request)
 
-    def say(self, now: float, gateway: int, item: Item) -> None:
-        if gateway == self.settings.number:
+    def say(self, now: float, gateway: int, item: Item, boot: int = -1) -> None:
+        """`boot`: of which life of that gateway, if not ours. Of our own number another process may live."""
+        if gateway == self.settings.number and not self.heir and boot in (-1, self.boot):
             self.hear(now, gateway, self.boot, item)
-        elif self.settings.may_tell:
+        elif self.settings.may_tell or gateway == self.settings.number:
             self.outbox.setdefault(gateway, []).append(item)
 
     def post(self, now: float) -> list[tuple[int, list[Item]]]:
@@ -460,7 +462,8 @@
 
     def hear(self, now: float, sender: int, boot: int, item: Item) -> None:
         if item.kind not in (Kind.GRANT, Kind.WAIT, Kind.DENY):
-            if item.plan_index < len(self.settings.plans) and item.class_index < len(self.settings.classes):
+            plans, classes = len(self.settings.plans), len(self.settings.classes)
+            if item.plan_index < plans and item.class_index < classes and not self.heir:
                 self.at_home(now, (sender, boot, item.serial), item)
             return
         request = self.asking.get(item.serial)
@@ -618,7 +621,7 @@
 
     def reply(self, now: float, kind: Kind, key: tuple[int, int, int], item: Item, store: Store) -> None:
         asked = store.asked * 1000 / DEMAND_MEMORY_MS
-        self.say(now, key[0], item._replace(kind=kind, asked_per_s=asked))
+        self.say(now, key[0], item._replace(kind=kind, asked_per_s=asked), key[1])
 
 
 class Servers(ServersState):
@@ -925,6 +928,12 @@
                 self.on_heard(event)
             case Order():
                 self.on_order(event)
+            case Leave():
+                self.actions.append(Estate(estate.leave(self)))
+            case Inherit():
+                estate.take_over(self, self.now, event.state)
+            case Resume():
+                estate.resume(self, self.now)
             case Fleet() if not event.failed:
                 left += self.servers.update(self.now, event)
                 self.window.set_limit(self.servers.capacity)
@@ -1062,7 +1071,11 @@
     def on_heard(self, event: Heard) -> None:
         """What another gateway tells; bytes that cannot be read and unknown senders change nothing."""
         news = decode(event.data)
-        if news is None or event.sender == self.settings.number or event.sender >= self.settings.gateways:
+        if news is None or event.sender >= self.settings.gateways:
+            return
+        if event.sender == self.settings.number:  # another process of ours: of quotas alone
+            for item in news.items if news.boot != self.quota.boot else ():
+                self.quota.hear(self.now, event.sender, news.boot, item)
             return
         most = PEAK_GROWTH * START_PER_SERVER * self.servers.capacity / self.settings.gateways
         self.window.fleet_room += (min(news.room, most) - self.window.fleet_room) * FLEET_GAIN
--- a/anisefront/draining.py
+++ b/anisefront/draining.py
@@ -39,8 +39,15 @@
         if self.since_ms is not None:
             return []
         self.since_ms = now
-        return [(now, Door.LEAVING), (now + IDLE_AFTER_MS, Door.IDLE),
-                (now + LATE_AFTER_MS, Door.LATE), (now + UNHEARD_AFTER_MS, Door.UNHEARD)]
+        return self.stages()
+
+    def stages(self) -> list[tuple[float, Door]]:
+        """What to do for as long as the word stands, and when; nothing where it does not."""
+        if self.since_ms is None:
+            return []
+        return [(self.since_ms + after_ms, door) for after_ms, door in (
+            (0.0, Door.LEAVING), (IDLE_AFTER_MS, Door.IDLE), (LATE_AFTER_MS, Door.LATE),
+            (UNHEARD_AFTER_MS, Door.UNHEARD))]
 
     def undrain(self) -> Door | None:
         """Clients are taken again; None if they were all along."""
--- a/anisefront/interface.py
+++ b/anisefront/interface.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 from anisefront.draining import Door
 
@@ -266,7 +268,25 @@
     server: str = ""
 
 
-Event = Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted | Order
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Another process of this gatekeeper takes over: its state is due, as an `Estate`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Inherit:
+    """The state that the process before this one has left."""
+
+    state: Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """The process that took over has died; this one goes on."""
+
+
+Event = (Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted | Order | Leave
+         | Inherit | Resume)
 
 
 # ---- actions ------------------------------------------------------------------------------------
@@ -347,4 +367,11 @@
     stage: Door
 
 
-Action = Send | Refuse | Fail | Cancel | Wake | Tell | Probe | Subscribe | Said | Doors
+@dataclass(frozen=True, slots=True)
+class Estate:
+    """What the next process goes on from, as JSON's values."""
+
+    state: Mapping[str, Any]
+
+
+Action = Send | Refuse | Fail | Cancel | Wake | Tell | Probe | Subscribe | Said | Doors | Estate
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -183,6 +183,7 @@
     flush_ms: float = 0.0
     hold_ms: float = 2000.0  # a gateway that is silent for longer lives by its even part; its home keeps that
     silent: set[int] = field(default_factory=set)  # homes that left a question unanswered
+    heir: bool = False  # another process of this gatekeeper keeps its stores now
 
 
 @dataclass(slots=True, eq=False)
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -7,8 +7,10 @@
 import os
 import random
 import signal
+import socket
 import sys
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import uvloop
@@ -50,13 +52,101 @@
         discovery.move(news.discovery)
 
 
-async def open_office(config: Config, gatekeeper: Gatekeeper, loop: asyncio.AbstractEventLoop) -> Any:
-    """Where operators call. Imported only here: where there is no such address it costs nothing."""
-    from plumpick.fronts.management import ManagementFront, listening
-    front = ManagementFront(gatekeeper)
-    gatekeeper.sweeps.append(front.sweep)
-    assert config.management is not None
-    return await listening(front, config.management, loop)
+class Office:
+    """What a gatekeeper with operators has beside the rest: their listener, and the way to the next process
+    and from the one before. What it is made of is imported only where there are operators."""
+
+    def __init__(self, config: Config, gatekeeper: Gatekeeper, front: HttpFront,
+                 loop: asyncio.AbstractEventLoop) -> None:
+        from plumpick.fronts.management import ManagementFront
+        from plumpick.handover.succession import Giver, Household
+        self._config, self._gatekeeper, self._loop = config, gatekeeper, loop
+        self._calls = ManagementFront(gatekeeper)
+        gatekeeper.sweeps.append(self._calls.sweep)
+        self._house = Household(config.name, config.settings.number, gatekeeper, front)
+        self._giver = Giver(loop, self._house, self._changed)
+        self._taker: Any = None
+        self._server: Any = None
+        self._path: Path | None = None
+
+    async def open(self) -> None:
+        """Hear operators, and find out who runs already; the peers' socket is its, if somebody does."""
+        from plumpick.fronts.management import listening
+        from plumpick.handover.succession import Taker, path_in
+        assert self._config.management is not None
+        self._server = await listening(self._calls, self._config.management, self._loop)
+        folder = os.environ.get("TMPDIR")
+        if folder:
+            self._path = path_in(folder, self._config.name)
+            self._taker = await Taker.ask(self._loop, self._path, self._config.name)
+        peers = self._gatekeeper.peers
+        if self._taker is not None:
+            self._taker.left = self._alone
+            self._gatekeeper.limit(self._config.sockets // 2)
+            if self._taker.datagrams is not None:
+                peers.open(self._loop, self._taker.datagrams)
+                return
+        peers.open(self._loop, shared=True)
+        if self._taker is None:
+            self._house.listener = shared_listener(self._config.listen)
+            await self._house.listen(self._loop)
+
+    async def serve(self) -> None:
+        """Take clients from the process before, if there is one; and wait for the next."""
+        house, taker = self._house, self._taker
+        if taker is not None:
+            house.listener = taker.listener
+            state = await taker.take()
+            if state is not None:
+                self._gatekeeper.inherit(state)
+            self._gatekeeper.peers.listen()
+            await house.listen(self._loop)
+            taker.settle(house)
+        if self._path is not None:
+            self._giver.open(self._path)
+
+    def _changed(self, handed_over: bool) -> None:
+        """The next process has taken over, or has died and this one goes on."""
+        sockets = self._config.sockets
+        self._gatekeeper.limit(sockets // 2 if handed_over else sockets)
+        if not handed_over:
+            task = self._loop.create_task(self._house.listen(self._loop))
+            task.add_done_callback(lambda done: done.exception() and log.error("%s", done.exception()))
+
+    def _alone(self) -> None:
+        """The process before has gone: its part of the descriptors is free."""
+        self._gatekeeper.limit(self._config.sockets)
+
+    async def finish(self, until_s: float) -> None:
+        """Serve until then, or until another process has everything; then take nothing more."""
+        self._giver.ending = True
+        keeper = self._gatekeeper
+        while self._loop.time() < until_s and not (keeper.succeeded and keeper.is_quiet()):
+            await asyncio.sleep(STEP_S)
+        self._house.close()
+
+    def close(self) -> None:
+        self._giver.close()
+        if self._taker is not None:
+            self._taker.close()
+        self._calls.close()
+        if self._server is not None:
+            self._server.close()
+
+
+def shared_listener(address: tuple[str, int]) -> socket.socket:
+    """A listener at an address where another process may listen, too."""
+    plug = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        plug.bind(address)
+        plug.listen(BACKLOG)
+        plug.setblocking(False)
+    except OSError:
+        plug.close()
+        raise
+    return plug
 
 
 async def serve(config: Config, system: System | None = None) -> None:
@@ -72,22 +162,29 @@
     front = HttpFront(gatekeeper, config.settings, config.sockets, system.has_ended)
     gatekeeper.add(front)
     gatekeeper.listed(config.known)
-    gatekeeper.peers.open(loop)
+    office = Office(config, gatekeeper, front, loop) if config.management else None
+    if office is None:
+        gatekeeper.peers.open(loop)
+    else:
+        await office.open()
     shared, known = config.settings.must_subscribe, config.known.entries
     plan = Watching(config.settings.gateways if shared else 0, config.known.index if known else None,
                     random.Random(config.seed))
     discovery = Discovery(config.discovery, gatekeeper.listed, plan)
     tasks = [loop.create_task(discovery.run()),
              loop.create_task(reload(config, discovery, reload_asked, system))]
-    server = await loop.create_server(front.connection, *config.listen, backlog=BACKLOG,
-                                      reuse_address=True)
-    office = await open_office(config, gatekeeper, loop) if config.management else None
+    server: Any = None
+    if office is None:
+        server = await loop.create_server(front.connection, *config.listen, backlog=BACKLOG,
+                                          reuse_address=True)
     try:
         if not (shared and known):  # there a watch says nothing while nothing has changed
             await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
     except TimeoutError:
         log.warning("discovery is silent; starting with the known list")
     system.settle()
+    if office is not None:
+        await office.serve()
     gatekeeper.come_up()
     log.info("gatekeeper %s is up", config.name)
 
@@ -95,8 +192,12 @@
     longest_s = max(kind.deadline_ms for kind in config.settings.classes) / 1000
     end_s = min(longest_s, SURE_MOST_S) + SURE_MORE_S - SPARE_S
     gatekeeper.leave(end_s * 1000)
-    await asyncio.sleep(max(LEAST_S, end_s - LAST_S))
-    server.close()
+    serve_s = max(LEAST_S, end_s - LAST_S)
+    if office is None:
+        await asyncio.sleep(serve_s)
+        server.close()
+    else:
+        await office.finish(loop.time() + serve_s)
     gatekeeper.drain()
     gatekeeper.close_idle()
     end = loop.time() + TO_FINISH_S
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -61,6 +61,9 @@
     def busy(self) -> bool:
         """Whether a connection is still open."""
 
+    def limit(self, sockets: int) -> None:
+        """How many descriptors the process may hold from now on."""
+
 
 class Heart(Protocol):
     """What a front asks of the heart."""
@@ -90,3 +93,16 @@
 
     def call(self, name: str, argument: str) -> tuple[bool, str]:
         """Carry out an operator's call; whether that is refused, and what there is to say."""
+
+
+class Sibling(Protocol):
+    """What the heart tells another process of the same gatekeeper."""
+
+    def heard(self, sender: int, data: bytes) -> None:
+        """What a peer has told."""
+
+    def said(self, data: bytes) -> None:
+        """What the module tells its own number."""
+
+    def ordered(self, name: str, argument: str) -> None:
+        """An operator's call that is in force here."""
--- a/plumpick/fronts/http/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -28,14 +28,19 @@
     """The connections of clients."""
 
     def __init__(self, sockets: int, now: float = -1.0) -> None:
-        self.most, self.hard = int(sockets * MOST_PART), int(sockets * HARD_PART)
-        self.idle_kept, self.crowd = int(sockets * IDLE_PART), int(sockets * CROWD_PART)
+        self.most = self.hard = self.idle_kept = self.crowd = 0
+        self.limit(sockets)
         self.all: dict[ClientConnection, None] = {}  # in the order in which they came
         self._owing: dict[ClientConnection, float] = {}
         self._idle: dict[ClientConnection, float] = {}
         self._leaving: dict[ClientConnection, float] = {}
         self._swept_ms, self._look_ms = now, -1.0
 
+    def limit(self, sockets: int) -> None:
+        """How many descriptors the process may hold; who is over it goes when the next one comes."""
+        self.most, self.hard = int(sockets * MOST_PART), int(sockets * HARD_PART)
+        self.idle_kept, self.crowd = int(sockets * IDLE_PART), int(sockets * CROWD_PART)
+
     def __len__(self) -> int:
         return len(self.all)
 
@@ -94,10 +99,16 @@
                 self.left(client)
                 client.drop()
 
-    def give_up_unheard(self) -> None:
-        """Those go on which no request has come whole."""
-        for client in list(self._owing):
-            client.send_away()
+    def send_away(self, now: float, unheard: bool) -> None:
+        """Idle connections go; with `unheard` those too on which no request has come whole. Danger: who asks
+        on a new connection whether we are up would get no answer, so that has a moment."""
+        for client in list(self._idle):
+            client.close_if_idle()
+        for client in [one for one, since in self._owing.items() if now - since > CROWDED_MS]:
+            if unheard:
+                client.send_away()
+            else:
+                client.close_if_idle()
 
     def late_ms(self, now: float) -> float:
         """How late the next sweep is; over STILL_MS we stood still for so long."""
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import httptools
@@ -247,9 +248,21 @@
 
     def close_if_idle(self) -> None:
         """Between requests a connection may be closed; not while one is open or coming in."""
-        if self.request is None and not self.begun and not self.ending:
+        if self.is_idle():
             self._close()
 
+    def is_idle(self) -> bool:
+        """Whether nothing is open on it, and nothing has begun to come in."""
+        return self.request is None and not self.begun and not self.ending and not self.paused
+
+    def give(self, take: Callable[[Any], None]) -> None:
+        """Another process goes on with it, as it is: what is unread stays in it."""
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.pause_reading()
+            take(transport)
+        self.drop()
+
     def give_up(self) -> None:
         """Its time for a whole request is over."""
         if self.begun:
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -75,13 +75,22 @@
     def sweep(self, now: float, ending: bool) -> None:
         self.admission.sweep(now, ending)
         if self.heart.door >= Door.IDLE:
-            self.close_idle()
-        if self.heart.door >= Door.UNHEARD:
-            self.admission.give_up_unheard()
+            self.admission.send_away(now, self.heart.door >= Door.UNHEARD)
 
     def close_idle(self) -> None:
         for client in list(self.admission.all):
             client.close_if_idle()
 
+    def limit(self, sockets: int) -> None:
+        self.admission.limit(sockets)
+
+    def give_idle(self, take: Callable[[Any], None]) -> int:
+        """Give the connections on which nothing is open to another process; how many. `take` gets each one's
+        transport and keeps its own copy of the descriptor."""
+        idle = [client for client in self.admission.all if client.is_idle()]
+        for client in idle:
+            client.give(take)
+        return len(idle)
+
     def busy(self) -> bool:
         return bool(self.admission)
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -8,20 +8,20 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
 from anisefront.control import Controller
 from anisefront.draining import LATE_FOR_MS, Door
 from anisefront.interface import (
-    Action, Arrival, Call, Cancel, ClientGone, Doors, Event, Fail, Fleet, Heard, Order, Outcome, Probe,
-    Refuse, Result, Said, Send, State, Subscribe, Tell, Wake, Woken,
+    Action, Arrival, Call, Cancel, ClientGone, Doors, Estate, Event, Fail, Fleet, Heard, Inherit, Leave,
+    Order, Outcome, Probe, Refuse, Result, Resume, Said, Send, State, Subscribe, Tell, Wake, Woken,
 )
 from anisefront.standing import Standing
 from plumpick.clock import Alarm, Alarms
 from plumpick.config import Config, WorkerList
-from plumpick.fronts.door import STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse
+from plumpick.fronts.door import STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse, Sibling
 from plumpick.peers import Peers
 from plumpick.system import System
 from plumpick.upstream.message import head_of, message_of
@@ -73,6 +73,11 @@
         self.up = False  # it takes clients, by itself; `ready` is what the front is told
         self.ending = self.ending_last = False  # told to end; and so late in it that nothing is kept
         self.door = Door.OPEN
+        # Another process of this gatekeeper, while there are two: it is told what its peers say, the module's
+        # word to its own number, and operators' calls.
+        self.sibling: Sibling | None = None
+        self.succeeded = False  # and that one takes the clients now
+        self._estate: Mapping[str, Any] | None = None
         self._said: dict[int, str] = {}  # answers to orders, until they are picked up in the same turn
         self._names: set[bytes] = set()  # ids of the open requests, and of those ended of late and before
         self._ended_names: tuple[set[bytes], set[bytes]] = (set(), set())
@@ -85,7 +90,7 @@
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
             Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore, Said: self._say,
-            Doors: self._doors}
+            Doors: self._doors, Estate: self._keep_estate}
         self.alarms.at(self.clock.now() + SWEEP_MS, self._sweep)
         self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
 
@@ -124,24 +129,36 @@
     def heard(self, sender: int, data: bytes) -> None:
         """A peer has told something."""
         self.notice(Heard(sender, data))
+        if self.sibling is not None:
+            self.sibling.heard(sender, data)
+
+    def heard_elsewhere(self, sender: int, data: bytes) -> None:
+        """The same, by way of another process of ours, or from that itself."""
+        self.notice(Heard(sender, data))
 
     # -- operators
 
     def call(self, name: str, argument: str) -> tuple[bool, str]:
         """An operator's call is in force before this returns: whether it is refused, and what to say."""
         if name == "READY":
-            if self.ending or not self.up:
-                return True, "ending" if self.ending else "not up yet"
+            if self.ending or self.succeeded or not self.up:
+                return True, "not up yet" if not self.up else "ending" if self.ending else "handed over"
             return False, "draining" if self.door else "ready"
+        wrong = self.order(name, argument)
+        if not wrong and self.sibling is not None:
+            self.sibling.ordered(name, argument)
+        what = f"{name}{' ' if argument else ''}{argument}"
+        log.info("operator: %s: %s", what, f"refused, {wrong}" if wrong else "done")
+        return bool(wrong), wrong or what
+
+    def order(self, name: str, argument: str) -> str:
+        """One that the module decides on; what is wrong with it, or nothing. Raises ValueError."""
         order = Call(name.lower())
         self._serial += 1
         number = self._serial
         self.notice(Order(number, order, argument))
         self._turn()
-        wrong = self._said.pop(number, "the order failed; see the log")
-        what = f"{name}{' ' if argument else ''}{argument}"
-        log.info("operator: %s: %s", what, f"refused, {wrong}" if wrong else "done")
-        return bool(wrong), wrong or what
+        return self._said.pop(number, "the order failed; see the log")
 
     def _say(self, action: Said) -> None:
         self._said[action.number] = action.wrong
@@ -156,18 +173,50 @@
         elif self.door < Door.LATE:
             self._late_end_ms = math.inf
         self._open_or_not()
-        if self.door >= Door.IDLE:
-            self.close_idle()
 
     def _open_or_not(self) -> None:
-        self.ready = self.up and not self.door and not self.ending
-        self.draining = self.ending_last or bool(self.door)
+        # Who asks the old process of two for its readiness asks the gatekeeper.
+        self.ready = self.up and not self.door and (self.succeeded or not self.ending)
+        self.draining = self.ending_last or self.succeeded or bool(self.door)
 
     def come_up(self) -> None:
         """It takes clients from now on."""
         self.up = True
         self._open_or_not()
 
+    # -- two processes of this gatekeeper
+
+    def hand_over(self) -> Mapping[str, Any]:
+        """Another process takes the clients from now on; its state to go on from. Raises ValueError."""
+        self._estate = None
+        self.notice(Leave())
+        self._turn()
+        if self._estate is None:
+            raise ValueError("the module gave no state")
+        self.succeeded = True
+        self._open_or_not()
+        return self._estate
+
+    def _keep_estate(self, action: Estate) -> None:
+        self._estate = action.state
+
+    def inherit(self, state: Mapping[str, Any]) -> None:
+        """Go on from the state of the process before this one."""
+        self.notice(Inherit(state))
+        self._turn()
+
+    def resume(self) -> None:
+        """The other process has died; clients are taken here again."""
+        self.succeeded, self.sibling = False, None
+        self.notice(Resume())
+        self._open_or_not()
+
+    def limit(self, sockets: int) -> None:
+        """From now on hold no more descriptors than go with that limit."""
+        self.workers.limit(int(sockets * WORKER_PART))
+        for front in self._fronts:
+            front.limit(sockets)
+
     # -- fronts
 
     def add(self, front: Front) -> None:
@@ -262,6 +311,10 @@
         self.alarms.at(math.ceil(due_ms / tick_ms) * tick_ms, lambda: self.notice(woken))
 
     def _tell(self, action: Tell) -> None:
+        if action.receiver == self.settings.number:  # another process of ours
+            if self.sibling is not None:
+                self.sibling.said(action.data)
+            return
         self.peers.tell(action.receiver, action.data)
 
     def _ignore(self, _action: Action) -> None:
@@ -312,6 +365,10 @@
         for front in self._fronts:
             front.close_idle()
 
+    def is_quiet(self) -> bool:
+        """Whether nothing is open and no connection either."""
+        return not self.open and not any(front.busy() for front in self._fronts)
+
     def busy(self) -> bool:
         """Whether anything taken is not answered, or not yet written out; new idle connections close."""
         self.close_idle()
--- a/plumpick/peers.py
+++ b/plumpick/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -27,19 +28,42 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._socket: Any = None
 
-    def open(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Listen, where the configuration has peers."""
+    def open(self, loop: asyncio.AbstractEventLoop, plug: Any = None, shared: bool = False) -> None:
+        """Listen, where the configuration has peers. `plug`: a bound socket that another process listened at;
+        nothing is heard there before `listen`. `shared`: another process may listen at the same address."""
         if self._config.peer_listen is None:
+            if plug is not None:
+                plug.close()
             return
-        plug = self._datagrams()
+        given = plug is not None
+        plug = plug if given else self._datagrams()
         try:
             plug.setblocking(False)
-            plug.bind(self._config.peer_listen)
+            if shared and not given:
+                plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            if not given:
+                plug.bind(self._config.peer_listen)
         except OSError:
             plug.close()
             raise
         self._loop, self._socket = loop, plug
-        loop.add_reader(plug, self._read)
+        if not given:
+            self.listen()
+
+    def listen(self) -> None:
+        """Hear what comes; also again, after `mute`."""
+        if self._socket is not None and self._loop is not None:
+            self._loop.add_reader(self._socket, self._read)
+
+    def mute(self) -> None:
+        """Hear nothing more: another process does. What is told still goes out."""
+        if self._socket is not None and self._loop is not None:
+            self._loop.remove_reader(self._socket)
+
+    @property
+    def plug(self) -> Any:
+        """The socket, for another process; None where there is none."""
+        return self._socket
 
     def _read(self) -> None:
         """Take in one datagram; the loop calls again at once if there are more."""
--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -244,6 +244,13 @@
         self._connections = 0
         alarms.at(clock.now() + SWEEP_MS, self._sweep)
 
+    def limit(self, most: int) -> None:
+        """From now on open no more connections than that; those that are idle go first."""
+        self._max = most
+        for worker in self._known.values():
+            while worker.idle and self._connections > most:
+                worker.idle[0].abandon()
+
     def unused_connections(self) -> int:
         """How many more connections may be made."""
         return self._max - self._connections
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,313 @@
+"""Two processes of one gatekeeper: messages, the state, and upgrades of the program over loopback."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from dataclasses import replace
+
+import pytest
+from fakes import HOST, Client, FakeDiscovery, FakeWorker, answer, config, entry, listing, request, run, told
+from test_management import UP, say
+from test_module import FLEET, ask, home_of, of
+from test_process import free_port, start, until_up
+from test_rules import settings
+
+from anisefront import estate
+from anisefront.control import Controller
+from anisefront.interface import (
+    Arrival, Call, Estate, Heard, Inherit, Leave, Order, Outcome, Plan, Result, Resume, Said, Send, Tell,
+)
+from plumpick.handover.message import MAGIC, MAX_TEXT, Reader, Unreadable, encode
+from plumpick.handover.succession import path_in
+
+
+def test_messages_come_whole_wherever_they_are_cut():
+    data = encode("hello", "n0") + encode("take") + encode("state", {"a": [1, None, "ä"]})
+    for cut in range(len(data)):
+        reader = Reader()
+        messages = reader.feed(data[:cut]) + reader.feed(data[cut:])
+        assert messages == [("hello", "n0"), ("take", None), ("state", {"a": [1, None, "ä"]})]
+
+
+@pytest.mark.parametrize("data", [
+    b"GET / HTTP/1.1\r\n\r\n", MAGIC + b"\0\x02" + bytes(8), MAGIC + b"\0\x01\xff\xff\xff\xff" + bytes(4),
+    encode("take")[:-1] + b"x", MAGIC + b"\0\x01" + (2).to_bytes(4, "big") + b"abcd" + b"{}"])
+def test_what_is_old_foreign_torn_or_too_long_is_not_believed(data):
+    with pytest.raises(Unreadable):
+        Reader().feed(data)
+
+
+def test_a_message_that_is_too_long_is_not_made():
+    with pytest.raises(ValueError):
+        encode("state", "x" * MAX_TEXT)
+
+
+# -- the module
+
+
+def gate(seed, number=None):
+    given = settings(number=home_of("c") if number is None else number)
+    control = Controller(replace(given, plans=(*given.plans, Plan("plain", 4, 12))), seed)
+    control.handle(0.0, [FLEET])
+    return control
+
+
+def left_by(control, now):
+    state, = of(Estate, control.handle(now, [Leave()]))
+    return json.loads(json.dumps(state.state, allow_nan=False))
+
+
+def let_in(control, now, count, first=1):
+    sends = []
+    for number in range(first, first + count):
+        sends += of(Send, control.handle(now, [ask(number, plan="plain", due=now + 5000.0)]))
+    return len(sends)
+
+
+def test_a_home_passes_its_stores_on_and_nothing_is_granted_twice():
+    old, new = gate(1), gate(2)
+    granted = let_in(old, 1.0, 40)
+    assert 5 <= granted <= 13  # a burst of 12, less what is kept for worthier ones
+    new.handle(2.0, [Inherit(left_by(old, 2.0))])
+    assert let_in(new, 3.0, 40, 1000) <= 1
+    fresh = gate(3)
+    assert let_in(fresh, 3.0, 40, 1000) >= 5  # what a start without the state would have granted
+    assert let_in(old, 4.0, 40, 2000) == 0
+
+
+def pass_on(now, sender, receiver):
+    """What one process tells its own number reaches the other; the other's answers."""
+    number = sender.settings.number
+    return receiver.handle(now, [Heard(number, tell.data) for tell in sender.actions
+                                 if isinstance(tell, Tell) and tell.receiver == number])
+
+
+def test_what_the_old_process_still_asks_its_own_home_the_new_one_grants():
+    old, new = gate(1), gate(2)
+    new.handle(1.0, [Inherit(left_by(old, 1.0))])
+    old.handle(2.0, [ask(1, due=5000.0, units=2)])
+    level = next(iter(new.quota.stores.values())).level if new.quota.stores else 12.0
+    pass_on(3.0, old, new)
+    actions = pass_on(4.0, new, old)
+    assert of(Send, actions)
+    assert next(iter(new.quota.stores.values())).level <= level - 1.9
+
+
+def test_peers_business_is_the_new_processs_alone():
+    old, new = gate(1), gate(2)
+    state = left_by(old, 1.0)
+    new.handle(1.0, [Inherit(state)])
+    other = gate(5, (home_of("c") + 1) % 3)
+    other.handle(2.0, [ask(1, due=5000.0)])
+    tells = [tell for tell in other.actions if isinstance(tell, Tell) and tell.receiver == home_of("c")]
+    assert tells
+    heard = [Heard(other.settings.number, tell.data) for tell in tells]
+    assert not of(Tell, old.handle(3.0, heard)) and of(Tell, new.handle(3.0, heard))
+
+
+def test_bans_draining_and_what_is_known_of_servers_pass_over():
+    old, new = gate(1), gate(2)
+    old.handle(1.0, [Order(1, Call.DISABLE, "s1"), Order(2, Call.DRAIN)])
+    send, = of(Send, old.handle(2.0, [Arrival(9, "d", "look", "rated", 4000.0, 1, 0, 1)]))[:1] or [None]
+    if send is not None:
+        old.handle(300.0, [Outcome(9, 0, send.server, 298.0, Result.ERROR, False)])
+    new.handle(301.0, [Inherit(left_by(old, 301.0))])
+    assert "s1" in new.servers.bans and new.draining.since_ms == 1.0
+    assert {name for name, one in new.servers.known.items() if one.bad} == {
+        name for name, one in old.servers.known.items() if one.bad}
+    assert of(Said, new.handle(302.0, [Order(3, Call.ENABLE, "s1")]))[0].wrong == ""
+    assert "s1" not in new.servers.bans
+
+
+@pytest.mark.parametrize("spoil", [
+    {"form": 0}, {"number": 7}, {"stores": [[1, 0]]}, {"accounts": [[["c"], []]]}, {"window": [1.0]},
+    {"servers": [["s1", 0.0, ["x"] * 4, {}, {}, []]]}, {"bans": 5}, {"usual": {"look": "soon"}}])
+def test_a_state_that_cannot_be_read_changes_nothing(spoil):
+    old, new = gate(1), gate(2)
+    let_in(old, 1.0, 5)
+    before = let_in(gate(2), 3.0, 40)
+    new.handle(2.0, [Inherit({**left_by(old, 2.0), **spoil})])
+    assert new.faults and let_in(new, 3.0, 40) == before
+
+
+def test_who_goes_on_after_its_heir_died_grants_nothing_for_the_time_between():
+    old = gate(1)
+    let_in(old, 1.0, 40)
+    left_by(old, 2.0)
+    old.handle(60_000.0, [Resume()])
+    assert let_in(old, 60_001.0, 40, 1000) <= 1
+
+
+def test_a_ceiling_is_kept_through_a_handover():
+    old, new = gate(1), gate(2)
+    sent = 0
+    for step in range(100):
+        now, control = 20.0 * step, old if step < 50 else new
+        if step == 50:
+            new.handle(now, [Inherit(left_by(old, now))])
+        arrival = Arrival(step, "c", "look", "capped", now + 1400.0, 1, 0, 3)
+        sent += len(of(Send, control.handle(now, [arrival])))
+    assert sent <= 32 + 16 * 2.0 + 4
+    assert estate.FORM == 1
+
+
+# -- the program
+
+
+class Upgrade:
+    """A gatekeeper on real sockets that is started more than once, with a client's address that stays."""
+
+    def __init__(self, folder, fake, worker):
+        self.folder, self.fake, self.worker, self.port = folder, fake, worker, free_port()
+        self.offices, self.processes = [], []
+
+    async def start(self):
+        """One more process; its management port."""
+        self.offices.append(free_port())
+        path = self.folder / f"config-{len(self.offices)}.json"
+        path.write_text(json.dumps(config(
+            self.fake.port, self.port, [entry("w1", self.worker.port)],
+            management=f"{HOST}:{self.offices[-1]}", limits={"sockets": 1024})))
+        process = await start(path)
+        self.processes.append(process)
+        _, writer = await self.fake.called()
+        writer.write(told(listing(entry("w1", self.worker.port))))
+        while True:
+            try:
+                if (await say(self.offices[-1], b"READY\n")).startswith("+OK"):
+                    return process
+            except ConnectionError:
+                await asyncio.sleep(0.01)
+
+
+def upgrades(tmp_path, monkeypatch, scenario):
+    async def whole():
+        monkeypatch.setenv("TMPDIR", str(tmp_path))
+        async with FakeDiscovery() as fake, FakeWorker() as worker:
+            one = Upgrade(tmp_path, fake, worker)
+            try:
+                await one.start()
+                await until_up(one.port)
+                await scenario(one)
+            finally:
+                for process in one.processes:
+                    if process.returncode is None:
+                        process.kill()
+                        await process.wait()
+    run(whole())
+
+
+async def serve_all(worker):
+    """Answer whatever the worker is asked."""
+    while True:
+        message, writer = await worker.asked()
+        if message is not None:
+            writer.write(answer(body=message.headers["x-request-id"].encode()))
+
+
+async def keep_asking(port, count, counts):
+    """One client on one connection for as long as it stays: every answer must be 200."""
+    for _ in range(count):
+        try:
+            client = await Client().open(port)
+            while True:
+                counts["sent"] += 1
+                told = await client.send(request()).answer()
+                counts["whole" if told and told[0] == 200 else "lost"] += 1
+                if told is None or told[1].get("connection") == "close":
+                    break
+                if counts["stop"]:
+                    client.close()
+                    return
+        except ConnectionError:
+            counts["refused"] += 1
+        if counts["stop"]:
+            return
+
+
+def test_under_load_an_upgrade_loses_refuses_and_resets_nothing(tmp_path, monkeypatch):
+    async def scenario(one):
+        counts = dict(sent=0, whole=0, lost=0, refused=0, stop=0)
+        serving = asyncio.create_task(serve_all(one.worker))
+        clients = [asyncio.create_task(keep_asking(one.port, 1000, counts)) for _ in range(8)]
+        idle = await Client().open(one.port)
+        assert (await idle.send(UP).answer())[0] == 200
+        for _ in range(2):
+            old = one.processes[-1]
+            before = counts["whole"]
+            await one.start()
+            assert (await say(one.offices[-2], b"READY\n")).startswith("-ERR")
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+            while counts["whole"] < before + 50:
+                await asyncio.sleep(0.01)
+        counts["stop"] = 1
+        await asyncio.gather(*clients)
+        assert (await idle.send(UP).answer())[0] == 200  # it went over twice and never noticed
+        serving.cancel()
+        assert counts["lost"] == counts["refused"] == 0 and counts["whole"] == counts["sent"]
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+def test_a_ban_and_a_drain_last_over_an_upgrade_and_a_call_to_either_holds_in_both(tmp_path, monkeypatch):
+    async def scenario(one):
+        assert (await say(one.offices[0], b"DISABLE w1\n")).startswith("+OK")
+        assert (await say(one.offices[0], b"DRAIN\n")).startswith("+OK")
+        await one.start()
+        assert (await (await Client().open(one.port)).send(UP).answer())[0] == 503
+        assert (await say(one.offices[0], b"UNDRAIN\n")).startswith("+OK")  # to the old one
+        while (await (await Client().open(one.port)).send(UP).answer())[0] == 503:
+            await asyncio.sleep(0.01)
+        assert (await say(one.offices[1], b"ENABLE w9\n")).startswith("-ERR")
+        assert (await say(one.offices[1], b"ENABLE w1\n")).startswith("+OK")
+        serving = asyncio.create_task(serve_all(one.worker))
+        assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
+        serving.cancel()
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+def test_if_the_new_process_dies_the_old_one_goes_on(tmp_path, monkeypatch):
+    async def scenario(one):
+        new = await one.start()
+        new.kill()
+        await new.wait()
+        serving = asyncio.create_task(serve_all(one.worker))
+        assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
+        assert (await say(one.offices[0], b"READY\n")).startswith("+OK")
+        serving.cancel()
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+def test_if_the_old_process_is_killed_in_the_middle_the_new_one_serves(tmp_path, monkeypatch):
+    async def scenario(one):
+        await one.start()
+        one.processes[0].kill()
+        await one.processes[0].wait()
+        serving = asyncio.create_task(serve_all(one.worker))
+        assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
+        serving.cancel()
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("left", ["file", "dead", "foreign"])
+def test_what_was_left_in_tmpdir_leads_to_an_ordinary_start(tmp_path, monkeypatch, left):
+    path = path_in(str(tmp_path), "n0")
+    plug = socket.socket(socket.AF_UNIX)
+    if left == "file":
+        path.write_text("x")
+    else:
+        plug.bind(str(path))
+        if left == "foreign":
+            plug.listen(1)  # and says nothing
+        else:
+            plug.close()
+
+    async def scenario(one):
+        serving = asyncio.create_task(serve_all(one.worker))
+        assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
+        serving.cancel()
+    upgrades(tmp_path, monkeypatch, scenario)
+    plug.close()
+    assert os.path.isdir(tmp_path)
