Bulk bodies stream both ways; requests behind an open one are answered in order

Change: Incoming and a line of waiting messages, upstream/body.py with one budget, answers over 64 KiB passed on as they come, time from the last byte, Expect, HEAD, absolute targets, answers that end with their connection. Checked: streams, gatekeeper, handover, management, process tests.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -921,6 +921,7 @@
                 self.on_arrival(event)
             case Started() if event.id in self.requests:
                 self.requests[event.id].streaming = True
+                self.requests[event.id].once |= not event.kept
                 self.cancel_others(self.requests[event.id], event.attempt)
             case ClientGone() if event.id in self.requests:
                 self.close(self.requests[event.id])
@@ -1213,7 +1214,7 @@
         """Whether a further attempt could still be in time, and rule 2 leaves it a server."""
         left = min(request.aim_ms, request.arrival.due_ms) - self.now
         return (left >= self.answer_time(request.kind) and request.attempts < self.settings.max_attempts
-                and self.allowed(request) != [])
+                and not request.once and self.allowed(request) != [])
 
     def again(self, request: Request, chance: float = 1.0) -> bool:
         """A further attempt, where it can still be in time and the budget allows it. `chance`: that the one
--- a/anisefront/interface.py
+++ b/anisefront/interface.py
@@ -189,11 +189,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Started:
-    """A streamed answer has begun; the attempt belongs to the client now."""
+    """A streamed answer, or a request's body, has begun; the attempt belongs to the client now."""
 
     id: int
     attempt: int
     server: str
+    kept: bool = True  # False: its body goes on while it comes, so there is no further attempt
 
 
 @dataclass(frozen=True, slots=True)
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -129,6 +129,7 @@
     waiting: bool = True  # for its quota
     held: bool = False
     streaming: bool = False
+    once: bool = False  # its body is not kept: no further attempt
     toss_ms: float = 0.0  # not before then may it try for a cold server again
 
 
--- a/plumpick/config.py
+++ b/plumpick/config.py
@@ -52,6 +52,7 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    memory_mb: float = 192.0  # that the process may hold
     management: Address | None = None  # where operators call; None: nowhere
 
 
@@ -117,6 +118,7 @@
         known=worker_list_from(top.table("known", {"index": 0, "endpoints": []}).value, "config.known"),
         peer_listen=address_from(peer_listen, "config.peer_listen") if peer_listen else None, peers=peers,
         peers_all=address_from(peers_all, "config.peers_all") if peers_all else None,
+        memory_mb=top.table("limits", {}).number("memory_mb", 192.0),
         management=address_from(management, "config.management") if management else None)
 
 
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -30,6 +30,7 @@
 LAST_S, LEAST_S = 1.0, 0.6  # so long before the end no connection is kept any more; but not sooner than this
 TO_FINISH_S = 600.0  # each request has its guard, so none waits longer
 STEP_S = 0.02
+OWN_SOCKETS = 24  # descriptors of the program itself: the loop's, listeners, discovery, operators
 BACKLOG = 512
 
 log = logging.getLogger("plumpick")
@@ -81,7 +82,7 @@
             self._taker = await Taker.ask(self._loop, self._path, self._config.name)
         peers = self._gatekeeper.peers
         if self._taker is not None:
-            self._taker.left = self._alone
+            self._taker.left, self._taker.held = self._alone, self._held
             self._gatekeeper.limit(self._config.sockets // 2)
             if self._taker.datagrams is not None:
                 peers.open(self._loop, self._taker.datagrams)
@@ -107,12 +108,16 @@
 
     def _changed(self, handed_over: bool) -> None:
         """The next process has taken over, or has died and this one goes on."""
-        sockets = self._config.sockets
-        self._gatekeeper.limit(sockets // 2 if handed_over else sockets)
-        if not handed_over:
+        if handed_over:
+            self._gatekeeper.sweeps.append(lambda _now: self._giver.tell_held())
+        else:
             task = self._loop.create_task(self._house.listen(self._loop))
             task.add_done_callback(lambda done: done.exception() and log.error("%s", done.exception()))
 
+    def _held(self, count: int) -> None:
+        """What the process before still holds is not ours, and it has some of its own."""
+        self._gatekeeper.limit(max(self._config.sockets // 3, self._config.sockets - count - OWN_SOCKETS))
+
     def _alone(self) -> None:
         """The process before has gone: its part of the descriptors is free."""
         self._gatekeeper.limit(self._config.sockets)
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -36,11 +36,46 @@
     target: bytes
     content_type: bytes | None
     body: bytes
+    came_ms: float  # when its last byte was read; for a stream, its head
+    stream: Any = None  # a `Stream` in place of the body: it goes on while it comes
+
+
+class Stream(Protocol):
+    """A body that goes on while it comes (upstream/body.py)."""
+
+    length: int
+    begun: bool
+    whole: bool
+    held: bool
+    moved_ms: float
+
+
+class Source(Protocol):
+    """Where an answer comes from that goes on while it comes."""
+
+    def hold(self) -> None:
+        """Give no more for now."""
+
+    def go_on(self) -> None:
+        """Give again."""
 
 
 class Asker(Protocol):
     """Who has asked."""
 
+    def begin(self, length: int, kind: bytes, source: Source, mark: int) -> None:
+        """A 200 whose body follows by `part`, until `finish` or `broken`. `length`: -1 if it is not known;
+        `mark`: of bytes that may wait to be written before the source is held."""
+
+    def part(self, data: bytes) -> None:
+        """Some more of it."""
+
+    def finish(self) -> None:
+        """That was all."""
+
+    def broken(self) -> None:
+        """The rest will not come: it must not look whole."""
+
     def answer(self, status: int, body: bytes = b"", kind: bytes = b"", retry_in_ms: float = 0.0) -> None:
         """The one final answer: a status of HTTP, and with 200 a worker's whole body and its type."""
 
@@ -61,6 +96,9 @@
     def busy(self) -> bool:
         """Whether a connection is still open."""
 
+    def connections(self) -> int:
+        """How many it holds."""
+
     def limit(self, sockets: int) -> None:
         """How many descriptors the process may hold from now on."""
 
@@ -77,6 +115,12 @@
     def spare_descriptors(self) -> int:
         """Descriptors kept for workers that nobody uses now."""
 
+    def stream(self, giver: Source, length: int) -> Any:
+        """A body that goes on while it comes, of so many bytes (-1: not known); a `Stream` that is fed."""
+
+    def came_whole(self, request: Any) -> None:
+        """The last byte of a request's body has come: its time counts from now on."""
+
     def take(self, asker: Asker, ask: Ask) -> Any:
         """A whole request has come in: from here on it is owed one final answer. Raises InUse. What it
         returns names the request to `left`."""
--- a/plumpick/fronts/http/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -127,7 +127,8 @@
                     table[client] += stood_ms
             return
         owed_ms = OWED_AT_END_MS if ending else OWED_MS
-        for client in [one for one, since in self._owing.items() if now - since > owed_ms]:
+        for client in [one for one, since in self._owing.items()
+                       if now - since > owed_ms and now - since > owed_ms + one.earned_ms()]:
             client.give_up()
         # Clients hold only so many connections: those that asked once and stay would keep the others out.
         spared_ms = SPARED_MS if len(self._idle) > self.idle_kept else IDLE_MS
--- a/plumpick/fronts/http/forms.py
+++ b/plumpick/fronts/http/forms.py
@@ -52,14 +52,15 @@
 
     def read(self, method: bytes, target: bytes, headers: Mapping[bytes, bytes], has_body: bool) -> Form:
         """The form of a whole request; raises BadRequest."""
+        target = path_of(target)
         if not target.startswith(b"/"):
             raise BadRequest("the target is no path")
         kind = self._kinds.get(target[1:].partition(b"?")[0].partition(b"/")[0])
         if kind is None:
             raise BadRequest("there is no such class", 404)
-        if method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
+        if method not in ((b"GET", b"HEAD") if kind.repeat is Repeat.SAFE else (b"POST",)):
             raise BadRequest("the class has another method", 405)
-        if has_body and method == b"GET":
+        if has_body and method != b"POST":
             raise BadRequest("a GET with a body")
         key = headers.get(b"idempotency-key")
         if kind.repeat is Repeat.KEYED:
@@ -82,6 +83,17 @@
                     first, headers.get(b"x-retry") == b"1", key)
 
 
+def path_of(target: bytes) -> bytes:
+    """The path and query of a target; one in absolute form (RFC 9112, 3.2.2) loses scheme and host."""
+    if target[:7].lower() == b"http://":
+        rest = target[7:]
+        slash, mark = rest.find(b"/"), rest.find(b"?")
+        if slash >= 0 and (mark < 0 or slash < mark):
+            return rest[slash:]
+        return b"/" + rest[mark:] if mark >= 0 else b"/"
+    return target
+
+
 def whole_number(text: bytes, least: int, most: float = math.inf) -> int:
     """A whole number in plain digits, within bounds."""
     if not text.isdigit() or len(text) > 15 or not least <= int(text) <= most:
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -9,8 +9,8 @@
 from anisefront.interface import Settings
 from plumpick.fronts.door import Ask, Heart, InUse
 from plumpick.fronts.http.admission import Admission
-from plumpick.fronts.http.connections import ClientConnection
-from plumpick.fronts.http.forms import BadRequest, Forms
+from plumpick.fronts.http.connections import ClientConnection, Incoming
+from plumpick.fronts.http.forms import BadRequest, Forms, path_of
 
 
 class HttpFront:
@@ -56,13 +56,29 @@
     def begins(self, client: ClientConnection) -> None:
         self.admission.begins(client, self.heart.clock.now())
 
-    def take(self, client: ClientConnection) -> Any:
+    def take(self, client: ClientConnection, coming: Incoming) -> Any:
         """A whole request has come in; raises BadRequest."""
-        headers, method = client.headers, client.parser.get_method()
-        form = self.forms.read(method, client.url, headers, bool(client.body))
+        method, headers = coming.method, coming.headers
+        form = self.forms.read(method, coming.url, headers, bool(coming.body))
         try:
             request = self.heart.take(client, Ask(
-                *form, method, client.url, headers.get(b"content-type"), bytes(client.body)))
+                *form, method, path_of(coming.url), headers.get(b"content-type"), bytes(coming.body),
+                coming.came_ms))
+        except InUse as problem:
+            raise BadRequest(str(problem), 409) from problem
+        self.admission.asked(client)
+        return request
+
+    def take_stream(self, client: ClientConnection, coming: Incoming) -> Any:
+        """A request has come whose body is too large to be kept: it goes on while it comes. Raises
+        BadRequest."""
+        method, headers = coming.method, coming.headers
+        form = self.forms.read(method, coming.url, headers, True)
+        coming.stream = self.heart.stream(client, coming.length)
+        try:
+            request = self.heart.take(client, Ask(
+                *form, method, path_of(coming.url), headers.get(b"content-type"), b"", coming.came_ms,
+                coming.stream))
         except InUse as problem:
             raise BadRequest(str(problem), 409) from problem
         self.admission.asked(client)
@@ -90,6 +106,9 @@
         for client in list(self.admission.all):
             client.close_if_idle()
 
+    def connections(self) -> int:
+        return len(self.admission)
+
     def limit(self, sockets: int) -> None:
         self.admission.limit(sockets)
 
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -16,14 +16,15 @@
 from anisefront.draining import LATE_FOR_MS, Door
 from anisefront.interface import (
     Action, Arrival, Call, Cancel, ClientGone, Doors, Estate, Event, Fail, Fleet, Heard, Inherit, Leave,
-    Order, Outcome, Probe, Refuse, Result, Resume, Said, Send, State, Subscribe, Tell, Wake, Woken,
+    Order, Outcome, Probe, Refuse, Result, Resume, Said, Send, Started, State, Subscribe, Tell, Wake, Woken,
 )
 from anisefront.standing import Standing
 from plumpick.clock import Alarm, Alarms
 from plumpick.config import Config, WorkerList
-from plumpick.fronts.door import STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse, Sibling
+from plumpick.fronts.door import STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse, Sibling, Source
 from plumpick.peers import Peers
 from plumpick.system import System
+from plumpick.upstream.body import Body, Budget
 from plumpick.upstream.message import head_of, message_of
 from plumpick.upstream.workers import Attempt, Workers
 
@@ -32,6 +33,9 @@
 # Of the descriptors. Clients have up to 0.46 (fronts/http/admission.py); the rest, 30 of the smallest limit
 # of 256, is for discovery, peers and the loop itself.
 WORKER_PART = 0.42
+STREAM_PART = 0.25  # of the memory, for bodies that go on while they come
+STALL_MS = 10_000.0  # an answer of which nothing moved for so long is given up,
+UPLOAD_STALL_MS = 2500.0  # and a request's body: its client has stopped
 LOG_EVERY_MS = 10_000.0  # a fault of the module is logged at most so often
 REMEMBER_MS = 2000.0  # for once to twice as long an id stays known after its request has ended
 
@@ -41,10 +45,13 @@
 class Request:
     """An open request."""
 
-    __slots__ = ("id", "name", "asker", "head", "body", "sends", "guard")
+    __slots__ = ("id", "name", "asker", "head", "body", "sends", "guard", "stream", "is_head", "wait_ms",
+                 "passing")
 
-    def __init__(self, number: int, name: bytes, asker: Asker, head: bytes, body: bytes) -> None:
-        self.id, self.name, self.asker, self.head, self.body = number, name, asker, head, body
+    def __init__(self, number: int, name: bytes, asker: Asker, head: bytes, ask: Ask) -> None:
+        self.id, self.name, self.asker, self.head, self.body = number, name, asker, head, ask.body
+        self.stream, self.is_head, self.wait_ms = ask.stream, ask.method == b"HEAD", 0.0
+        self.passing: Attempt | None = None  # whose answer is on its way to the client
         self.sends = 0
         self.guard: Alarm | None = None
 
@@ -62,12 +69,14 @@
         self.workers = Workers(loop, self.clock, self.alarms, idle_ms=config.idle_ms,
                                dial_timeout_ms=config.dial_timeout_ms,
                                max_connections=int(config.sockets * WORKER_PART),
-                               report_fields=config.settings.report_fields, is_quiet=system.is_quiet)
+                               report_fields=config.settings.report_fields, is_quiet=system.is_quiet,
+                               budget=Budget(int(config.memory_mb * 2**20 * STREAM_PART)))
         self.peers = Peers(config, self.heard, system.datagrams)
         self._fronts: list[Front] = []
         self.sweeps: list[Callable[[float], None]] = []  # of others that have to be looked after as often
         self._standing = Standing(config.settings.gateways, config.settings.number)
         self.open: dict[int, Request] = {}
+        self._streams: dict[Request, None] = {}  # of these, with a body that goes on while it comes
         self.attempts: dict[tuple[int, int], Attempt] = {}  # all that are out, also of ended requests
         self.ready = self.draining = False
         self.up = False  # it takes clients, by itself; `ready` is what the front is told
@@ -215,6 +224,14 @@
         self.notice(Resume())
         self._open_or_not()
 
+    def only_finish(self) -> None:
+        """Another process takes what comes: here no more descriptors are needed than are in use."""
+        self.workers.close_idle()
+
+    def descriptors(self) -> int:
+        """How many are held now, but for a few of the program's own."""
+        return self.workers.connections() + sum(front.connections() for front in self._fronts)
+
     def limit(self, sockets: int) -> None:
         """From now on hold no more descriptors than go with that limit."""
         self.workers.limit(int(sockets * WORKER_PART))
@@ -233,6 +250,8 @@
     def left(self, request: Request) -> None:
         if self._close(request):
             self.notice(ClientGone(request.id))
+            if request.stream is not None or request.passing is not None:
+                self._call_off(request)
 
     def take(self, asker: Asker, ask: Ask) -> Request:
         now = self.clock.now()
@@ -241,13 +260,21 @@
             raise InUse("x-request-id is in use")
         self._serial += 1
         # What is read after a standstill of ours may have waited all through it; its client's time ran on.
-        wait_ms = max(ask.wait_ms - self._unread_ms(now), min(ask.wait_ms, 2 * MARGIN_MS))
+        unread_ms = self._unread_ms(now) + now - ask.came_ms  # it may have waited behind another, too
+        wait_ms = max(ask.wait_ms - unread_ms, min(ask.wait_ms, 2 * MARGIN_MS))
         end_ms = min(self._end_ms, self._late_end_ms)
         due_ms = min(now + wait_ms, max(end_ms, now + 2 * MARGIN_MS))
-        request = Request(self._serial, ask.id, asker, head_of(ask), ask.body)
-        request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+        request = Request(self._serial, ask.id, asker, head_of(ask), ask)
+        request.wait_ms = due_ms - now
+        if ask.stream is None:
+            request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+        else:
+            ask.stream.moved_ms = now
+            self._streams[request] = None
+            self.workers.budget.streams += 1
         self.open[request.id] = request
         self._names.add(ask.id)
+        # Of what goes on while it comes its time has not begun; the module has to send it soon all the same.
         self.notice(Arrival(request.id, ask.customer, ask.kind.name, ask.plan, due_ms - MARGIN_MS,
                             ask.units, ask.first, ask.spread, ask.is_repeat))
         return request
@@ -260,13 +287,49 @@
         self._ended_names[0].add(request.name)
         if request.guard is not None:
             request.guard.cancel()
+        if request in self._streams:
+            del self._streams[request]
+            self.workers.budget.streams -= 1
         return True
 
+    def stream(self, giver: Source, length: int) -> Any:
+        return Body(giver, length, self.workers.budget.mark())
+
+    def came_whole(self, request: Request) -> None:
+        """From now on its client waits."""
+        if request.id in self.open and request.guard is None and request.passing is None:
+            due_ms = self.clock.now() + request.wait_ms
+            request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+
+    def _stalled(self, now: float) -> None:
+        """Give up the bodies of which nothing moves: a client or a worker has stopped."""
+        for request in list(self._streams):
+            attempt, stream = request.passing, request.stream
+            if attempt is not None:
+                if now - attempt.moved_ms > STALL_MS:
+                    attempt.end(Result.RESET)
+            elif stream is not None and not stream.whole:
+                if stream.held:
+                    stream.moved_ms = max(stream.moved_ms, now - UPLOAD_STALL_MS / 2)
+                if now - stream.moved_ms > UPLOAD_STALL_MS and self._close(request):
+                    request.asker.answer(408)
+                    self.notice(ClientGone(request.id))
+                    self._call_off(request)
+
+    def _call_off(self, request: Request) -> None:
+        """Nobody waits for it: what is out of it ends."""
+        for number in range(request.sends):
+            attempt = self.attempts.get((request.id, number))
+            if attempt is not None:
+                attempt.end(Result.CANCELLED)
+
     def _overdue(self, request: Request) -> None:
         """The last guard: the module has not answered, and the client is about to give up."""
         if self._close(request):
             request.asker.answer(504)
             self.notice(ClientGone(request.id))
+            if request.stream is not None:
+                self._call_off(request)
 
     # -- actions
 
@@ -277,21 +340,49 @@
             return
         number, request.sends = request.sends, request.sends + 1
         message = message_of(request.head, action.allow_ms, request.body)
-        attempt = Attempt(request.id, number, action.server, message, self._ended)
+        stream = request.stream
+        if stream is not None and (stream.begun or number > 0 and (request.id, number - 1) in self.attempts):
+            # What has gone on is not kept, and one body goes one way.
+            self.notice(Outcome(action.id, number, action.server, 0.0, Result.MOOT, False))
+            return
+        attempt = Attempt(request.id, number, action.server, message, self._ended, stream, request.is_head,
+                          self._begins, self._flows)
         self.attempts[request.id, number] = attempt
         self.workers.start(attempt, action.allow_ms)
 
+    def _flows(self, attempt: Attempt) -> None:
+        """A body that is not kept begins to go out: from here on there is one attempt. Its times say nothing
+        of the worker until its last byte is there."""
+        self.notice(Started(attempt.request_id, attempt.number, attempt.worker, False))
+
+    def _begins(self, attempt: Attempt, length: int, kind: bytes) -> Any:
+        """An answer that is too large to be kept begins: who reads it; None if nobody waits for it."""
+        request = self.open.get(attempt.request_id)
+        if request is None or request.passing is not None:
+            return None
+        request.passing = attempt
+        if request.guard is not None:
+            request.guard.cancel()
+        if request not in self._streams:
+            self._streams[request] = None
+            self.workers.budget.streams += 1
+        self.notice(Started(attempt.request_id, attempt.number, attempt.worker))
+        assert attempt.connection is not None
+        request.asker.begin(length, kind, attempt.connection, self.workers.budget.mark())
+        return request.asker
+
     def _ended(self, attempt: Attempt, result: Result, body: bytes, kind: bytes,
                load: tuple[float, ...]) -> None:
         """One attempt has its outcome. The first good one is the request's final answer."""
         del self.attempts[attempt.request_id, attempt.number]
-        request = self.open.get(attempt.request_id)
-        if request is not None and result is Result.OK:
-            self._close(request)
-            request.asker.answer(200, body, kind)
-        self.notice(Outcome(attempt.request_id, attempt.number, attempt.worker,
-                            self.clock.now() - attempt.started_ms, result,
-                            request is None or result is Result.OK, load=load))
+        request, passed = self.open.get(attempt.request_id), attempt.first_ms > 0
+        if request is not None and (result is Result.OK or passed):
+            self._close(request)  # what has begun to leave is the final answer, whole or broken
+            if not passed:
+                request.asker.answer(200, body, kind)
+        took_ms = (attempt.first_ms if passed else self.clock.now()) - attempt.started_ms
+        self.notice(Outcome(attempt.request_id, attempt.number, attempt.worker, max(0.0, took_ms), result,
+                            request is None or result is Result.OK or passed, load=load))
 
     def _refuse(self, action: Refuse) -> None:
         request = self.open.get(action.id)
@@ -345,6 +436,7 @@
         if line:
             log.warning(line)
         self.alarms.at(now + SWEEP_MS, self._sweep)
+        self._stalled(now)
         for front in self._fronts:
             front.sweep(now, self.ending_last)
         for sweep in self.sweeps:
--- a/plumpick/handover/succession.py
+++ b/plumpick/handover/succession.py
@@ -182,8 +182,16 @@
             channel.tell("state", None)
         log.info("handed over to the next process")
         house.front.give_idle(lambda transport: self._give(channel, transport))
+        keeper.only_finish()
+        self.tell_held()
         self._changed(True)
 
+    def tell_held(self) -> None:
+        """How many descriptors this process still holds: the rest is the next one's."""
+        keeper = self._house.gatekeeper
+        if self._channel is not None and keeper.succeeded:
+            self._channel.tell("held", keeper.descriptors())
+
     @staticmethod
     def _give(channel: Channel, transport: Any) -> None:
         descriptor = os.dup(transport.get_extra_info("socket").fileno())
@@ -227,7 +235,8 @@
         self.channel: Channel | None = None
         self.house: Household | None = None
         self.alone = False
-        self.left: Callable[[], None] = lambda: None  # told when the other process has gone
+        self.left: Callable[[], None] = lambda: None  # told when the other process has gone,
+        self.held: Callable[[int], None] = lambda _count: None  # and how many descriptors it has meanwhile
 
     @classmethod
     async def ask(cls, loop: asyncio.AbstractEventLoop, path: Path, name: str) -> Taker | None:
@@ -276,6 +285,9 @@
 
     def _take_in(self, kind: str, value: Any, descriptors: list[int]) -> None:
         assert self.house is not None
+        if kind == "held":
+            self.held(int(value) if isinstance(value, int) else 0)
+            return
         if kind == "client":
             for descriptor in descriptors:
                 task = self._loop.create_task(self._client(socket.socket(fileno=descriptor)))
--- a/plumpick/upstream/message.py
+++ b/plumpick/upstream/message.py
@@ -12,7 +12,11 @@
         parts += (b"\r\nIdempotency-Key: ", ask.key)
     if ask.content_type is not None:
         parts += (b"\r\nContent-Type: ", ask.content_type)
-    if ask.method != b"GET":
+    if ask.stream is not None and ask.stream.length < 0:
+        parts.append(b"\r\nTransfer-Encoding: chunked")
+    elif ask.stream is not None:
+        parts.append(b"\r\nContent-Length: %d" % ask.stream.length)
+    elif ask.method == b"POST":
         parts.append(b"\r\nContent-Length: %d" % len(ask.body))
     parts.append(b"\r\nX-Deadline-Ms: ")
     return b"".join(parts)
--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -8,21 +8,23 @@
 import logging
 import math
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import httptools
 
 from anisefront.interface import Result, State
 from plumpick.clock import Alarm, Alarms, Clock
 from plumpick.config import Entry, WorkerList
+from plumpick.upstream.body import WHOLE, Body, Budget
 
-MAX_HEAD, MAX_BODY = 16 * 1024, 64 * 1024
+MAX_HEAD = 16 * 1024
 IDLE_PART = 0.6  # of the time after which a worker closes an idle connection: ours are closed well before
 MAX_PER_WORKER = 128  # connections to one worker, in use or idle
 MAX_IDLE = 24  # idle ones kept to one worker
 SWEEP_MS = 1000.0
 REST_MS = 2.0  # a connection is used again after so long: what comes right behind an answer shows by then
 MOST_LOAD = 1e6  # a field of a load report beyond that, or below nothing, is no report
+MOST_DIGITS, MOST_ANSWER = 15, 256 * 1024 * 1024  # of a length; bytes of an answer
 WHOLE_WRITE = 8 * 1024  # a request up to this size fits the empty buffer of any socket
 
 log = logging.getLogger(__name__)
@@ -31,14 +33,38 @@
 Done = Callable[["Attempt", Result, bytes, bytes, tuple[float, ...]], None]
 
 
+class Reader(Protocol):
+    """Who takes an answer that goes on while it comes."""
+
+    def part(self, data: bytes) -> None:
+        """Some more of the body."""
+
+    def finish(self) -> None:
+        """That was all."""
+
+    def broken(self) -> None:
+        """The rest will not come."""
+
+
 class Attempt:
-    """One request on its way to one worker; ends once, with `done(attempt, result, body, type, load)`."""
+    """One request on its way to one worker; ends once, with `done(attempt, result, body, type, load)`.
+
+    `stream`: a body that follows the message while it comes. `begins(attempt, length, type)` is asked when an
+    answer begins that is too large to be kept; it gives who reads it, or None if nobody wants it any more.
+    `flows(attempt)` is told when the first byte of a stream goes out: it is not kept."""
 
     __slots__ = ("request_id", "number", "worker", "message", "started_ms", "done", "connection", "dial",
-                 "alarm", "dial_alarm")
+                 "alarm", "dial_alarm", "stream", "begins", "reader", "is_head", "allow_ms", "first_ms",
+                 "moved_ms", "flows")
 
-    def __init__(self, request_id: int, number: int, worker: str, message: bytes, done: Done) -> None:
+    def __init__(self, request_id: int, number: int, worker: str, message: bytes, done: Done,
+                 stream: Body | None = None, is_head: bool = False,
+                 begins: Callable[[Attempt, int, bytes], Reader | None] | None = None,
+                 flows: Callable[[Attempt], None] | None = None) -> None:
         self.request_id, self.number, self.worker, self.message = request_id, number, worker, message
+        self.stream, self.begins, self.is_head, self.flows = stream, begins, is_head, flows
+        self.reader: Reader | None = None
+        self.allow_ms = self.first_ms = self.moved_ms = 0.0  # first_ms: when a streamed answer began
         self.done: Done | None = done
         self.started_ms = 0.0
         self.connection: WorkerConnection | None = None
@@ -58,6 +84,9 @@
             self.dial.cancel()
         if self.connection is not None:  # no whole answer has come: the worker learns by the end of it
             self.connection.abandon()
+        reader, self.reader = self.reader, None
+        if reader is not None and result is not Result.OK:
+            reader.broken()
         done(self, result, body, kind, load)
 
 
@@ -74,14 +103,20 @@
         self.unsent = False  # the last byte of the request has not been handed to the system
         self.parser: Any = None
         self.head_size = self.status = 0
+        self.stream: Body | None = None  # the request's body, while it comes
         self._clear()
 
+    def _is_busy(self) -> bool:
+        return self.attempt is not None
+
     def _clear(self) -> None:
         self.in_head, self.complete, self.excess, self.too_large = True, False, False, False
         self.body: list[bytes] = []
         self.body_size = 0
         self.kind = self.load = b""
-        self.not_run = self.keep = False
+        self.not_run = self.keep = self.chunked = False
+        self.length = -1  # of the body, as the head tells it
+        self.until_close = False  # only the end of the connection tells it
 
     # -- the transport's callbacks
 
@@ -93,9 +128,48 @@
     def pause_writing(self) -> None:
         """A large request is not out: should the connection break now, the worker never had it whole."""
         self.unsent = True
+        stream = self.stream
+        if stream is not None:
+            stream.hold()
 
     def resume_writing(self) -> None:
-        self.unsent = False
+        stream = self.stream
+        self.unsent = stream is not None and not stream.whole
+        if stream is not None:
+            stream.moved_ms = self.pool.now()
+            stream.go_on()
+
+    # -- a request's body that goes on while it comes
+
+    def part(self, data: bytes) -> None:
+        """Some more of it."""
+        transport = self.transport
+        if transport is None or self.closed:
+            return
+        stream = self.stream
+        if stream is not None and stream.length < 0:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        transport.write(data)
+
+    def finish(self) -> None:
+        """All of it has been written."""
+        stream, transport, attempt = self.stream, self.transport, self.attempt
+        if stream is None or transport is None or attempt is None or self.closed:
+            return
+        if stream.length < 0:
+            transport.write(b"0\r\n\r\n")
+        self.unsent = transport.get_write_buffer_size() > 0
+        self.pool.sent(attempt)
+
+    # -- an answer's body that goes on while it comes: its reader
+
+    def hold(self) -> None:
+        if self.transport is not None and not self.closed:
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if self.transport is not None and not self.closed:
+            self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None or self.closed:
@@ -110,18 +184,24 @@
                 self._fault(Result.ERROR)
                 return
             self.excess = True
+        if not self._is_busy():  # it has been taken back while it was read
+            return
         if self.complete and not self.too_large:
             self._answered()
         elif self.too_large or self.in_head and self.head_size > MAX_HEAD:
             self._fault(Result.ERROR)
 
     def eof_received(self) -> None:
-        """A worker that ends its sending has closed: so does the transport."""
+        """A worker that ends its sending has closed: so does the transport. An answer that has neither a
+        length nor chunks is whole then; a process that dies resets its connections."""
+        if self.until_close and self.attempt is not None and not self.complete and not self.closed:
+            self.complete, self.keep, self.status = True, False, self.parser.get_status_code()
+            self._answered()
 
     def connection_lost(self, _problem: Exception | None) -> None:
         self.parser = None  # it holds this connection: the two would wait for the collector
         self._leave()
-        if self.attempt is not None:
+        if self._is_busy():
             self._fault(Result.CONNECT_FAILED if self.unsent else Result.RESET)
 
     # -- the parser's callbacks
@@ -138,17 +218,59 @@
             elif name == b"content-type":
                 self.kind = value
             elif name == b"content-length":
-                # Refused by what it says, not by what has come: 3 GB would be read until then.
-                self.too_large = not value.isdigit() or len(value) > 9 or int(value) > MAX_BODY
+                self.too_large = (not value.isdigit() or len(value) > MOST_DIGITS or int(value) > MOST_ANSWER
+                                  or self.length >= 0)
+                self.length = -1 if self.too_large else int(value)
+        elif len(name) == 17 and name.lower() == b"transfer-encoding":
+            self.chunked = True
 
     def on_headers_complete(self) -> None:
+        attempt = self.attempt
+        if self.complete or attempt is None:
+            return
         self.in_head = False
+        status = self.parser.get_status_code()
+        if status < 200:
+            return
+        if attempt.is_head and not self.complete:  # the parser waits for a body that will not come
+            self.complete, self.status, self.keep = True, status, False
+            return
+        self.until_close = not self.chunked and self.length < 0 and status not in (204, 304)
+        if status == 200 and self.length > WHOLE:
+            self._begin()
 
     def on_body(self, part: bytes) -> None:
-        if not self.complete and not self.too_large:
-            self.body_size += len(part)
-            self.body.append(part)
-            self.too_large = self.body_size > MAX_BODY
+        attempt = self.attempt
+        if self.complete or self.too_large or attempt is None:
+            return
+        self.body_size += len(part)
+        if attempt.reader is not None:
+            attempt.moved_ms = self.pool.now()
+            attempt.reader.part(part)
+            return
+        self.body.append(part)
+        if self.body_size > WHOLE:
+            if self.parser.get_status_code() != 200:
+                self.too_large = True  # an error's body is of no use to anyone
+            else:
+                self._begin()
+
+    def _begin(self) -> None:
+        """The answer is too large to be kept: from here on it goes to its client while it comes."""
+        attempt = self.attempt
+        if attempt is None or attempt.reader is not None:
+            return
+        now = self.pool.now()
+        reader = attempt.begins(attempt, self.length, self.kind) if attempt.begins is not None else None
+        if reader is None:
+            self.too_large = True
+            return
+        attempt.reader, attempt.first_ms, attempt.moved_ms = reader, now, now
+        if attempt.alarm is not None:  # from here on only a stall ends it
+            attempt.alarm.cancel()
+        body, self.body = self.body, []
+        for part in body:
+            reader.part(part)
 
     def on_message_begin(self) -> None:
         self.excess = self.complete  # a second answer where one was asked for
@@ -175,8 +297,14 @@
         self.head_size = 0
         self.parser = httptools.HttpResponseParser(self)
         self.attempt, attempt.connection = attempt, self
-        self.unsent = False
+        stream = self.stream = attempt.stream
+        self.unsent = stream is not None
         self.transport.write(attempt.message)  # type: ignore[union-attr]
+        if stream is not None:
+            self.transport.set_write_buffer_limits(high=stream.mark)  # type: ignore[union-attr]
+            if attempt.flows is not None:
+                attempt.flows(attempt)
+            stream.give_to(self)
 
     def _answered(self) -> None:
         attempt, self.attempt = self.attempt, None
@@ -184,11 +312,19 @@
         attempt.connection = None
         status, load = self.status, self.pool.load_from(self.load)
         body = self.body[0] if len(self.body) == 1 else b"".join(self.body)
-        if self.excess or not self.keep:
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.drop_taker(self)
+        if self.excess or not self.keep or stream is not None:
             self.abandon()
         else:
             self.pool.put_back(self)
         if status == 200:
+            reader = attempt.reader
+            if reader is not None:
+                reader.finish()
+            elif attempt.is_head:
+                body = b"%d" % max(0, self.length)  # what it would be long
             attempt.end(Result.OK, body, self.kind, load)
         elif status in (503, 504) and self.not_run:
             attempt.end(Result.FULL, load=load)
@@ -205,6 +341,9 @@
     def abandon(self) -> None:
         """Close at once, whatever is still to come on it."""
         self.attempt = None
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.drop_taker(self)
         self._leave()
         if self.transport is not None:
             self.transport.abort()
@@ -236,14 +375,25 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, alarms: Alarms, *, idle_ms: float,
                  dial_timeout_ms: float, max_connections: int, report_fields: tuple[str, ...],
-                 is_quiet: Callable[[Any], bool]) -> None:
+                 is_quiet: Callable[[Any], bool], budget: Budget) -> None:
         self._loop, self._clock, self._alarms, self.looks_quiet = loop, clock, alarms, is_quiet
         self._idle_ms, self._dial_ms = idle_ms * IDLE_PART, dial_timeout_ms
         self._max, self._fields = max_connections, report_fields
         self._known: dict[str, Worker] = {}
         self._connections = 0
+        self.budget = budget
         alarms.at(clock.now() + SWEEP_MS, self._sweep)
 
+    def connections(self) -> int:
+        """How many there are, or are being made."""
+        return self._connections
+
+    def close_idle(self) -> None:
+        """Close those on which nothing is out; none is kept from now on for longer than it takes."""
+        for worker in self._known.values():
+            while worker.idle:
+                worker.idle[0].abandon()
+
     def limit(self, most: int) -> None:
         """From now on open no more connections than that; those that are idle go first."""
         self._max = most
@@ -301,8 +451,9 @@
     def start(self, attempt: Attempt, allow_ms: float) -> None:
         """Send on a kept connection, or on a new one. The outcome never comes before this returns."""
         now = self._clock.now()
-        attempt.started_ms = now
-        attempt.alarm = self._alarms.at(now + allow_ms, lambda: attempt.end(Result.TIMEOUT))
+        attempt.started_ms, attempt.allow_ms = now, allow_ms
+        if attempt.stream is None:  # else its time begins with the last byte: see `sent`
+            attempt.alarm = self._alarms.at(now + allow_ms, lambda: attempt.end(Result.TIMEOUT))
         worker = self._known.get(attempt.worker)
         kept = self._kept(worker, now) if worker is not None else None
         if kept is not None:
@@ -320,6 +471,15 @@
                 self._loop.create_connection(lambda: connection, *worker.entry.address))
             attempt.dial.add_done_callback(functools.partial(self._dialled, worker, attempt, connection))
 
+    def now(self) -> float:
+        return self._clock.now()
+
+    def sent(self, attempt: Attempt) -> None:
+        """The last byte of a request that went on while it came has been written."""
+        now = attempt.started_ms = self._clock.now()
+        if attempt.done is not None and attempt.reader is None:
+            attempt.alarm = self._alarms.at(now + attempt.allow_ms, lambda: attempt.end(Result.TIMEOUT))
+
     def _kept(self, worker: Worker, now: float) -> WorkerConnection | None:
         """The kept connection used last that has rested and on which nothing waits. Where something does, it
         is closed."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -15,6 +15,9 @@
     def give_up(self):
         self.closed = self.closed or "gave up"
 
+    def earned_ms(self):
+        return 0.0
+
     def drop(self):
         self.closed = self.closed or "dropped"
 
