--- a/plumpick/fronts/http/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -16,7 +16,9 @@
 # Of the descriptors: all of clients; those and what has not gone yet; idle ones that may stay for long; and
 # what is a crowd of those that ask, as clients hold a third at most for requests.
 MOST_PART, HARD_PART, IDLE_PART, CROWD_PART = 0.38, 0.46, 0.02, 0.26
-OWED_MS = 2200.0  # within so long a request must be whole; clients are owed an error or a close within 3 s
+# Within so long a head must be whole, and so long after it a body, and longer by what has come of it; clients
+# may take 2 s for a head, and are owed an error or a close within 3 s.
+OWED_MS = 2500.0
 OWED_AT_END_MS = 500.0  # and when the gatekeeper ends
 SPARED_MS = 2000.0  # for so long an idle connection is left alone
 CROWDED_MS = 250.0  # or this long, while clients hold nearly all the connections that they may
@@ -80,6 +82,12 @@
         self._idle.pop(client, None)
         self._owing.setdefault(client, now)
 
+    def body_begins(self, client: ClientConnection, now: float) -> None:
+        """The head is whole: what a body may take counts from here."""
+        if client in self._owing:
+            del self._owing[client]
+            self._owing[client] = now
+
     def asked(self, client: ClientConnection) -> None:
         self._owing.pop(client, None)
 
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -165,7 +165,7 @@
         if name in _KNOWN:
             if name in coming.headers:
                 coming.bad = coming.bad or 400  # two of them: which one counts?
-            coming.headers[name] = value
+            coming.headers[name] = value.strip(b" \t")  # blanks round a value are none of it (RFC 9110, 5.5)
 
     def on_headers_complete(self) -> None:
         coming = self.coming
@@ -192,6 +192,8 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if coming.length > WHOLE_BODY:
             self._stream(coming)
+        elif coming.length:
+            self.front.admission.body_begins(self, self.heart.clock.now())
 
     def on_body(self, part: bytes) -> None:
         coming = self.coming
--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -210,7 +210,7 @@
         if self.complete or not self.in_head:  # of what comes behind, or a trailer
             return
         if len(name) in (6, 9, 12, 14):
-            name = name.lower()
+            name, value = name.lower(), value.strip(b" \t")  # blanks are none of it (RFC 9110, 5.5)
             if name == b"x-load":
                 self.load = value
             elif name == b"x-not-run":
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -95,3 +95,19 @@
     before = len(looks)
     assert not admission.drop_ended(0.0, has_ended) and not admission.drop_ended(1.0, has_ended)
     assert len(looks) - before <= admission.hard
+
+
+def test_a_body_has_its_own_time_and_more_for_what_has_come_of_it():
+    """Seen: 141 of 1,251 slow requests were cut off 2.2 s after their connection came, in their bodies."""
+    admission, _, owing = crowd()
+    owing.begun = True
+    admission.begins(owing, 20.0)
+    swept(admission, 100.0, 2000.0)
+    admission.body_begins(owing, 2010.0)
+    swept(admission, 2100.0, 2010.0 + OWED_MS - 200.0)
+    assert not owing.closed
+    owing.earned_ms = lambda: 1000.0
+    swept(admission, 2100.0 + OWED_MS, 2010.0 + OWED_MS + 900.0)
+    assert not owing.closed
+    swept(admission, 2010.0 + OWED_MS + 1000.0, 2010.0 + OWED_MS + 1300.0)
+    assert owing.closed == "gave up"
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -312,6 +312,19 @@
     one_raw(scenario)
 
 
+def test_blanks_round_a_value_are_none_of_it_on_either_side():
+    """Seen: 133 of 1,251 requests were turned away for a blank behind a value."""
+    async def scenario(worker, gate, client):
+        data = upload(b"body", "length")
+        head, _, body = data.partition(b"\r\n\r\n")
+        client.send(head.replace(b"\r\n", b" \t\r\n").replace(b"HTTP/1.1 \t", b"HTTP/1.1") + b" \r\n\r\n" + body)
+        reader, writer = await worker.came.get()
+        assert "X-Request-Id" in await head_of(reader) and await reader.readexactly(4) == b"body"
+        writer.write(b"HTTP/1.1 503 X\r\nX-Not-Run: 1 \r\nContent-Length: 0 \r\n\r\n")
+        assert (await gate.script.event(Outcome)).result is Result.FULL
+    one_raw(scenario)
+
+
 def test_a_target_in_absolute_form_goes_on_as_a_path():
     async def scenario(worker, gate, client):
         client.send(request().replace(b"GET /look", b"GET http://api.internal/look?x=1"))
