--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -317,7 +317,8 @@
     async def scenario(worker, gate, client):
         data = upload(b"body", "length")
         head, _, body = data.partition(b"\r\n\r\n")
-        client.send(head.replace(b"\r\n", b" \t\r\n").replace(b"HTTP/1.1 \t", b"HTTP/1.1") + b" \r\n\r\n" + body)
+        head = head.replace(b"\r\n", b" \t\r\n").replace(b"HTTP/1.1 \t", b"HTTP/1.1")
+        client.send(head + b" \r\n\r\n" + body)
         reader, writer = await worker.came.get()
         assert "X-Request-Id" in await head_of(reader) and await reader.readexactly(4) == b"body"
         writer.write(b"HTTP/1.1 503 X\r\nX-Not-Run: 1 \r\nContent-Length: 0 \r\n\r\n")
