--- a/plumpick/fronts/http/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -21,6 +21,7 @@
 OWED_MS = 2500.0
 OWED_AT_END_MS = 500.0  # and when the gatekeeper ends
 SPARED_MS = 2000.0  # for so long an idle connection is left alone
+QUICK_MS, STOPPED_MS = 100.0, 400.0  # who means to ask begins within so long, and writes on within so long
 CROWDED_MS = 250.0  # or this long, while clients hold nearly all the connections that they may
 IDLE_MS = 60_000.0  # after so long it is closed in any case
 LINGER_MS, LINGER_MOST_MS = 1000.0, 5000.0  # what still comes after an error is read; without a byte, in all
@@ -98,14 +99,27 @@
         self._drop(client)
         self._leaving[client] = now
 
-    def make_room(self) -> None:
-        """Over the limit those go that are of least use: who has been refused, who has been quiet for longest
-        without ever asking, who has been idle for longest. Who has a request open stays."""
-        for table in (self._leaving, self._owing, self._idle):
-            while table and len(self.all) > self.most:
-                client = next(iter(table))
-                self.left(client)
-                client.drop()
+    def place(self, spare: int) -> int:
+        """How many may stay, where so many descriptors are nobody's."""
+        return min(self.hard, self.most + spare)
+
+    def make_room(self, now: float, spare: int = 0) -> None:
+        """Over the limit those go that are of least use. Who has a request open stays.
+
+        Danger: in a crowd that never finishes its requests, who owes one for longest is a true client that
+        writes slowly. So of those that have begun go first who stopped: a true one writes on."""
+        over = len(self.all) - self.place(spare)
+        if over <= 0:
+            return
+        silent = [one for one in self._owing if not one.begun]
+        begun = sorted((one for one in self._owing if one.begun), key=lambda one: one.moved_ms)
+        quiet = [one for one in silent if now - self._owing[one] > QUICK_MS]
+        new = [one for one in silent if now - self._owing[one] <= QUICK_MS]
+        stopped = [one for one in begun if now - one.moved_ms > STOPPED_MS]
+        going = [one for one in begun if now - one.moved_ms <= STOPPED_MS]
+        for client in [*self._leaving, *quiet, *self._idle, *stopped, *new, *going][:over]:
+            self.left(client)
+            client.drop()
 
     def send_away(self, now: float, unheard: bool) -> None:
         """Idle connections go; with `unheard` those too on which no request has come whole. Danger: who asks
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -67,6 +67,7 @@
         self.held = False  # nothing is read while a request is open, or its body may not go on
         self.heard = False  # something came since it was looked at, while it leaves
         self.leaving_ms = 0.0  # since when it leaves
+        self.moved_ms = 0.0  # when something came last
         self.kept = False  # it was another process's before
         self.source: Any = None  # of an answer that goes on while it comes,
         self.chunks = False  # and whether it goes in chunks
@@ -82,6 +83,7 @@
         if self.ending or self.unreadable:
             self.heard = True
             return
+        self.moved_ms = self.heart.clock.now()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -41,7 +41,7 @@
                 self.admission.drop_ended(now, lambda other: self._has_ended(other.transport))
                 and self.admission.came(client, now, spare)):
             client.drop()
-        elif len(self.admission) > self.admission.most and not self._making_room:
+        elif len(self.admission) > self.admission.place(spare) and not self._making_room:
             # Not at once: of those that came in one go, who has a request here is read first, and stays.
             self._making_room = True
             self.heart.alarms.at(self.heart.clock.now() + 1.0, self._make_room)
@@ -51,7 +51,7 @@
 
     def _make_room(self) -> None:
         self._making_room = False
-        self.admission.make_room()
+        self.admission.make_room(self.heart.clock.now(), self.heart.spare_descriptors())
 
     def begins(self, client: ClientConnection) -> None:
         self.admission.begins(client, self.heart.clock.now())
