--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -100,6 +100,8 @@
 LEAST_CHOICE, CHOICE_PER_SEND = 2.0, 4.0  # servers compared; more for each recent send of ours to each server
 UTIL_LOAD, REPORT_MEMORY_MS = 2.0, 1000.0  # attempts that full use counts as; a report ages
 COLD_FAILING, TOSS_MS = 0.5, 1000.0  # a cold server that fails more is passed by; a new chance for a request
+TOSS_ALONE_MS = 100.0  # or that soon, where no warm server could take it
+COLD_PART = 0.8  # of the rule's multiple, that a cold server gets of what a warm one of late got, by its warmth
 FLEET_MEMORY_MS = 30_000.0  # over which the warm fleet of late counts as what carries the load
 
 # Further attempts.
@@ -738,12 +740,15 @@
         if self.near_cold and now >= request.toss_ms:
             # Danger: a cold server falls over for good when all gateways overdo it. So chance decides, once
             # for each attempt: over all gateways it gets the part that its warmth is of the fleet of late.
-            request.toss_ms = now + TOSS_MS
+            request.toss_ms = now + (TOSS_MS if self.warm else TOSS_ALONE_MS)
             for backend in self.near_cold:  # one that the operator put back shows at once whether it serves
                 free = backend not in request.tried and (group is None or backend in group)
                 if free and self.bans.is_owed(now, backend.entry.id) and self.may_warm(now, backend):
                     return backend
-            toss = self.rng.random() * self.reference * self.near_part
+            # With few warm ones it gets more, as far as the rule's multiple surely allows: what the warm ones
+            # cannot carry would wait for a place that nobody has.
+            fleet = max(self.capacity, self.reference / max(1.0, COLD_PART * self.settings.fall_multiple))
+            toss = self.rng.random() * fleet * self.near_part
             for backend in self.near_cold:
                 toss -= self.warmth(now, backend)
                 if toss < 0:
@@ -784,7 +789,8 @@
         a warm server gets of us, by its warmth. What all of us send then keeps the budget at any load."""
         window_ms = self.settings.fall_window_ms
         backend.cold_ms = [ms for ms in backend.cold_ms if now - ms < window_ms]
-        usual = self.sends * window_ms / REPORT_MEMORY_MS / max(1, len(self.near))
+        count = max(1.0, len(self.near), self.reference * self.near_part)  # of late: a few would have more
+        usual = self.sends * window_ms / REPORT_MEMORY_MS / count
         if len(backend.cold_ms) >= max(1.0, self.settings.fall_multiple * self.warmth(now, backend) * usual):
             return False
         backend.cold_ms.append(now)
--- a/tests/test_service.py
+++ b/tests/test_bans_and_draining.py
@@ -184,3 +184,40 @@
     gate.handle(0.0, [FLEET])
     gate.handle(1.0, [Order(1, Call.DRAIN)])
     assert of(Send, gate.handle(2.0, [Arrival(1, "c", "look", FREE, 3000.0)]))
+
+
+def cold_part(cold, seconds=2, rate=60):
+    """The part of safe requests that go to cold servers, when so many of nine have just been replaced; and
+    whether some waited."""
+    gate = free_gateway(fall_multiple=2.5)
+    names = [f"s{n}" for n in range(9)]
+    gate.handle(0.0, [Fleet(tuple(Server(name, "z0", 0, State.READY) for name in names))])
+    gate.handle(100.0, [])
+    fleet = [Server(name, "z0", 0, State.READY, started_ms=200.0 if n < cold else 0.0)
+             for n, name in enumerate(names)]
+    gate.handle(200.0, [Fleet(tuple(fleet))])
+    sends, now, out = [], 200.0, []
+    for number in range(seconds * rate):
+        now += 1000.0 / rate
+        arrival = Arrival(number, f"c{number}", "look", FREE, now + 1500.0)
+        new = of(Send, gate.handle(now, [arrival]))
+        sends += new
+        out += [(now + 60.0, send) for send in new]
+        for due, send in [row for row in out if row[0] <= now]:
+            out.remove((due, send))
+            sends += of(Send, gate.handle(now, [outcome(send, Result.OK)]))
+    to_cold = [send for send in sends if int(send.server[1:]) < cold]
+    return len(to_cold) / len(sends), len(sends) / (seconds * rate)
+
+
+def test_where_few_are_warm_the_cold_ones_carry_their_part_of_what_there_is():
+    """Seen on upgrade+hand: with two warm of nine left the cold ones got a third, and the two the rest."""
+    part, _ = cold_part(7)
+    assert 0.35 < part < 0.75  # 7 x 0.25 cold of 3.75 in all is 0.47; by the fleet of late it was 0.2
+    _, sent = cold_part(9, seconds=6)
+    assert sent > 0.7  # 0.6 where each waited for a second before the next try
+
+
+def test_with_most_of_them_warm_a_cold_one_gets_no_more_than_its_warmth():
+    part, _ = cold_part(1, seconds=4)
+    assert part < 2.5 * 0.25 / 9
