The planted standstill closes connections with requests unread on them, too

Cause: two tests of the simulation failed, since the plant took off one guard and an idle connection with something unread now stays by another (close_if_idle). The plant takes off both.

--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -137,7 +137,11 @@
     def sweep(self: Admission, now: float, ending: bool) -> None:
         self._swept_ms = -1.0
         right(self, now, ending)
-    return [(Admission, "sweep", sweep)]
+
+    def close_if_idle(self: ClientConnection) -> None:
+        if self.is_idle():  # and never looks whether something is unread
+            self._close()
+    return [(Admission, "sweep", sweep), (ClientConnection, "close_if_idle", close_if_idle)]
 
 
 def writes_after_the_end() -> Swap:
