--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -1096,8 +1096,9 @@
         """An operator's call; it is in force before it is answered."""
         wrong = ""
         if order.call is Call.DRAIN:
-            for at_ms, _ in self.draining.drain(self.now):
-                self.plan_at(at_ms, "door")
+            if self.draining.drain(self.now):
+                for at_ms in self.draining.times():
+                    self.plan_at(at_ms, "door")
         elif order.call is Call.UNDRAIN:
             if self.draining.undrain() is not None:
                 self.plan_at(self.now, "door")
--- a/anisefront/draining.py
+++ b/anisefront/draining.py
@@ -28,26 +28,22 @@
     UNHEARD = 4  # all close on which no request has come whole
 
 
+STAGES = ((0.0, Door.LEAVING), (IDLE_AFTER_MS, Door.IDLE), (LATE_AFTER_MS, Door.LATE),
+          (UNHEARD_AFTER_MS, Door.UNHEARD))
+
+
 class Draining:
     """The state. `now` in milliseconds of any clock that only advances."""
 
     def __init__(self) -> None:
         self.since_ms: float | None = None
 
-    def drain(self, now: float) -> list[tuple[float, Door]]:
-        """The operator's word: what to do from now on, and when. Said twice, the first counts."""
+    def drain(self, now: float) -> bool:
+        """The operator's word; whether it is new. Said twice, the first counts."""
         if self.since_ms is not None:
-            return []
+            return False
         self.since_ms = now
-        return self.stages()
-
-    def stages(self) -> list[tuple[float, Door]]:
-        """What to do for as long as the word stands, and when; nothing where it does not."""
-        if self.since_ms is None:
-            return []
-        return [(self.since_ms + after_ms, door) for after_ms, door in (
-            (0.0, Door.LEAVING), (IDLE_AFTER_MS, Door.IDLE), (LATE_AFTER_MS, Door.LATE),
-            (UNHEARD_AFTER_MS, Door.UNHEARD))]
+        return True
 
     def undrain(self) -> Door | None:
         """Clients are taken again; None if they were all along."""
@@ -56,13 +52,13 @@
         self.since_ms = None
         return Door.OPEN
 
+    def times(self) -> list[float]:
+        """When its stages begin, for as long as the word stands."""
+        return [] if self.since_ms is None else [self.since_ms + after_ms for after_ms, _ in STAGES]
+
     def stage(self, now: float) -> Door:
         """Which stage it is at this time."""
         if self.since_ms is None:
             return Door.OPEN
         gone_ms = now - self.since_ms + GRAIN_MS
-        if gone_ms >= UNHEARD_AFTER_MS:
-            return Door.UNHEARD
-        if gone_ms >= LATE_AFTER_MS:
-            return Door.LATE
-        return Door.IDLE if gone_ms >= IDLE_AFTER_MS else Door.LEAVING
+        return max((door for after_ms, door in STAGES if gone_ms >= after_ms), default=Door.OPEN)
--- a/anisefront/estate.py
+++ b/anisefront/estate.py
@@ -166,9 +166,8 @@
     for name, store in stores.items():
         if store.queue:
             control.plan_at(now, "store", name)
-    if draining is not None:
-        for at_ms, _ in control.draining.stages():
-            control.plan_at(max(now, at_ms), "door")
+    for at_ms in control.draining.times():
+        control.plan_at(max(now, at_ms), "door")
 
 
 def resume(control: Controller, now: float) -> None:
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -66,6 +66,7 @@
         gatekeeper.sweeps.append(self._calls.sweep)
         self._house = Household(config.name, config.settings.number, gatekeeper, front)
         self._giver = Giver(loop, self._house, self._changed)
+        gatekeeper.sweeps.append(lambda _now: self._giver.tell_held())
         self._taker: Any = None
         self._server: Any = None
         self._path: Path | None = None
@@ -108,9 +109,7 @@
 
     def _changed(self, handed_over: bool) -> None:
         """The next process has taken over, or has died and this one goes on."""
-        if handed_over:
-            self._gatekeeper.sweeps.append(lambda _now: self._giver.tell_held())
-        else:
+        if not handed_over:
             task = self._loop.create_task(self._house.listen(self._loop))
             task.add_done_callback(lambda done: done.exception() and log.error("%s", done.exception()))
 
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -266,7 +266,7 @@
         coming.came_ms = self.heart.clock.now()
         self.served = coming
         try:
-            self.request = self.front.take_stream(self, coming)
+            self.request = self.front.take(self, coming)
         except BadRequest as problem:  # the rest of it would be read for nothing
             self.unreadable, self.begun = True, False
             self.refuse(problem.status)
--- a/plumpick/fronts/http/forms.py
+++ b/plumpick/fronts/http/forms.py
@@ -51,8 +51,7 @@
             functools.partial(call_terms, gateways=settings.gateways, most_units=settings.max_units))
 
     def read(self, method: bytes, target: bytes, headers: Mapping[bytes, bytes], has_body: bool) -> Form:
-        """The form of a whole request; raises BadRequest."""
-        target = path_of(target)
+        """The form of a request, its target as a path (`path_of`); raises BadRequest."""
         if not target.startswith(b"/"):
             raise BadRequest("the target is no path")
         kind = self._kinds.get(target[1:].partition(b"?")[0].partition(b"/")[0])
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -58,28 +58,16 @@
         self.admission.begins(client, self.heart.clock.now())
 
     def take(self, client: ClientConnection, coming: Incoming) -> Any:
-        """A whole request has come in; raises BadRequest."""
-        method, headers = coming.method, coming.headers
-        form = self.forms.read(method, coming.url, headers, bool(coming.body))
+        """A request has come in: whole, or with a body that goes on while it comes, as it is too large to be
+        kept. Raises BadRequest."""
+        method, headers, target = coming.method, coming.headers, path_of(coming.url)
+        form = self.forms.read(method, target, headers, bool(coming.body) or not coming.whole)
+        if not coming.whole:
+            coming.stream = self.heart.stream(client, coming.length)
+        body = bytes(coming.body) if coming.whole else b""
         try:
             request = self.heart.take(client, Ask(
-                *form, method, path_of(coming.url), headers.get(b"content-type"), bytes(coming.body),
-                coming.came_ms))
-        except InUse as problem:
-            raise BadRequest(str(problem), 409) from problem
-        self.admission.asked(client)
-        return request
-
-    def take_stream(self, client: ClientConnection, coming: Incoming) -> Any:
-        """A request has come whose body is too large to be kept: it goes on while it comes. Raises
-        BadRequest."""
-        method, headers = coming.method, coming.headers
-        form = self.forms.read(method, coming.url, headers, True)
-        coming.stream = self.heart.stream(client, coming.length)
-        try:
-            request = self.heart.take(client, Ask(
-                *form, method, path_of(coming.url), headers.get(b"content-type"), b"", coming.came_ms,
-                coming.stream))
+                *form, method, target, headers.get(b"content-type"), body, coming.came_ms, coming.stream))
         except InUse as problem:
             raise BadRequest(str(problem), 409) from problem
         self.admission.asked(client)
@@ -115,13 +103,11 @@
     def limit(self, sockets: int) -> None:
         self.admission.limit(sockets)
 
-    def give_idle(self, take: Callable[[Any], None]) -> int:
-        """Give the connections on which nothing is open to another process; how many. `take` gets each one's
-        transport and keeps its own copy of the descriptor."""
-        idle = [client for client in self.admission.all if client.is_idle()]
-        for client in idle:
+    def give_idle(self, take: Callable[[Any], None]) -> None:
+        """Give the connections on which nothing is open to another process. `take` gets each one's transport
+        and keeps its own copy of the descriptor."""
+        for client in [one for one in self.admission.all if one.is_idle()]:
             client.give(take)
-        return len(idle)
 
     def busy(self) -> bool:
         return bool(self.admission)
--- a/plumpick/handover/succession.py
+++ b/plumpick/handover/succession.py
@@ -23,7 +23,6 @@
 
 HELLO_S, TAKE_S = 1.0, 2.0  # for an offer; for the state
 LONGEST_PATH = 100  # bytes that the address of a Unix socket may have
-MOST_GIVEN = 4096  # connections passed over at once
 
 log = logging.getLogger(__name__)
 
