--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -312,3 +312,42 @@
     upgrades(tmp_path, monkeypatch, scenario)
     plug.close()
     assert os.path.isdir(tmp_path)
+
+
+def test_with_a_tmpdir_that_cannot_be_written_it_serves_and_says_so(tmp_path, monkeypatch):
+    """As a full one: no socket is made there, and the next process begins by itself beside this one."""
+    async def scenario(one):
+        monkeypatch.setenv("TMPDIR", str(tmp_path / "none"))
+        await one.start()
+        serving = asyncio.create_task(serve_all(one.worker))
+        assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
+        serving.cancel()
+        one.processes[-1].kill()
+        said = (await one.processes[-1].stderr.read()).decode()
+        assert "handover: no socket at" in said and "Traceback" not in said
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+def test_a_reload_and_calls_in_the_very_middle_of_an_upgrade_hold_in_both(tmp_path, monkeypatch):
+    """Orders come to the old process for as long as the handover lasts: none of them is lost with it."""
+    async def scenario(one):
+        old, word = one.processes[0], b""
+        starting = asyncio.create_task(one.start())
+        said = 0
+        while not starting.done():
+            word = (b"DISABLE w1\n", b"ENABLE w1\n")[said % 2]
+            if (await say(one.offices[0], word)).startswith("+OK"):
+                said += 1
+            if said == 3:
+                old.send_signal(signal.SIGHUP)
+        if word.startswith(b"ENABLE"):
+            assert (await say(one.offices[0], b"DISABLE w1\n")).startswith("+OK")
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0 and said > 3
+        client = await Client().open(one.port)
+        assert (await client.send(request(deadline=300)).answer())[0] in (503, 504)
+        assert (await say(one.offices[1], b"ENABLE w1\n")).startswith("+OK")
+        serving = asyncio.create_task(serve_all(one.worker))
+        assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
+        serving.cancel()
+    upgrades(tmp_path, monkeypatch, scenario)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -406,3 +406,43 @@
         assert all(whole and len(body) == 1_000_000 for _, _, body, whole in answers)
         assert not gate.keeper.workers.budget.streams
     one_raw(scenario)
+
+
+def test_among_three_thousand_silent_connections_requests_that_are_written_slowly_are_all_answered():
+    """They come a hundred at a time, all the while; each true request is written in pieces among them."""
+    async def scenario(worker, gate, _client):
+        async def serve():
+            while True:
+                reader, writer = await worker.came.get()
+                tasks.append(asyncio.create_task(answer_all(reader, writer)))
+
+        async def answer_all(reader, writer):
+            try:
+                while await head_of(reader):
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+
+        async def ask(pieces):
+            true = await Client().open(gate.port)
+            data = request(path="/look/true")
+            for at in range(0, len(data), len(data) // pieces + 1):
+                true.send(data[at:at + len(data) // pieces + 1])
+                crowd.append(await Client().open(gate.port))  # some of the crowd comes between
+            told = await true.answer()
+            true.close()
+            return told and told[0]
+        tasks, crowd, answers = [], [], []
+        tasks.append(asyncio.create_task(serve()))
+        for _ in range(20):
+            crowd += [await Client().open(gate.port) for _ in range(50)]
+            answers += await asyncio.gather(*(ask(10) for _ in range(10)))
+            while len(crowd) > 600:  # those have been closed long since
+                crowd.pop(0).close()
+        for task in tasks:
+            task.cancel()
+        for one in crowd:
+            one.close()
+        assert answers == [200] * 200
+        assert len(gate.front.admission) <= gate.front.admission.hard + gate.keeper.spare_descriptors()
+    one_raw(scenario)
