Repeats of keyed requests leave within their group's window, or never

Ruled out: a wrong group (all repeats of the record stayed in their hall), a retry by the client (it has an id of its own). Now a Send says within which time its first byte may leave, and whoever writes looks again, on a new connection and on a kept one. The group is that of the moment of the first attempt (it went by the worker's entry of now), and a worker that has started since then is none of it: it remembers nothing. Settings with no class, a deadline of 0 or a window below 0 are refused by a line that names their key.

--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -114,6 +114,7 @@
 RETRY_AGAIN_MS = 100.0  # an overdue attempt for which there was no place or token tries again
 HEDGE_ROOM, OVER_ROOM = 0.7, 0.5  # of the window: fuller, and no second copy, nothing beyond a quota goes out
 USUAL_START_MS, USUAL_GAIN = 200.0, 0.05  # a class's answer time before the first answer; how it is learned
+REPEAT_SPARE_MS = 25.0  # a repeat leaves so long before its group forgets: it takes time to arrive
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
 OF_REQUESTS = frozenset(("ask", "expired", "hedge", "overdue", "hopeless", "due"))  # agenda of one request
 TIDY_MS, FORGET_MS, AGENDA_SPARE = 250.0, 8000.0, 256  # how often what is over is forgotten; after how long
@@ -1187,12 +1188,13 @@
             self.budget = min(RETRY_MOST, self.budget + RETRY_PART)
             request.held, request.toss_ms = False, 0.0
         self.servers.bans.sent(backend.entry.id)
-        self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now)))
+        self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now),
+                                 self.repeat_left(request) if request.uncertain else math.inf))
         self.attempts[number, request.attempts] = Attempt(backend, request.kind.name, self.now)
         request.out[request.attempts] = backend
         request.tried.append(backend)
         if not request.uncertain:
-            request.anchor, request.anchor_ms = backend, self.now
+            request.anchor, request.anchor_ms = backend.entry, self.now
         request.attempts, request.uncertain = request.attempts + 1, request.uncertain + 1
         backend.out, self.servers.sends = backend.out + 1, self.servers.sends + 1
         self.window.count(self.now, 1)
@@ -1202,16 +1204,23 @@
 
     def allowed(self, request: Request) -> list[Backend] | None:
         """The only servers that rule 2 (its group and window) leaves to this request now; None for all."""
-        kind, anchor = request.kind, request.anchor
-        if anchor is None or not request.uncertain or kind.repeat is Repeat.SAFE:
+        kind, same = request.kind, request.anchor
+        if same is None or not request.uncertain or kind.repeat is Repeat.SAFE:
             return None
-        left = request.anchor_ms + kind.window_ms - self.settings.tick_ms - self.now
-        if kind.repeat is Repeat.UNSAFE or left <= 0:
+        if kind.repeat is Repeat.UNSAFE or self.repeat_left(request) <= 0:
             return []
-        same, group = anchor.entry, kind.scope
-        return None if group is Scope.ALL else [
-            backend for backend in self.servers.warm + self.servers.cold if backend.entry.zone == same.zone
-            and (group is Scope.ZONE or backend.entry.cell == same.cell)]
+        # The group as it was when the first went out; what started since then remembers nothing of it.
+        return [backend for backend in self.servers.warm + self.servers.cold
+                if backend.entry.started_ms <= request.anchor_ms
+                and (kind.scope is Scope.ALL or backend.entry.zone == same.zone)
+                and (kind.scope is not Scope.CELL or backend.entry.cell == same.cell)]
+
+    def repeat_left(self, request: Request) -> float:
+        """For how long from now a further attempt may still leave."""
+        if request.kind.repeat is Repeat.SAFE:
+            return math.inf
+        spare = max(REPEAT_SPARE_MS, self.settings.tick_ms)
+        return request.anchor_ms + request.kind.window_ms - spare - self.now
 
     def answer_time(self, kind: RequestClass) -> float:
         """What an attempt is taken to need. Bounded: past the aim all would be refused, and nothing heal."""
--- a/anisefront/interface.py
+++ b/anisefront/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -295,11 +296,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends."""
+    """Start an attempt; attempts of a request are numbered from 0 in the order of their sends.
+
+    `within_ms`: how long from now its first byte may still leave. A repeat has to come while its group
+    remembers the first; what cannot leave by then, for a connection comes up late, must not leave at all."""
 
     id: int
     server: str
     allow_ms: float
+    within_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/anisefront/settings.py
+++ b/anisefront/settings.py
@@ -42,6 +42,13 @@
             raise SettingsError(f"{self.path}.{key}: cannot read {value!r}")
         return value
 
+    def above(self, key: str) -> float:
+        """A number that has to be more than nothing."""
+        value = self.number(key)
+        if value <= 0:
+            raise SettingsError(f"{self.path}.{key}: {value!r} is not above 0")
+        return value
+
     def text(self, key: str, fallback: str | None = None) -> str:
         return self._get(key, (str,), fallback)
 
@@ -68,10 +75,13 @@
     scope = row.text("keyScope", "all")
     if scope not in ("all", "zone", "cell"):
         raise SettingsError(f"{row.path}.keyScope: {scope!r} is no group")
+    window_ms = row.number("dedupWindowMs", 0.0)
+    if window_ms < 0:
+        raise SettingsError(f"{row.path}.dedupWindowMs: {window_ms!r} is below 0")
     return face.RequestClass(
-        name=row.text("name"), aim_ms=row.number("aimMs"), deadline_ms=row.number("deadlineMs"),
+        name=row.text("name"), aim_ms=row.number("aimMs"), deadline_ms=row.above("deadlineMs"),
         worth=row.number("worth", 1.0), repeat=_REPEATS[repeat], late_worth=row.number("lateWorth", 0.0),
-        scope=face.Scope(scope), window_ms=row.number("dedupWindowMs", 0.0),
+        scope=face.Scope(scope), window_ms=window_ms,
         streamed=row.flag("streamed", False), aim_stretch=row.number("aimStretch", 0.0))
 
 
@@ -90,6 +100,8 @@
     rules, limits = top.table("rules"), top.table("limits")
     domain, report = top.table("domain", {}), top.table("report", {})
     prices = top.table("penalties", {})
+    if not top.items("classes"):
+        raise SettingsError(f"{path}.classes: there are none")
     return face.Settings(
         gateways=int(top.number("balancers")), number=int(top.number("myNumber")),
         zone=top.text("locality", ""),
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -121,7 +121,7 @@
     out: dict[int, Backend] = field(default_factory=dict)  # attempts out
     tried: list[Backend] = field(default_factory=list)
     uncertain: int = 0  # attempts out or not proved never to have run
-    anchor: Backend | None = None  # server of the first of these, and when it was sent
+    anchor: Server | None = None  # server of the first of these as it was then, and when it was sent
     anchor_ms: float = 0.0
     serial: int = 0  # of its business with the home; 0: none
     asks: int = 0
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -99,6 +99,7 @@
         self._end_ms = math.inf  # until then all that comes has to be answered
         self._late_end_ms = math.inf  # or until then, while clients are sent away
         self._log_fault_ms = 0.0
+        self._turn_ms = 0.0  # what time it was for the module when it decided last
         self._stood_ms = self._stood_until_ms = 0.0  # for how long; until when what is read may be so old
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
@@ -121,7 +122,8 @@
         events, self._events = self._events, []
         actions: list[Action] = []
         try:
-            actions = self.controller.handle(self.clock.now(), events)
+            self._turn_ms = self.clock.now()
+            actions = self.controller.handle(self._turn_ms, events)
             faults = self.controller.faults
         except Exception as problem:  # one bad turn must not end all requests: the guard answers them
             faults = [problem]
@@ -377,6 +379,7 @@
             return
         attempt = Attempt(request.id, number, action.server, message, self._ended, stream, request.is_head,
                           self._begins, self._flows)
+        attempt.until_ms = self._turn_ms + action.within_ms
         self.attempts[request.id, number] = attempt
         self.workers.start(attempt, action.allow_ms)
 
--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -55,7 +55,7 @@
 
     __slots__ = ("request_id", "number", "worker", "message", "started_ms", "done", "connection", "dial",
                  "alarm", "dial_alarm", "stream", "begins", "reader", "is_head", "allow_ms", "first_ms",
-                 "moved_ms", "flows")
+                 "moved_ms", "flows", "until_ms")
 
     def __init__(self, request_id: int, number: int, worker: str, message: bytes, done: Done,
                  stream: Body | None = None, is_head: bool = False,
@@ -67,6 +67,7 @@
         self.allow_ms = self.first_ms = self.moved_ms = 0.0  # first_ms: when a streamed answer began
         self.done: Done | None = done
         self.started_ms = 0.0
+        self.until_ms = math.inf  # its first byte leaves by then, or never
         self.connection: WorkerConnection | None = None
         self.dial: asyncio.Task[Any] | None = None
         self.alarm: Alarm | None = None
@@ -448,6 +449,12 @@
 
     # -- attempts
 
+    def _may_leave(self, worker: Worker, attempt: Attempt) -> bool:
+        """Whether its bytes may go out now. Danger: between the choice and this moment lie a connection that
+        comes up late, a stalled loop, word of a drain, the end of its request. Seen: a keyed request went
+        out again 0.25 s after it was chosen to, when its group had forgotten the first."""
+        return attempt.done is not None and self.serves(worker) and self._clock.now() <= attempt.until_ms
+
     def start(self, attempt: Attempt, allow_ms: float) -> None:
         """Send on a kept connection, or on a new one. The outcome never comes before this returns."""
         now = self._clock.now()
@@ -455,10 +462,11 @@
         if attempt.stream is None:  # else its time begins with the last byte: see `sent`
             attempt.alarm = self._alarms.at(now + allow_ms, lambda: attempt.end(Result.TIMEOUT))
         worker = self._known.get(attempt.worker)
-        kept = self._kept(worker, now) if worker is not None else None
+        kept = self._kept(worker, now) if worker is not None and self._may_leave(worker, attempt) else None
         if kept is not None:
             kept.carry(attempt)
-        elif worker is None or worker.connections >= MAX_PER_WORKER or self._connections >= self._max:
+        elif worker is None or not self._may_leave(worker, attempt) or (
+                worker.connections >= MAX_PER_WORKER or self._connections >= self._max):
             self._loop.call_soon(attempt.end, Result.CONNECT_FAILED)
         else:
             worker.connections += 1
@@ -501,9 +509,9 @@
         if attempt.dial_alarm is not None:
             attempt.dial_alarm.cancel()
         usable = not dial.cancelled() and problem is None and not connection.closed
-        if usable and attempt.done is not None and self.serves(worker):
+        if usable and self._may_leave(worker, attempt):
             connection.carry(attempt)
-        else:  # also when word of a drain came meanwhile: nothing may be written to it any more
+        else:  # nothing was written, and nothing may be any more
             connection.abandon()
             attempt.end(Result.CONNECT_FAILED)
 
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -865,6 +865,22 @@
 def test_the_environment_stands_in_for_what_the_file_lacks():
     value = config()
     del value["name"], value["listen"], value["discovery"]
+@pytest.mark.parametrize("change, key", [
+    (lambda value: value["classes"].clear(), "settings.classes"),
+    (lambda value: value["classes"][1].update(deadlineMs=0), "classes[1].deadlineMs"),
+    (lambda value: value["classes"][1].update(deadlineMs=-5), "classes[1].deadlineMs"),
+    (lambda value: value["classes"][1].update(dedupWindowMs=-1), "classes[1].dedupWindowMs"),
+    (lambda value: value["classes"][0].update(repeat="sometimes"), "classes[0].repeat"),
+    (lambda value: value["classes"][1].update(keyScope="planet"), "classes[1].keyScope"),
+    (lambda value: value["classes"][2].pop("name"), "classes[2].name")])
+def test_settings_that_cannot_be_served_are_named_by_their_key(change, key):
+    value = config()
+    change(value["settings"])
+    with pytest.raises(ValueError) as told:
+        config_from(json.loads(json.dumps(value)), {})
+    assert key in str(told.value) and "\n" not in str(told.value)
+
+
     made = config_from(value, {"BALANCER_NAME": "n7", "BALANCER_LISTEN": f"{HOST}:5",
                                "BALANCER_DISCOVERY": f"{HOST}:6"})
     assert (made.name, made.listen, made.discovery) == ("n7", (HOST, 5), (HOST, 6))
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -1,5 +1,7 @@
 """The module alone: odd but legal rounds, settings that cannot be right, and one test a failure found."""
 
+import math
+
 import pytest
 from test_rules import settings
 
@@ -7,6 +9,7 @@
 from anisefront.control import (
     CENTRES,
     FORGET_MS,
+    REPEAT_SPARE_MS,
     TIDY_LEAST,
     TIDY_PARTS,
     Controller,
@@ -84,6 +87,75 @@
     assert again.id == 1
 
 
+def keyed(scope, window_ms=1000.0, **more):
+    kinds = (RequestClass("book", 3000, 9000, 4, Repeat.KEYED, scope=scope, window_ms=window_ms),)
+    control = gateway(classes=kinds, plans=(Plan("basic"),), **more)
+    return control
+
+
+def fleet_of(*servers):
+    return Fleet(tuple(Server(name, zone, cell, State.READY, 1.0, started_ms)
+                       for name, zone, cell, started_ms in servers))
+
+
+def first_send(control, now):
+    send, = of(Send, control.handle(now, [ask(1, "book", "basic", due=now + 8000.0)]))
+    assert send.within_ms == math.inf
+    return send
+
+
+def test_a_repeat_says_by_when_it_has_to_leave():
+    """By when its group forgets the first; whoever carries it out looks at the time again."""
+    control = keyed(Scope.ALL)
+    control.handle(0.0, [fleet_of(("w1", "a", 0, 0.0), ("w2", "a", 0, 0.0))])
+    send = first_send(control, 10.0)
+    repeat, = of(Send, control.handle(400.0, [outcome(send, Result.RESET)]))
+    assert repeat.within_ms == 10.0 + 1000.0 - REPEAT_SPARE_MS - 400.0
+    # That it never left proves that it never ran: the first one alone counts, and its time goes on.
+    more = of(Send, control.handle(700.0, [outcome(repeat, Result.CONNECT_FAILED, attempt=1)]))
+    assert [one.within_ms for one in more] == [10.0 + 1000.0 - REPEAT_SPARE_MS - 700.0]
+    done = control.handle(990.0, [outcome(more[0], Result.CONNECT_FAILED, attempt=2)])
+    assert not of(Send, done) and (of(Fail, done) or of(Refuse, done))
+
+
+@pytest.mark.parametrize("window_ms", [0.0, 10.0, REPEAT_SPARE_MS])
+def test_within_a_window_shorter_than_its_way_nothing_is_repeated(window_ms):
+    control = keyed(Scope.ALL, window_ms)
+    control.handle(0.0, [fleet_of(("w1", "a", 0, 0.0), ("w2", "a", 0, 0.0))])
+    send = first_send(control, 10.0)
+    assert not of(Send, control.handle(11.0, [outcome(send, Result.RESET)]))
+
+
+@pytest.mark.parametrize("scope, group", [(Scope.ZONE, {"w1", "w2"}), (Scope.CELL, {"w1"})])
+def test_the_group_of_a_repeat_is_that_of_the_moment_of_the_first(scope, group):
+    """A worker that is listed elsewhere since then takes its group with it; the repeat does not go there."""
+    for place in range(40):
+        control = keyed(scope, max_attempts=5)
+        old = (("w1", "a", 1, 0.0), ("w2", "a", 2, 0.0), ("w3", "b", 1, 0.0))
+        control.rng.seed(place)
+        control.handle(0.0, [fleet_of(*old)])
+        send = first_send(control, 10.0)
+        moved = tuple((name, "b" if name == send.server else zone, cell, ms) for name, zone, cell, ms in old)
+        first = next(row for row in old if row[0] == send.server)
+        control.handle(20.0, [fleet_of(*moved)])
+        for repeat in of(Send, control.handle(30.0, [outcome(send, Result.RESET)])):
+            row = next(row for row in moved if row[0] == repeat.server)
+            assert row[1] == first[1] and (scope is Scope.ZONE or row[2] == first[2])
+
+
+@pytest.mark.parametrize("scope", list(Scope))
+def test_a_worker_that_has_started_since_remembers_nothing_of_the_first(scope):
+    for place in range(20):
+        control = keyed(scope, warm_up_ms=1.0)
+        control.rng.seed(place)
+        control.handle(1000.0, [fleet_of(("w1", "a", 1, 0.0), ("w2", "a", 1, 0.0))])
+        send = first_send(control, 1010.0)
+        other = "w2" if send.server == "w1" else "w1"
+        control.handle(1100.0, [fleet_of((send.server, "a", 1, 1050.0), (other, "a", 1, 0.0))])
+        for repeat in of(Send, control.handle(1200.0, [outcome(send, Result.RESET)])):
+            assert repeat.server == other
+
+
 def test_a_disproved_attempt_does_not_clear_one_that_may_have_run():
     """An error, then a full at the same server: the first may have run all the same."""
     c = Controller(settings(may_tell=False), 1)
