No attempt begins once its client has gone or its request has its answer

An attempt begins when its connection has come up; Gatekeeper._close left those that were still connecting to the module, which may cancel nothing there. Ruled out: two answers (each request had one). By reading, and forced: while something waits behind an open request nothing is read of its connection, so its client's end is not seen, and after a standstill timers come before what has come meanwhile; the next attempt went out all the same. Now a request that ends takes the attempts with it that have written nothing; before an attempt begins, and before what waited is taken, the socket is asked whether its client has left, where the loop may not have read that (two system calls, only then). Tests (tests/upstream/test_late_connections.py): connections held back, ends left unread; each seen failing with its mend taken out.

--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -79,6 +79,12 @@
     def answer(self, status: int, body: bytes = b"", kind: bytes = b"", retry_in_ms: float = 0.0) -> None:
         """The one final answer: a status of HTTP, and with 200 a worker's whole body and its type."""
 
+    def has_gone(self) -> bool:
+        """Whether who asked has left, though that may not have been read yet."""
+
+    def drop(self) -> None:
+        """Close at once."""
+
 
 class Front(Protocol):
     """What the heart asks of a front."""
@@ -96,6 +102,9 @@
     def busy(self) -> bool:
         """Whether a connection is still open."""
 
+    def unwritten(self) -> bool:
+        """Whether some of an answer is not with the system yet."""
+
     def connections(self) -> int:
         """How many it holds."""
 
@@ -115,6 +124,9 @@
     def spare_descriptors(self) -> int:
         """Descriptors kept for workers that nobody uses now."""
 
+    def stood_still(self) -> bool:
+        """Whether what is read now may have waited for us; timers come before it."""
+
     def stream(self, giver: Source, length: int) -> Any:
         """A body that goes on while it comes, of so many bytes (-1: not known); a `Stream` that is fed."""
 
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -230,7 +230,12 @@
         return self.request is not None
 
     def _next(self) -> None:
-        """Serve what waits, as far as it is its turn."""
+        """Serve what waits, as far as it is its turn.
+
+        Danger: while the connection is held its end is not read. Who has gone meanwhile asks nothing more."""
+        if self.held and self.waiting and self.has_gone():
+            self.drop()
+            return
         while not (self._is_open() or self.ending or self.paused):
             if not self.waiting:
                 coming = self.coming
@@ -488,6 +493,14 @@
         else:
             self.close_if_idle()
 
+    def has_gone(self) -> bool:
+        """Whether its client has left. What is not read tells nothing: of a held connection nothing is, and
+        after a standstill of ours not yet."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return True
+        return (self.held or self.paused or self.heart.stood_still()) and self.front.has_ended(transport)
+
     def drop(self) -> None:
         """Close at once."""
         self.ending = True
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -19,7 +19,7 @@
 
     def __init__(self, heart: Heart, settings: Settings, sockets: int, has_ended: Callable[[Any], bool],
                  is_quiet: Callable[[Any], bool] = lambda _transport: True) -> None:
-        self.heart, self._has_ended, self.looks_quiet = heart, has_ended, is_quiet
+        self.heart, self.has_ended, self.looks_quiet = heart, has_ended, is_quiet
         self.admission = Admission(sockets, heart.clock.now())
         self.forms = Forms(settings)
         self._making_room = False
@@ -39,7 +39,7 @@
     def came(self, client: ClientConnection) -> None:
         now, spare = self.heart.clock.now(), self.heart.spare_descriptors()
         if not self.admission.came(client, now, spare) and not (
-                self.admission.drop_ended(now, lambda other: self._has_ended(other.transport))
+                self.admission.drop_ended(now, lambda other: self.has_ended(other.transport))
                 and self.admission.came(client, now, spare)):
             client.drop()
         elif len(self.admission) > self.admission.place(spare) and not self._making_room:
@@ -111,3 +111,6 @@
 
     def busy(self) -> bool:
         return bool(self.admission)
+
+    def unwritten(self) -> bool:
+        return any(client.unwritten() for client in self.admission.all)
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -321,6 +321,12 @@
         if request in self._streams:
             del self._streams[request]
             self.workers.budget.streams -= 1
+        # Danger: an attempt begins when its bytes go out, which is when its connection has come up. Seen
+        # where attempts may not be cancelled: one began after its request's final answer.
+        for number in range(request.sends):
+            attempt = self.attempts.get((request.id, number))
+            if attempt is not None and attempt.connection is None:
+                attempt.end(Result.CANCELLED)
         return True
 
     def stream(self, giver: Source, length: int) -> Any:
@@ -377,6 +383,11 @@
             # What has gone on is not kept, and one body goes one way.
             self.notice(Outcome(action.id, number, action.server, 0.0, Result.MOOT, False))
             return
+        if request.asker.has_gone():  # nothing was read there that would have told it
+            self.left(request)
+            request.asker.drop()
+            self.notice(Outcome(action.id, number, action.server, 0.0, Result.MOOT, True))
+            return
         attempt = Attempt(request.id, number, action.server, message, self._ended, stream, request.is_head,
                           self._begins, self._flows)
         attempt.until_ms = self._turn_ms + action.within_ms
@@ -460,6 +471,9 @@
             return late_ms
         return self._stood_ms if now < self._stood_until_ms else 0.0
 
+    def stood_still(self) -> bool:
+        return self._unread_ms(self.clock.now()) > 0.0
+
     def _late_ms(self, now: float) -> float:
         return max((front.late_ms(now) for front in self._fronts), default=0.0)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import socket
 
 import httptools
 import uvloop
@@ -249,3 +250,56 @@
 
 def told(value):
     return answer(body=json.dumps(value).encode())
+
+
+class HeldDials:
+    """Connections to workers come up only once `go` is set; `opened` tells that one is being made."""
+
+    def __init__(self, gate):
+        loop = asyncio.get_running_loop()
+        self.opened, self.go = asyncio.Event(), asyncio.Event()
+
+        async def slow(factory, host, port):
+            self.opened.set()
+            await self.go.wait()
+            return await loop.create_connection(factory, host, port)
+        gate.keeper.workers._loop = type("Loop", (), {
+            "create_task": staticmethod(loop.create_task), "create_connection": staticmethod(slow),
+            "call_soon": staticmethod(loop.call_soon)})
+
+
+async def next_is(worker, gate):
+    """A new client's requests are the next that come to the worker: nothing else went out before them.
+    Several, since what went out on another connection may be read there a little later."""
+    client = await gate.client()
+    for number in range(5):
+        name = f"{0xff00 + number:016x}"
+        client.send(request(name))
+        message, writer = await worker.asked()
+        while message is None:  # the end of a connection that nothing was written to
+            message, writer = await worker.asked()
+        assert message.headers["x-request-id"] == name, "something else went out before"
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+
+
+class Plug:
+    """A client on a plain socket: it tells a clean end from a reset, and may act without a turn of the
+    loop. `room`: bytes that the system may keep for it, where it is to read slowly."""
+
+    def __init__(self, port, room=0):
+        self.plug = socket.socket()
+        if room:
+            self.plug.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+        self.plug.connect((HOST, port))
+
+    def send(self, data):
+        self.plug.sendall(data)
+
+    async def receive(self, size=65536):
+        """What comes next; nothing at a clean end. Raises ConnectionResetError."""
+        self.plug.setblocking(False)
+        return await asyncio.get_running_loop().sock_recv(self.plug, size)
+
+    def close(self):
+        self.plug.close()
--- /dev/null
+++ b/tests/upstream/test_late_connections.py
@@ -0,0 +1,181 @@
+"""Between the choice of a worker and the first byte: connections that come up late, clients that go
+meanwhile, windows of repeats that close, word of drains. Each crossing is forced by holding the connection
+back."""
+
+import asyncio
+
+import pytest
+from fakes import FakeWorker, Gate, HeldDials, Plug, Script, answer, entry, next_is, request, run, settings
+
+from anisefront.interface import Arrival, ClientGone, Outcome, Refuse, Result, Send, Woken
+from plumpick.system import System
+
+STAYS = settings(cancel=False)  # where attempts may not be cancelled
+
+
+def held(scenario, script=None, **more):
+    """One worker, w1, whose connections come up when the test says so, one gatekeeper and one client."""
+    async def whole():
+        async with FakeWorker() as worker:
+            async with Gate(script or Script(), known=[entry("w1", worker.port)], **more) as gate:
+                await scenario(worker, gate, await gate.client(), HeldDials(gate))
+    run(whole())
+
+
+def test_a_repeat_whose_connection_comes_up_after_its_window_never_leaves():
+    """Seen on the day zone+brink (seed 4): a checkout was sent again outside its window of 1 s, chosen within
+    it, while a connection took up to 0.25 s to come up."""
+    async def scenario(worker, gate, client, dials):
+        client.send(request(path="/book", key="k1", body=b"x"))
+        came = await gate.script.event(Arrival)
+        gate.script.to_do = [Send(came.id, "w1", 9000.0, within_ms=400.0)]
+        gate.keeper.notice(Woken("again"))
+        await dials.opened.wait()
+        clock = gate.keeper.clock
+        gate.keeper.workers._clock = type("Later", (), {"now": staticmethod(lambda: clock.now() + 401.0)})
+        dials.go.set()
+        assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+        gate.keeper.workers._clock, gate.script.worker = clock, "w1"
+        await next_is(worker, gate)
+    held(scenario, Script(worker=None))
+
+
+def test_a_repeat_chosen_before_a_stalled_turn_does_not_leave_on_a_kept_connection_either():
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(Script(), known=[entry("w1", worker.port)]) as gate:
+                client = await gate.client()
+                client.send(request())
+                _, writer = await worker.asked()
+                writer.write(answer())
+                assert (await client.answer())[0] == 200  # its connection is kept
+                gate.script.worker = None
+                client.send(request(path="/book", key="k1", body=b"x"))
+                await gate.script.event(Arrival)
+                came = await gate.script.event(Arrival)
+                gate.script.to_do = [Send(came.id, "w1", 9000.0, within_ms=-1.0)]  # over by now
+                gate.keeper.notice(Woken("again"))
+                await gate.script.event(Outcome)
+                assert (await gate.script.event(Outcome)).result is Result.CONNECT_FAILED
+                gate.script.worker = "w1"
+                await next_is(worker, gate)
+    run(scenario())
+
+
+def test_nothing_begins_after_the_final_answer_where_attempts_may_not_be_cancelled():
+    """Seen on the variant's day zone+brink: "sent on after its final answer", twice."""
+    async def scenario(worker, gate, client, dials):
+        client.send(request())
+        await dials.opened.wait()
+        came = await gate.script.event(Arrival)
+        gate.script.to_do = [Refuse(came.id, 250.0)]
+        gate.keeper.notice(Woken("refuse"))
+        assert (await client.answer())[0] == 503
+        dials.go.set()
+        await next_is(worker, gate)
+        assert not gate.keeper.attempts
+    held(scenario, settings=STAYS)
+
+
+def test_nothing_begins_after_its_client_has_gone_where_attempts_may_not_be_cancelled():
+    async def scenario(worker, gate, client, dials):
+        client.send(request())
+        await dials.opened.wait()
+        client.close()
+        await gate.script.event(ClientGone)
+        dials.go.set()
+        await next_is(worker, gate)
+    held(scenario, settings=STAYS)
+
+
+def test_a_second_copy_that_waits_for_its_connection_ends_with_the_first_ones_answer():
+    async def scenario():
+        async with FakeWorker() as worker, FakeWorker() as other:
+            known = [entry("w1", worker.port), entry("w2", other.port)]
+            async with Gate(Script(), known=known, settings=STAYS) as gate:
+                client = await gate.client()
+                client.send(request())
+                _, writer = await worker.asked()
+                dials = HeldDials(gate)
+                came = await gate.script.event(Arrival)
+                gate.script.to_do = [Send(came.id, "w2", 9000.0)]
+                gate.keeper.notice(Woken("hedge"))
+                await dials.opened.wait()
+                writer.write(answer(body=b"first"))
+                assert (await client.answer())[2] == b"first"
+                dials.go.set()
+                gate.script.worker = "w2"
+                await next_is(other, gate)
+    run(scenario())
+
+
+async def gone_unread(gate, client):
+    """The client ends its sending, and that is there, unread. (Of a close the answer that is written to it
+    would tell by a reset, some time later.)"""
+    one, = gate.front.admission.all
+    client.writer.write_eof()
+    while not System().has_ended(one.transport):
+        await asyncio.sleep(0)
+    return one
+
+
+def test_what_waited_behind_an_open_request_is_not_sent_once_its_client_has_gone(monkeypatch):
+    """Reading is held while something waits behind an open request: its client's end is not read."""
+    monkeypatch.setattr("plumpick.upstream.workers.REST_MS", 0.0)  # its connection is used again at once
+
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(Script(), known=[entry("w1", worker.port)]) as gate:
+                client = await gate.client()
+                client.send(request("0000000000000001") + request("0000000000000002"))
+                _, writer = await worker.asked()
+                one = await gone_unread(gate, client)
+                assert one.held and one.request is not None
+                writer.write(answer())
+                await next_is(worker, gate)
+                assert not gate.keeper.open
+    run(scenario())
+
+
+class Again(Script):
+    """Sends a request once more after a bad outcome."""
+
+    def handle(self, now, events):
+        actions = super().handle(now, events)
+        return [Send(action.id, "w1", 9000.0) if type(action).__name__ == "Fail" else action
+                for action in actions]
+
+
+@pytest.mark.parametrize("behind", [b"", request("0000000000000002")], ids=["alone", "one behind it"])
+def test_no_further_attempt_begins_once_its_client_has_gone(behind):
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(Again(), known=[entry("w1", worker.port)]) as gate:
+                client = await gate.client()
+                client.send(request("0000000000000001") + behind)
+                _, writer = await worker.asked()
+                await gone_unread(gate, client)
+                writer.transport.abort()  # its attempt is reset, and the module sends it again
+                await next_is(worker, gate)
+    run(scenario())
+
+
+def test_after_a_standstill_timers_send_nothing_whose_client_has_gone_meanwhile():
+    """Timers come before what is read: its client's end is there, and has not been read yet."""
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(Script(worker=None), known=[entry("w1", worker.port)]) as gate:
+                plug = Plug(gate.port)
+                plug.send(request())
+                came = await gate.script.event(Arrival)
+                one, = gate.front.admission.all
+                plug.close()  # from here on the loop does not turn
+                assert System().has_ended(one.transport) and came.id in gate.keeper.open
+                gate.front.admission._swept_ms = gate.keeper.clock.now() - 1000.0
+                gate.script.to_do = [Send(came.id, "w1", 9000.0)]
+                gate.keeper.notice(Woken("timer"))
+                gate.keeper._turn()
+                assert not gate.keeper.attempts and not gate.keeper.open
+                gate.script.worker = "w1"
+                await next_is(worker, gate)
+    run(scenario())
