One way to close a client's connection, and all that is open is answered before SIGKILL

By reading, each then forced over loopback sockets and seen failing with its mend taken out (tests/fronts, tests/test_ending.py): - An answer with Connection: close, and the close of an idle connection, closed at once: over unread bytes a reset, which erases what is on its way. Both now end their sending, read and drop for a bounded time, and close (ClientConnection._finish). - What of an answer was not written 1 s after its end was cut off; a client that reads slowly keeps its connection while it reads, one that reads nothing is let go after 10 s (1 s at the end). - The listener's close reset what waited in its backlog: it is emptied first. - A request taken before SIGTERM kept its own time, of 7.5 s here: a worker that hangs held it until SIGKILL. All that is open is answered by the end now, and the end counts from the first SIGTERM, also before the first list, when it is never ready. - With short deadlines (0.2 s) a late request had 40 ms: the sums stand in daemon.ending_of.

--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -140,7 +140,7 @@
 
     def close_if_idle(self: ClientConnection) -> None:
         if self.is_idle():  # and never looks whether something is unread
-            self._close()
+            self._finish()
     return [(Admission, "sweep", sweep), (ClientConnection, "close_if_idle", close_if_idle)]
 
 
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+import math
 import os
 import random
 import signal
 import socket
 import sys
+from collections.abc import Iterable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -26,9 +28,11 @@
 # After SIGTERM connections go on coming for up to 0.4 s, and clients go on using those that they have; peers
 # find their customers' home here. All this is served until it is time to finish: the longest deadline, of 3 s
 # at most, and 0.7 s more are sure before SIGKILL.
-SURE_MOST_S, SURE_MORE_S, SPARE_S = 3.0, 0.7, 0.5
-LAST_S, LEAST_S = 1.0, 0.6  # so long before the end no connection is kept any more; but not sooner than this
-TO_FINISH_S = 600.0  # each request has its guard, so none waits longer
+SURE_MOST_S, SURE_MORE_S = 3.0, 0.7
+SPARE_S, SPARE_PART = 0.5, 0.25  # so long before that all is answered; or this part of it, where that is less
+LAST_S, LEAST_S = 1.0, 0.45  # so long before the end no connection is kept any more; but not sooner than this
+EXIT_S = 0.1  # so long before SIGKILL we have gone, but for bodies that still go on
+TO_FINISH_S = 600.0  # none of those takes longer
 STEP_S = 0.02
 OWN_SOCKETS = 24  # descriptors of the program itself: the loop's, listeners, discovery, operators
 BACKLOG = 512
@@ -36,6 +40,69 @@
 log = logging.getLogger("plumpick")
 
 
+def ending_of(deadlines_s: Iterable[float]) -> tuple[float, float, float]:
+    """What SIGTERM leaves time for, in seconds from it, by the deadlines of the classes: until when what
+    comes is served and connections are kept; until when all is answered; when we have gone.
+
+    The sums: SIGKILL comes no sooner than the longest deadline, of SURE_MOST_S at most, and SURE_MORE_S. New
+    connections come for 0.4 s, and what is taken last has as long as its client waits, or LAST_S."""
+    longest = max(deadlines_s)
+    sure = min(longest, SURE_MOST_S) + SURE_MORE_S
+    end = sure - min(SPARE_S, SPARE_PART * sure)
+    return max(LEAST_S, end - min(LAST_S, longest)), end, sure - EXIT_S
+
+
+class Stop:
+    """SIGTERM, which may come more than once and at any stage; its time counts from the first."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop, self._asked, self.at_s = loop, asyncio.Event(), math.inf
+
+    def ask(self) -> None:
+        self.at_s = min(self.at_s, self._loop.time())
+        self._asked.set()
+
+    def is_asked(self) -> bool:
+        return self._asked.is_set()
+
+    async def wait(self) -> None:
+        await self._asked.wait()
+
+    async def within(self, event: asyncio.Event, limit_s: float) -> bool:
+        """Whether the event comes within that time; a stop does not wait for it."""
+        tasks = [self._loop.create_task(one.wait()) for one in (event, self._asked)]
+        try:
+            await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+        return event.is_set() or self._asked.is_set()
+
+
+async def close_listener(loop: asyncio.AbstractEventLoop, server: Any, plug: socket.socket | None,
+                         front: HttpFront) -> None:
+    """Listen no more. Danger: connections that the system has accepted for us and that we have not taken yet
+    are reset with the listener, and requests on them are lost. So it is emptied first; what comes between the
+    last look and the close is reset before its client has an answer to lose, and asks elsewhere."""
+    taken = []
+    while plug is not None:
+        try:
+            taken.append(plug.accept()[0])
+        except (BlockingIOError, ConnectionAbortedError):
+            break
+        except OSError as problem:  # no descriptor is free, say
+            log.warning("the listener was not emptied: %s", problem)
+            break
+    server.close()
+    for one in taken:
+        try:
+            one.setblocking(False)
+            await loop.connect_accepted_socket(front.connection, one)
+        except OSError as problem:
+            log.warning("a connection was lost: %s", problem)
+            one.close()
+
+
 async def reload(config: Config, discovery: Discovery, asked: asyncio.Event, system: System,
                  part: Any) -> None:
     """Read the configuration anew whenever that is asked for, and the operator's own file. What can change in
@@ -183,9 +250,9 @@
     what is done for the whole tier."""
     system = system or System()
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    stop = Stop(loop)
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, stop.ask)
     reload_asked = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_asked.set)
     gatekeeper = Gatekeeper(config, loop, system=system)
@@ -208,38 +275,36 @@
     tasks = [loop.create_task(discovery.run()),
              loop.create_task(reload(config, discovery, reload_asked, system, part))]
     server: Any = None
+    plug: socket.socket | None = None
     if office is None:
-        server = await loop.create_server(front.connection, *config.listen, backlog=BACKLOG,
-                                          reuse_address=True)
-    try:
-        if not (shared and known):  # there a watch says nothing while nothing has changed
-            await asyncio.wait_for(discovery.listed.wait(), FIRST_LIST_S)
-    except TimeoutError:
+        plug = system.listener(config.listen, BACKLOG)
+        server = await loop.create_server(front.connection, sock=plug, backlog=BACKLOG) if plug else (
+            await loop.create_server(front.connection, *config.listen, backlog=BACKLOG, reuse_address=True))
+    # There a watch says nothing while nothing has changed.
+    if not (shared and known) and not await stop.within(discovery.listed, FIRST_LIST_S):
         log.warning("discovery is silent; starting with the known list")
     system.settle()
-    if office is not None:
+    if office is not None and not stop.is_asked():
         await office.serve()
-    gatekeeper.come_up()
+    gatekeeper.come_up(stop.is_asked())
     if part is not None:
         part.open(office.leases if office is not None else None)
     log.info("gatekeeper %s is up", config.name)
 
     await stop.wait()
-    longest_s = max(kind.deadline_ms for kind in config.settings.classes) / 1000
-    end_s = min(longest_s, SURE_MOST_S) + SURE_MORE_S - SPARE_S
-    gatekeeper.leave(end_s * 1000)
+    serve_s, end_s, gone_s = ending_of(kind.deadline_ms / 1000 for kind in config.settings.classes)
+    gatekeeper.leave((stop.at_s + end_s - loop.time()) * 1000)
     if part is not None:
         part.leave()
-    serve_s = max(LEAST_S, end_s - LAST_S)
     if office is None:
-        await asyncio.sleep(serve_s)
-        server.close()
+        await asyncio.sleep(max(0.0, stop.at_s + serve_s - loop.time()))
+        await close_listener(loop, server, plug, front)
     else:
-        await office.finish(loop.time() + serve_s)
+        await office.finish(stop.at_s + serve_s)
     gatekeeper.drain()
     gatekeeper.close_idle()
-    end = loop.time() + TO_FINISH_S
-    while gatekeeper.busy() and loop.time() < end:
+    while gatekeeper.busy() and loop.time() < stop.at_s + TO_FINISH_S and not (
+            loop.time() > stop.at_s + gone_s and gatekeeper.has_answered()):
         await asyncio.sleep(STEP_S)
     for task in tasks:
         task.cancel()
--- a/plumpick/fronts/http/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -25,7 +25,10 @@
 QUICK_MS, STOPPED_MS = 100.0, 400.0  # who means to ask begins within so long, and writes on within so long
 CROWDED_MS = 250.0  # or this long, while clients hold nearly all the connections that they may
 IDLE_MS = 60_000.0  # after so long it is closed in any case
-LINGER_MS, LINGER_MOST_MS = 1000.0, 5000.0  # what still comes after an error is read; without a byte, in all
+LINGER_MS, LINGER_MOST_MS = 1000.0, 5000.0  # what comes after our end is read; without a byte, in all
+LINGER_AT_END_MS = 200.0  # and when the gatekeeper ends
+# An answer of which nothing more is taken for so long is given up; when the gatekeeper ends.
+UNREAD_MS, UNREAD_AT_END_MS = 10_000.0, 1000.0
 
 
 class Admission:
@@ -169,8 +172,14 @@
         idle = [one for one, since in self._idle.items() if now - since > spared_ms]
         for client in idle[:len(self._idle) - self.idle_kept] if spared_ms == SPARED_MS else idle:
             client.close_if_idle()
-        for client in [one for one, since in self._leaving.items() if now - since > LINGER_MS]:
-            if client.heard and now - client.leaving_ms < LINGER_MOST_MS and not ending:
+        linger_ms, unread_ms = (LINGER_AT_END_MS, UNREAD_AT_END_MS) if ending else (LINGER_MS, UNREAD_MS)
+        for client in [one for one, since in self._leaving.items() if now - since > linger_ms]:
+            left_over, before = client.unwritten(), client.left_over
+            client.left_over = left_over
+            if left_over and (left_over != before or now - self._leaving[client] <= unread_ms):
+                if left_over != before:  # its client reads, if slowly: the answer goes on
+                    self._leaving[client] = now
+            elif client.heard and now - client.leaving_ms < LINGER_MOST_MS and not ending:
                 client.heard = False
                 self._leaving[client] = self._leaving.pop(client) + LINGER_MS
             else:
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -67,6 +67,7 @@
         self.held = False  # nothing is read while a request is open, or its body may not go on
         self.heard = False  # something came since it was looked at, while it leaves
         self.leaving_ms = 0.0  # since when it leaves
+        self.left_over = 0  # bytes that were not written when it was looked at last
         self.moved_ms = 0.0  # when something came last
         self.kept = False  # it was another process's before
         self.source: Any = None  # of an answer that goes on while it comes,
@@ -379,7 +380,7 @@
     def _answered(self, close: bool) -> None:
         """The answer to what was open is written."""
         if close:
-            self._close()
+            self._finish()
             return
         if self.waiting or self.coming is not None:
             self.begun = True
@@ -431,21 +432,20 @@
         self._finish(b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
                      % (status, REASONS[status].encode()))
 
-    def _finish(self, data: bytes) -> None:
-        """Write and end our side, but read on for a while: a reset would erase the error on its way."""
+    def _finish(self, data: bytes = b"") -> None:
+        """The one way to close: write, end our side, and read on for a while what is dropped.
+
+        Danger: a close over bytes that nobody has read is a reset, which erases what was written before and
+        is still on its way (RFC 9112, 9.6). What comes from now on is never taken: its client asks anew."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return
         self._leave()
-        transport.write(data)
+        if data:
+            transport.write(data)
         transport.write_eof()
         transport.resume_reading()
 
-    def _close(self) -> None:
-        """Close once all is written; a client that does not read its answer is dropped after a while."""
-        self._leave()
-        self.transport.close()  # type: ignore[union-attr]
-
     def _leave(self) -> None:
         self.ending, self.heard = True, False
         self.leaving_ms = self.heart.clock.now()
@@ -465,7 +465,7 @@
         if transport is None or transport.is_closing() or not self.is_idle():
             return
         if self.front.looks_quiet(transport):
-            self._close()
+            self._finish()
 
     def is_idle(self) -> bool:
         """Whether nothing is open on it, and nothing has begun to come in."""
@@ -493,6 +493,11 @@
         else:
             self.close_if_idle()
 
+    def unwritten(self) -> int:
+        """Bytes of answers that the system has not taken yet."""
+        transport = self.transport
+        return 0 if transport is None or transport.is_closing() else transport.get_write_buffer_size()
+
     def has_gone(self) -> bool:
         """Whether its client has left. What is not read tells nothing: of a held connection nothing is, and
         after a standstill of ours not yet."""
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -48,11 +48,12 @@
     """An open request."""
 
     __slots__ = ("id", "name", "asker", "head", "body", "sends", "guard", "stream", "is_head", "wait_ms",
-                 "passing", "plan", "units")
+                 "passing", "plan", "units", "due_ms")
 
     def __init__(self, number: int, name: bytes, asker: Asker, head: bytes, ask: Ask) -> None:
         self.id, self.name, self.asker, self.head, self.body = number, name, asker, head, ask.body
         self.stream, self.is_head, self.wait_ms = ask.stream, ask.method == b"HEAD", 0.0
+        self.due_ms = math.inf  # it is answered by then; a stream's time has not begun
         self.passing: Attempt | None = None  # whose answer is on its way to the client
         self.sends = 0
         self.guard: Alarm | None = None
@@ -214,9 +215,9 @@
         self.ready = self.up and not self.door and (self.succeeded or not self.ending)
         self.draining = self.ending_last or self.succeeded or bool(self.door)
 
-    def come_up(self) -> None:
-        """It takes clients from now on."""
-        self.up = True
+    def come_up(self, ending: bool = False) -> None:
+        """It takes clients from now on; `ending`: it has been told to end before, and is never ready."""
+        self.up, self.ending = True, ending
         self._open_or_not()
 
     # -- two processes of this gatekeeper
@@ -293,7 +294,7 @@
         request = Request(self._serial, ask.id, asker, head_of(ask), ask)
         request.wait_ms = due_ms - now
         if ask.stream is None:
-            request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+            self._guard(request, due_ms)
         else:
             ask.stream.moved_ms = now
             self._streams[request] = None
@@ -305,6 +306,13 @@
                             ask.units, ask.first, ask.spread, ask.is_repeat))
         return request
 
+    def _guard(self, request: Request, due_ms: float) -> None:
+        """See to it that the request is answered by then."""
+        if request.guard is not None:
+            request.guard.cancel()
+        request.due_ms = due_ms
+        request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+
     def _count(self, request: Request, outcome: int) -> None:
         """A request that has been closed: how it ended."""
         if self.fleet is not None:
@@ -335,8 +343,8 @@
     def came_whole(self, request: Request) -> None:
         """From now on its client waits."""
         if request.id in self.open and request.guard is None and request.passing is None:
-            due_ms = self.clock.now() + request.wait_ms
-            request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+            now = self.clock.now()
+            self._guard(request, min(now + request.wait_ms, max(self._end_ms, now + 2 * MARGIN_MS)))
 
     def _stalled(self, now: float) -> None:
         """Give up the bodies of which nothing moves: a client or a worker has stopped."""
@@ -361,7 +369,7 @@
                 attempt.end(Result.CANCELLED)
 
     def _overdue(self, request: Request) -> None:
-        """The last guard: the module has not answered, and the client is about to give up."""
+        """The last guard: the module has not answered, and the client is about to give up, or we end."""
         if self._close(request):
             self._count(request, FAILED)
             request.asker.answer(504)
@@ -497,8 +505,12 @@
         self._ended_names = (set(), self._ended_names[0])
 
     def leave(self, within_ms: float) -> None:
-        """A planned end: what comes is served as before, but nothing is promised beyond that time."""
+        """A planned end: what comes is served as before, but nothing is promised beyond that time, also of
+        what is open: a worker that hangs would keep it until we are killed."""
         self.ending, self._end_ms = True, self.clock.now() + within_ms
+        for request in list(self.open.values()):
+            if request.guard is not None and request.passing is None and request.due_ms > self._end_ms:
+                self._guard(request, self._end_ms)
         self._open_or_not()
 
     def drain(self) -> None:
@@ -515,6 +527,10 @@
         """Whether nothing is open and no connection either."""
         return not self.open and not any(front.busy() for front in self._fronts)
 
+    def has_answered(self) -> bool:
+        """Whether all that was taken has its answer, which the system has whole."""
+        return not self.open and not any(front.unwritten() for front in self._fronts)
+
     def busy(self) -> bool:
         """Whether anything taken is not answered, or not yet written out; new idle connections close."""
         self.close_idle()
--- a/plumpick/simulation/world.py
+++ b/plumpick/simulation/world.py
@@ -56,6 +56,9 @@
     def datagrams(self) -> Any:
         return Plug(self.process.machine.network, self.process)
 
+    def listener(self, address: tuple[str, int], backlog: int) -> None:
+        """The virtual machine's listeners have no backlog: who connects is there at once."""
+
     @staticmethod
     def is_quiet(transport: Any) -> bool:
         return bool(transport.is_quiet())
--- a/plumpick/system.py
+++ b/plumpick/system.py
@@ -34,6 +34,20 @@
         """A plain socket for datagrams, not bound yet. The loop's `add_reader` knows it."""
         return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
+    def listener(self, address: tuple[str, int], backlog: int) -> socket.socket | None:
+        """A listener for clients, at hand so that it can be emptied before it closes; None where the loop
+        makes its own. Raises OSError."""
+        plug = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            plug.bind(address)
+            plug.listen(backlog)
+            plug.setblocking(False)
+        except OSError:
+            plug.close()
+            raise
+        return plug
+
     @staticmethod
     def is_quiet(transport: Any) -> bool:
         """Whether nothing waits on the connection: bytes, or its end, that the loop may not have read yet."""
--- /dev/null
+++ b/tests/fronts/test_closing.py
@@ -0,0 +1,165 @@
+"""Closing a client's connection, in the very moment in which something comes on it."""
+
+import asyncio
+import os
+import socket
+
+import pytest
+from fakes import HOST, FakeWorker, Gate, Plug, Script, answer, entry, next_is, request, run
+from test_gatekeeper import later
+
+from plumpick.daemon import close_listener
+from plumpick.system import System
+
+
+def one_worker(scenario):
+    async def whole():
+        async with FakeWorker() as worker:
+            async with Gate(Script(), known=[entry("w1", worker.port)]) as gate:
+                await scenario(worker, gate, await gate.client())
+    run(whole())
+
+
+async def exchanged(worker, client, extra=""):
+    client.send(request(extra=extra))
+    _, writer = await worker.asked()
+    writer.write(answer())
+
+
+def test_an_answer_before_a_close_is_not_erased_by_what_has_not_been_read():
+    """Closed over unread bytes a connection is reset; `Connection: close` closed so, at once."""
+    async def scenario(worker, gate, client):
+        client.close()
+        plug = Plug(gate.port)
+        plug.send(request(extra="Connection: close\r\n"))
+        _, writer = await worker.asked()
+        one, = [one for one in gate.front.admission.all if one.request is not None]
+        one.transport.pause_reading()  # as if the loop had not come to it
+        plug.send(b"GET /lo")
+        writer.write(answer())
+        assert b"200 OK" in await plug.receive() and await plug.receive() == b""
+        plug.close()
+    one_worker(scenario)
+
+
+@pytest.mark.parametrize("late", [b"GET /look HT", request("00000000000000ee")], ids=["half a line", "whole"])
+def test_what_comes_between_the_look_and_the_close_of_an_idle_connection_is_never_taken(late):
+    """Its client reads a clean end and asks anew; it is neither reset nor sent on."""
+    async def scenario(worker, gate, client):
+        client.close()
+        plug = Plug(gate.port)
+        plug.send(request())
+        _, writer = await worker.asked()
+        writer.write(answer())
+        one, = [one for one in gate.front.admission.all if one.request is not None]
+        assert b"200 OK" in await plug.receive()
+        look = gate.front.looks_quiet
+
+        def look_and_then(transport):
+            quiet = look(transport)
+            plug.send(late)
+            assert quiet and not look(transport)  # it is there before the loop turns
+            return quiet
+        gate.front.looks_quiet = look_and_then
+        one.close_if_idle()
+        gate.front.looks_quiet = look
+        assert one.ending and await plug.receive() == b""
+        plug.close()
+        await next_is(worker, gate)
+        assert not gate.keeper.open
+    one_worker(scenario)
+
+
+def test_many_that_rest_are_told_to_go_at_one_stroke_while_they_ask():
+    async def scenario(worker, gate, client):
+        clients = [client] + [await gate.client() for _ in range(20)]
+        for one in clients:
+            await exchanged(worker, one)
+            assert (await one.answer())[0] == 200
+        gate.front.close_idle()
+        for one in clients:
+            one.send(request())
+        for one in clients:
+            assert await one.reader.read() == b""
+            one.close()
+        while gate.front.admission:
+            await asyncio.sleep(0)
+        await next_is(worker, gate)
+    one_worker(scenario)
+
+
+def test_a_client_that_reads_slowly_gets_all_of_the_answer_before_its_connection_closes():
+    """Seen by reading: whatever was not written 1 s after the answer's end was cut off."""
+    async def scenario(worker, gate, client):
+        client.close()
+        plug = Plug(gate.port, room=4096)
+        plug.send(request(extra="Connection: close\r\n"))
+        _, writer = await worker.asked()
+        one, = [one for one in gate.front.admission.all if one.request is not None]
+        with socket.socket(fileno=os.dup(one.transport.get_extra_info("socket").fileno())) as own:
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        body = bytes(range(250)) * 240
+        writer.write(answer(body=body))
+        while not one.ending:
+            await asyncio.sleep(0)
+        for _ in range(3):  # it is busy for a while
+            assert one.unwritten()
+            later(gate, 1500)
+        parts = [await plug.receive()]
+        while parts[-1]:
+            parts.append(await plug.receive())
+        head, _, got = b"".join(parts).partition(b"\r\n\r\n")
+        assert b"200 OK" in head and got == body
+        plug.close()
+    one_worker(scenario)
+
+
+def test_who_reads_nothing_is_let_go_in_the_end():
+    class Stuck:
+        leaving_ms, left_over, heard = 0.0, 0, False
+
+        def __init__(self):
+            self.dropped = False
+
+        def unwritten(self):
+            return 1000
+
+        def drop(self):
+            self.dropped = True
+
+    from plumpick.fronts.http.admission import SWEEP_MS, UNREAD_AT_END_MS, UNREAD_MS, Admission
+    for ending, bound in ((False, UNREAD_MS), (True, UNREAD_AT_END_MS)):
+        stuck, admission = Stuck(), Admission(256, 0.0)
+        admission.all[stuck] = None
+        admission.leaves(stuck, 0.0)
+        now, dropped = 0.0, None
+        while now < 2 * UNREAD_MS and dropped is None:
+            now += SWEEP_MS
+            admission.sweep(now, ending)
+            dropped = now if stuck.dropped else None
+        assert dropped is not None and bound <= dropped <= bound + 2000.0
+
+
+def test_connections_that_the_system_has_accepted_are_served_when_the_listener_closes():
+    """They wait in the listener's backlog, unseen by us; closed with it they are reset."""
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        async with FakeWorker() as worker:
+            async with Gate(Script(), known=[entry("w1", worker.port)]) as gate:
+                plug = System().listener((HOST, 0), 16)
+                server = await loop.create_server(gate.front.connection, sock=plug)
+                plugs, address = [], plug.getsockname()
+                for number in range(8):  # without a turn of the loop
+                    one = Plug(address[1])
+                    one.send(request(f"{number:016x}"))
+                    plugs.append(one)
+                await close_listener(loop, server, plug, gate.front)
+                for _ in plugs:
+                    _, writer = await worker.asked()
+                    writer.write(answer())
+                for one in plugs:
+                    assert b"200 OK" in await one.receive()
+                    one.close()
+                with pytest.raises(ConnectionRefusedError):
+                    socket.create_connection(address)
+    run(scenario())
--- /dev/null
+++ b/tests/test_ending.py
@@ -0,0 +1,111 @@
+"""SIGTERM at every stage, and what it leaves time for."""
+
+import asyncio
+import os
+import signal
+
+import pytest
+from fakes import FakeDiscovery, FakeWorker, Gate, Script, config, entry, request, run
+from test_process import Client, free_port
+
+from anisefront.interface import Arrival
+from plumpick import daemon
+from plumpick.config import config_from
+
+
+@pytest.mark.parametrize("deadlines_s", [[0.2], [0.2, 0.5], [0.9], [1.5], [2.0, 7.5], [3.0], [60.0]])
+def test_all_is_answered_and_we_have_gone_before_sigkill_may_come(deadlines_s):
+    """SIGKILL comes no sooner than the longest deadline, of 3 s at most, and 0.7 s more. Connections come for
+    up to 0.4 s, and whoever is served last has its whole time, or a second."""
+    serve, end, gone = daemon.ending_of(deadlines_s)
+    longest, kill = max(deadlines_s), min(max(deadlines_s), 3.0) + 0.7
+    assert 0.4 < serve < end < gone < kill
+    assert end - serve >= min(longest, 1.0) * 0.99 or serve == daemon.LEAST_S
+    assert end - serve >= 0.2 and kill - end >= 0.2  # room for a last answer to be written, and a busy loop
+
+
+def test_what_is_open_when_we_are_told_to_end_is_answered_by_then():
+    """A worker that hangs would keep it until SIGKILL: its client's time ends long after."""
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(Script(), known=[entry("w1", worker.port)]) as gate:
+                client = await gate.client()
+                client.send(request(deadline=20_000))
+                assert (await worker.asked())[0] is not None
+                await gate.script.event(Arrival)
+                open_request, = gate.keeper.open.values()
+                gate.keeper.leave(100.0)
+                assert open_request.due_ms <= gate.keeper.clock.now() + 100.0
+                assert (await client.answer())[0] == 504 and not gate.keeper.open
+    run(scenario())
+
+
+def test_a_deadline_before_the_end_stays_as_it_is():
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(Script(), known=[entry("w1", worker.port)]) as gate:
+                client = await gate.client()
+                client.send(request(deadline=60))
+                await gate.script.event(Arrival)
+                open_request, = gate.keeper.open.values()
+                due_ms = open_request.due_ms
+                gate.keeper.leave(5000.0)
+                assert open_request.due_ms == due_ms and (await client.answer())[0] == 504
+    run(scenario())
+
+
+def served(scenario, monkeypatch, **more):
+    """The daemon in this process, which signals reach; `scenario` is given its port and the fake
+    discovery."""
+    async def whole():
+        async with FakeDiscovery() as fake, FakeWorker() as worker:
+            port = free_port()
+            own = config_from(config(fake.port, port, known=[entry("w1", worker.port)], **more), {})
+            task = asyncio.get_running_loop().create_task(daemon.serve(own))
+            try:
+                await scenario(port, fake, worker, task)
+            finally:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+    monkeypatch.setattr(daemon, "ending_of", lambda _deadlines: (0.05, 0.1, 0.3))
+    run(whole())
+
+
+def test_sigterm_before_the_first_list_ends_it_and_it_is_never_ready(monkeypatch, caplog):
+    """It waited for the list, said that it was ready, and counted the time to its end from then."""
+    monkeypatch.setattr(daemon, "FIRST_LIST_S", 1000.0)
+
+    async def scenario(_port, fake, _worker, task):
+        await fake.called()  # and no answer
+        os.kill(os.getpid(), signal.SIGTERM)
+        await task
+        assert task.exception() is None
+    served(scenario, monkeypatch)
+
+
+def test_sigterm_twice_and_a_sighup_between_end_it_once(monkeypatch):
+    async def scenario(port, fake, _worker, task):
+        await fake.called()
+        while True:
+            try:
+                client = await Client().open(port)
+                break
+            except OSError:
+                await asyncio.sleep(0)
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            os.kill(os.getpid(), number)
+        await task
+        assert await client.ends()
+    served(scenario, monkeypatch)
+
+
+def test_the_time_to_the_end_counts_from_the_first_sigterm():
+    async def scenario():
+        stop = daemon.Stop(asyncio.get_running_loop())
+        stop.ask()
+        first = stop.at_s
+        await asyncio.sleep(0.01)
+        stop.ask()
+        assert stop.at_s == first and stop.is_asked()
+        assert await stop.within(asyncio.Event(), 1000.0)
+    run(scenario())
