Hand-over keeps connections whose answers are not written out; rules under any settings

By reading, then forced: a connection with an answer not written out passed to the next process, and the rest of the answer never came (HttpFront.give_idle); it stays now. With operators the listener closed full, too (Office.finish): emptied now.

--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -208,7 +208,12 @@
         keeper = self._gatekeeper
         while self._loop.time() < until_s and not (keeper.succeeded and keeper.is_quiet()):
             await asyncio.sleep(STEP_S)
-        self._house.close()
+        house = self._house
+        if not keeper.succeeded and house.server is not None:  # nobody else takes what waits at the listener
+            await close_listener(self._loop, house.server, house.listener, house.front)
+            if house.listener is not None:
+                house.listener.close()
+        house.close()
 
     def close(self) -> None:
         self._giver.close()
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -105,8 +105,11 @@
 
     def give_idle(self, take: Callable[[Any], None]) -> None:
         """Give the connections on which nothing is open to another process. `take` gets each one's transport
-        and keeps its own copy of the descriptor."""
-        for client in [one for one in self.admission.all if one.is_idle()]:
+        and keeps its own copy of the descriptor.
+
+        Danger: what is not written of an answer does not pass over, and the rest of it would never come, or
+        the next one in its place. Such a connection stays here."""
+        for client in [one for one in self.admission.all if one.is_idle() and not one.unwritten()]:
             client.give(take)
 
     def busy(self) -> bool:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -224,13 +224,14 @@
 
 
 class FakeDiscovery:
-    """Discovery: gives calls to the test, which answers each by hand."""
+    """Discovery: gives calls to the test, which answers each by hand. It may have been elsewhere before, and
+    come up at a `port` now."""
 
-    def __init__(self):
-        self.calls = asyncio.Queue()
+    def __init__(self, port=0):
+        self.calls, self.port = asyncio.Queue(), port
 
     async def __aenter__(self):
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
--- a/tests/fronts/test_closing.py
+++ b/tests/fronts/test_closing.py
@@ -96,8 +96,7 @@
         plug.send(request(extra="Connection: close\r\n"))
         _, writer = await worker.asked()
         one, = [one for one in gate.front.admission.all if one.request is not None]
-        with socket.socket(fileno=os.dup(one.transport.get_extra_info("socket").fileno())) as own:
-            own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        small(one)
         body = bytes(range(250)) * 240
         writer.write(answer(body=body))
         while not one.ending:
@@ -163,3 +162,34 @@
                 with pytest.raises(ConnectionRefusedError):
                     socket.create_connection(address)
     run(scenario())
+
+
+def test_a_connection_whose_answer_is_not_written_out_is_not_given_to_the_next_process():
+    """What is not with the system yet does not pass over with the descriptor."""
+    async def scenario(worker, gate, client):
+        client.close()
+        plug, given = Plug(gate.port, room=4096), []
+        plug.send(request())
+        _, writer = await worker.asked()
+        one, = [one for one in gate.front.admission.all if one.request is not None]
+        small(one)
+        body = bytes(range(250)) * 240
+        writer.write(answer(body=body))
+        while one.request is not None:
+            await asyncio.sleep(0)
+        assert one.unwritten()
+        gate.front.give_idle(given.append)
+        assert not given
+        got = b""
+        while not got.endswith(body):
+            got += await plug.receive()
+        gate.front.give_idle(given.append)
+        assert given == [one.transport]
+        plug.close()
+    one_worker(scenario)
+
+
+def small(one):
+    """The system keeps little of what is written there."""
+    with socket.socket(fileno=os.dup(one.transport.get_extra_info("socket").fileno())) as own:
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
--- /dev/null
+++ b/tests/test_any_settings.py
@@ -0,0 +1,111 @@
+"""Other customers' settings: whatever classes, effects, groups, windows and limits they have, the rules
+hold."""
+
+import random
+
+import pytest
+from test_rules import Checker, Town, settings
+
+from anisefront.interface import Plan, Repeat, RequestClass, Result, Scope, Send
+
+
+def drawn(seed):
+    """Settings within what the protocol allows, from a seed; the same for each gateway."""
+    rng = random.Random(f"settings {seed}")
+    kinds = []
+    for number in range(rng.choice((1, 1, 2, 3, 5))):
+        deadline_ms = rng.choice((200.0, 500.0, 900.0, 2500.0, 7500.0, 25_000.0))
+        kinds.append(RequestClass(
+            f"class-{rng.randrange(1000)}-{number}", deadline_ms * rng.uniform(0.2, 0.9), deadline_ms,
+            rng.choice((0.0, 1.0, 4.0)), rng.choice(list(Repeat)), scope=rng.choice(list(Scope)),
+            window_ms=rng.choice((0.0, 30.0, 200.0, 700.0, 1000.0, 15_000.0)),
+            late_worth=rng.choice((0.0, 0.5))))
+    plans = []
+    for number in range(rng.choice((1, 2, 3))):
+        rate = rng.choice((0.0, 1.0, 6.0, 20.0))
+        ceiling = rng.choice((0.0, 0.0, 2.0)) * rate
+        plans.append(Plan(f"plan-{number}", rate, rate * 3, value=rng.uniform(0.5, 2), over_cost=0.6,
+                          over_worth=rng.choice((0.0, 0.9)), ceiling_per_s=ceiling, ceiling_burst=ceiling * 3,
+                          ceiling_slack=max(4.0, ceiling * 0.3)))
+    more = {"max_attempts": rng.choice((1, 2, 3, 5)), "second_copies": rng.random() < 0.5,
+            "may_cancel": rng.random() < 0.5, "cold_from": rng.choice((0.1, 0.4)),
+            "warm_up_ms": rng.choice((0.0, 3000.0, 17_000.0)), "fall_multiple": rng.choice((2.0, 3.0)),
+            "report_how": rng.choice(("answers", "none")), "max_retry_after_ms": rng.choice((0.0, 1000.0))}
+    return lambda **own: settings(classes=tuple(kinds), plans=tuple(plans), **more, **own)
+
+
+class Books(Checker):
+    """The same books, and where two copies may not be out at once they look at that too."""
+
+    def __init__(self, config):
+        super().__init__(config)
+        self.out = {}
+
+    def send(self, now, number, server, drained_ms):
+        super().send(now, number, server, drained_ms)
+        out = self.out.setdefault(number, set())
+        assert self.config.second_copies or not out, "a second copy"
+        out.add(len(self.sent[number]) - 1)
+        assert len(self.sent[number]) <= self.config.max_attempts, "too many attempts"
+
+    def leaves(self, now, number):
+        """The bytes of the attempt that was sent last go out only now."""
+        _, arrival = self.open[number]
+        kind, loose = self.kinds[arrival.class_name], self.unproved(number)
+        if kind.repeat is Repeat.KEYED and len(loose) > 1:
+            assert now - loose[0][0] <= kind.window_ms, "rule 2: it left past the window"
+
+
+class LateTown(Town):
+    """Connections come up late, and what may not leave any more does not."""
+
+    def __init__(self, seed, **more):
+        super().__init__(seed, **more)
+        self.checker, self.kept_back = Books(self.config), 0
+
+    def act(self, n, action):
+        if not isinstance(action, Send):
+            super().act(n, action)
+            return
+        server = next(one for one in self.fleet if one.id == action.server)
+        self.checker.send(self.now, action.id, server, self.learned[n].get(server.id))
+        number = len(self.checker.sent[action.id]) - 1
+        delay = self.rng.choice((0.0, 0.0, self.rng.uniform(0, 400.0)))
+        result = self.rng.choices(
+            [Result.OK, Result.ERROR, Result.FULL, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET],
+            [60, 8, 8, 8, 6, 10])[0]
+        took = delay + self.rng.expovariate(1 / 150)
+        if delay > action.within_ms:
+            result, took = Result.CONNECT_FAILED, delay
+            self.kept_back += 1
+        else:
+            self.checker.leaves(self.now + delay, action.id)
+        took = action.allow_ms if result is Result.TIMEOUT else min(took, action.allow_ms)
+        self.tries[action.id, number] = (n, server, self.now)
+        self.later(took, n, (action.id, number, result))
+
+    def deliver(self, gateway, event):
+        if isinstance(event, tuple):
+            self.checker.out.get(event[0], set()).discard(event[1])
+        super().deliver(gateway, event)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_the_rules_hold_whatever_the_settings(seed):
+    town = LateTown(seed, gateways=2 + seed % 3, loss=(0.1, 0.5)[seed % 2], settings_of=drawn(seed))
+    town.run(6000)
+    assert len(town.checker.done) > 300
+
+
+def test_the_seeds_reach_what_they_are_for():
+    """Repeats that are kept back since their connection came up late, classes of each effect, one alone."""
+    kept, effects, counts = 0, set(), set()
+    for seed in range(24):
+        config = drawn(seed)()
+        effects |= {kind.repeat for kind in config.classes}
+        counts.add(len(config.classes))
+        if any(kind.repeat is Repeat.KEYED and 0 < kind.window_ms <= 1000 for kind in config.classes):
+            town = LateTown(seed, settings_of=drawn(seed))
+            town.run(3000)
+            kept += town.kept_back
+    assert kept > 5 and effects == set(Repeat) and 1 in counts and max(counts) >= 4
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -5,8 +5,10 @@
 import signal
 
 import pytest
-from fakes import FakeDiscovery, FakeWorker, Gate, Script, config, entry, request, run
-from test_process import Client, free_port
+from fakes import (
+    HOST, Client, FakeDiscovery, FakeWorker, Gate, Plug, Script, answer, config, entry, request, run,
+)
+from test_process import free_port, until_up
 
 from anisefront.interface import Arrival
 from plumpick import daemon
@@ -54,7 +56,7 @@
     run(scenario())
 
 
-def served(scenario, monkeypatch, **more):
+def served(scenario, monkeypatch, ending=(0.05, 0.1, 0.3), **more):
     """The daemon in this process, which signals reach; `scenario` is given its port and the fake
     discovery."""
     async def whole():
@@ -67,7 +69,7 @@
             finally:
                 task.cancel()
                 await asyncio.gather(task, return_exceptions=True)
-    monkeypatch.setattr(daemon, "ending_of", lambda _deadlines: (0.05, 0.1, 0.3))
+    monkeypatch.setattr(daemon, "ending_of", lambda _deadlines: ending)
     run(whole())
 
 
@@ -109,3 +111,24 @@
         assert stop.at_s == first and stop.is_asked()
         assert await stop.within(asyncio.Event(), 1000.0)
     run(scenario())
+
+
+def test_with_operators_too_the_listener_is_emptied_before_it_closes(monkeypatch):
+    """A connection that comes in the moment before the close, and of which the loop has not heard."""
+    right, plugs = daemon.close_listener, []
+
+    async def comes_just_before(loop, server, plug, front):
+        plugs.append(Plug(plug.getsockname()[1]))
+        plugs[0].send(request())
+        await right(loop, server, plug, front)
+    monkeypatch.setattr(daemon, "close_listener", comes_just_before)
+
+    async def scenario(port, fake, worker, _task):
+        await until_up(port)
+        os.kill(os.getpid(), signal.SIGTERM)
+        message, writer = await worker.asked()
+        assert message is not None
+        writer.write(answer())
+        assert b"200 OK" in await plugs[0].receive()
+        plugs[0].close()
+    served(scenario, monkeypatch, (0.05, 20.0, 25.0), management=f"{HOST}:{free_port()}")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import sys
@@ -188,3 +189,42 @@
                 process.kill()
                 await process.wait()
     run(whole())
+
+
+def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_leave_one_for_its_return(tmp_path):
+    """With the real limit: of all descriptors clients hold what they may, and the list comes all the same."""
+    async def whole():
+        async with FakeWorker() as worker, FakeWorker() as other:
+            port, discovery = free_port(), free_port()
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(config(discovery, port, known=[entry("w1", worker.port)])))
+            limit = resource.RLIMIT_NOFILE, (256, 256)
+            process = await start(path, preexec_fn=lambda: resource.setrlimit(*limit))
+            crowd = []
+            try:
+                await until_up(port)
+                for _ in range(400):  # each has asked once, and rests
+                    crowd.append((await Client().open(port)).send(UP))
+                for one in crowd[:100]:
+                    assert await one.answer()
+                async with FakeDiscovery(discovery) as fake:
+                    _, writer = await fake.called()
+                    writer.write(told(listing(entry("w2", other.port), index=9)))
+                    assert (await fake.called())[0].startswith("/discovery/hosts?since=9")
+                    message = None
+                    while message is None:  # at the very limit a new client is dropped, and comes again
+                        client = (await Client().open(port)).send(request())
+                        asked, gone = (asyncio.ensure_future(one) for one in (other.asked(), client.ends()))
+                        await asyncio.wait((asked, gone), return_when=asyncio.FIRST_COMPLETED)
+                        message, writer = asked.result() if asked.done() else (None, None)
+                        if message is None:
+                            asked.cancel()
+                        else:
+                            gone.cancel()
+                    assert worker.requests.empty()
+            finally:
+                process.kill()
+                await process.wait()
+                for one in crowd:
+                    one.close()
+    run(whole())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -113,9 +113,9 @@
 class Town:
     """A few gateways, servers that act at random, and a network that loses, delays and repeats."""
 
-    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120):
+    def __init__(self, seed, gateways=3, kill=0.0005, loss=0.3, rate=120, settings_of=settings):
         self.rng = random.Random(seed)
-        self.config = settings(gateways=gateways)
+        self.settings_of, self.config = settings_of, settings_of(gateways=gateways)
         self.checker = Checker(self.config)
         self.loss, self.kill, self.rate = loss, kill, rate
         self.now, self.serial, self.queue, self.log = 1000.0, 0, [], []
@@ -130,7 +130,7 @@
 
     def start(self, n):
         self.life[n] += 1
-        config = settings(number=n, gateways=len(self.life))
+        config = self.settings_of(number=n, gateways=len(self.life))
         self.gateways[n] = Controller(config, self.rng.randrange(1 << 30))
         self.inbox[n] = [Fleet(tuple(self.fleet))]
         self.learned[n] = {s.id: self.now for s in self.fleet if s.state is not State.READY}
