--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -18,7 +18,7 @@
 from anisefront import watching
 from anisefront.control import Controller, Quota, Servers
 from anisefront.interface import Refuse, Repeat, Result, State
-from plumpick import gatekeeper as heart
+from plumpick import gatekeeper as core
 from plumpick.fronts.http.admission import Admission
 from plumpick.fronts.http.connections import ClientConnection
 from plumpick.clock import Alarms
@@ -83,7 +83,7 @@
 
 def no_guard() -> Swap:
     """Deadlines are read half a second too late, by the guard and by the module."""
-    return [(heart, "GUARD_MS", -500.0), (heart, "MARGIN_MS", -500.0)]
+    return [(core, "GUARD_MS", -500.0), (core, "MARGIN_MS", -500.0)]
 
 
 def late_answer_for_next() -> Swap:
@@ -128,7 +128,7 @@
 
 def ends_at_once() -> Swap:
     """After SIGTERM nothing is waited for."""
-    return [(Gatekeeper, "busy", lambda self: False), (heart.Gatekeeper, "drain", lambda self: None)]
+    return [(Gatekeeper, "busy", lambda self: False), (core.Gatekeeper, "drain", lambda self: None)]
 
 
 def stands_still_and_closes() -> Swap:
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -1,6 +1,6 @@
-"""The door between fronts and the heart: bytes become an `Ask`, which gets one final answer.
+"""The door between fronts and the core: bytes become an `Ask`, which gets one final answer.
 
-A front knows the heart by `Heart` alone, the heart a front by `Front` and who has asked by `Asker`; no front
+A front knows the core by `Core` alone, the core a front by `Front` and who has asked by `Asker`; no front
 knows another."""
 
 from __future__ import annotations
@@ -87,14 +87,14 @@
 
 
 class Front(Protocol):
-    """What the heart asks of a front."""
+    """What the core asks of a front."""
 
     def late_ms(self, now: float) -> float:
         """How late its next sweep is: for so long we may have stood still."""
 
     def sweep(self, now: float, ending: bool) -> None:
         """Close what has had its time; `ending`: the gatekeeper keeps no connection any more. What is idle
-        or unheard closes besides as `Heart.door` has it."""
+        or unheard closes besides as `Core.door` has it."""
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is open."""
@@ -112,8 +112,8 @@
         """How many descriptors the process may hold from now on."""
 
 
-class Heart(Protocol):
-    """What a front asks of the heart."""
+class Core(Protocol):
+    """What a front asks of the core."""
 
     clock: Clock
     alarms: Alarms
@@ -142,7 +142,7 @@
 
 
 class Office(Protocol):
-    """What the operators' front asks of the heart."""
+    """What the operators' front asks of the core."""
 
     clock: Clock
     alarms: Alarms
@@ -152,7 +152,7 @@
 
 
 class Sibling(Protocol):
-    """What the heart tells another process of the same gatekeeper."""
+    """What the core tells another process of the same gatekeeper."""
 
     def heard(self, sender: int, data: bytes) -> None:
         """What a peer has told."""
@@ -165,7 +165,7 @@
 
 
 class Part(Protocol):
-    """What the heart asks of this process's part in what is done for the whole tier (fleet/runner.py)."""
+    """What the core asks of this process's part in what is done for the whole tier (fleet/runner.py)."""
 
     def heard(self, sender: int, data: bytes) -> None:
         """Words about leases have come."""
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -52,7 +52,7 @@
     compiled classes have no parents that are not."""
 
     def __init__(self, front: HttpFront) -> None:
-        self.front, self.heart = front, front.heart
+        self.front, self.core = front, front.core
         self.transport: asyncio.Transport | None = None
         self.request: Any = None  # taken and not answered yet
         self.parser: Any = httptools.HttpRequestParser(self)
@@ -84,7 +84,7 @@
         if self.ending or self.unreadable:
             self.heard = True
             return
-        self.moved_ms = self.heart.clock.now()
+        self.moved_ms = self.core.clock.now()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -113,7 +113,7 @@
         if coming is self.served:  # its body has begun to go on: no end of it will come
             if self.request is not None:
                 request, self.request = self.request, None
-                self.heart.left(request)
+                self.core.left(request)
             self.refuse(coming.bad)
         else:
             self.waiting.append(coming)
@@ -196,7 +196,7 @@
         if coming.length > WHOLE_BODY:
             self._stream(coming)
         elif coming.length:
-            self.front.admission.body_begins(self, self.heart.clock.now())
+            self.front.admission.body_begins(self, self.core.clock.now())
 
     def on_body(self, part: bytes) -> None:
         coming = self.coming
@@ -204,7 +204,7 @@
             return
         coming.received += len(part)
         if coming.stream is not None:
-            coming.stream.moved_ms = self.heart.clock.now()
+            coming.stream.moved_ms = self.core.clock.now()
             if self.request is not None:
                 coming.stream.feed(part)
             return
@@ -216,12 +216,12 @@
         coming, self.coming = self.coming, None
         if coming is None:
             return
-        coming.whole, coming.came_ms = True, self.heart.clock.now()
+        coming.whole, coming.came_ms = True, self.core.clock.now()
         coming.keep = self.parser.should_keep_alive()  # the parser knows this here and no later
         if coming.stream is not None:
             if self.request is not None and coming is self.served:
                 coming.stream.finish()
-                self.heart.came_whole(self.request)
+                self.core.came_whole(self.request)
             return
         self.waiting.append(coming)
 
@@ -269,7 +269,7 @@
         """A body that is too large to be kept: its request is taken now, if it is its turn; whether it is."""
         if self._is_open() or self.waiting or self.ending or self.paused or coming.bad:
             return False
-        coming.came_ms = self.heart.clock.now()
+        coming.came_ms = self.core.clock.now()
         self.served = coming
         try:
             self.request = self.front.take(self, coming)
@@ -317,7 +317,7 @@
             self.transport.resume_reading()
 
     def _tell_readiness(self) -> None:
-        if self.heart.ready:
+        if self.core.ready:
             self.answer(200, b"up\n", b"text/plain")
         else:
             self.answer(503, b"not up\n", b"text/plain")
@@ -326,7 +326,7 @@
         """A whole request that is not in order. The error goes out at once and the connection may stay, but
         for a while nothing is read from it: some ask the same again at full speed, and are as cheap so."""
         served = self.served
-        if served is None or not served.keep or self.heart.draining:
+        if served is None or not served.keep or self.core.draining:
             self.refuse(status)
             return
         transport = self.transport
@@ -336,7 +336,7 @@
         self.paused = True
         pause_ms = min(PAUSE_MOST_MS, PAUSE_MS * 2 ** min(self.bad_before, 10))
         self.bad_before += 1
-        self.heart.alarms.at(self.heart.clock.now() + pause_ms, self._read_on)
+        self.core.alarms.at(self.core.clock.now() + pause_ms, self._read_on)
 
     def _read_on(self) -> None:
         self.paused = False
@@ -354,7 +354,7 @@
             return
         # Of a body that has not come whole the rest is not read.
         cut = served is None or not served.whole
-        close = self.ending or self.heart.draining or cut or not served.keep  # type: ignore[union-attr]
+        close = self.ending or self.core.draining or cut or not served.keep  # type: ignore[union-attr]
         length = b"%d" % len(body)
         if status == 200 and served is not None and served.method == b"HEAD":
             length, body = body, b""
@@ -385,7 +385,7 @@
         if self.waiting or self.coming is not None:
             self.begun = True
             self.front.begins(self)
-            self.heart.alarms.at(self.heart.clock.now(), self._next)  # not within the answer of another
+            self.core.alarms.at(self.core.clock.now(), self._next)  # not within the answer of another
         else:
             self.front.answered(self)
             self._hold_or_go_on()
@@ -396,7 +396,7 @@
         if transport is None or transport.is_closing() or served is None:
             return
         self.chunks = length < 0 and not served.old
-        close = self.ending or self.heart.draining or not served.keep or not served.whole or (
+        close = self.ending or self.core.draining or not served.keep or not served.whole or (
             length < 0 and not self.chunks)
         served.keep = not close
         head = b"HTTP/1.1 200 OK\r\n%s%s%s\r\n" % (
@@ -448,7 +448,7 @@
 
     def _leave(self) -> None:
         self.ending, self.heard = True, False
-        self.leaving_ms = self.heart.clock.now()
+        self.leaving_ms = self.core.clock.now()
         self.front.admission.leaves(self, self.leaving_ms)
 
     # -- what the admission asks of it
@@ -504,7 +504,7 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return True
-        return (self.held or self.paused or self.heart.stood_still()) and self.front.has_ended(transport)
+        return (self.held or self.paused or self.core.stood_still()) and self.front.has_ended(transport)
 
     def drop(self) -> None:
         """Close at once."""
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -1,4 +1,4 @@
-"""The HTTP front: its connections, which of them may stay, and the way of a request to the heart."""
+"""The HTTP front: its connections, which of them may stay, and the way of a request to the core."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from anisefront.draining import Door
 from anisefront.interface import Settings
-from plumpick.fronts.door import Ask, Heart, InUse
+from plumpick.fronts.door import Ask, Core, InUse
 from plumpick.fronts.http.admission import Admission
 from plumpick.fronts.http.connections import ClientConnection, Incoming
 from plumpick.fronts.http.forms import BadRequest, Forms, path_of
@@ -17,10 +17,10 @@
     """All HTTP connections of clients. `has_ended` looks whether a transport's other side has ended it,
     `is_quiet` whether nothing waits on it unread."""
 
-    def __init__(self, heart: Heart, settings: Settings, sockets: int, has_ended: Callable[[Any], bool],
+    def __init__(self, core: Core, settings: Settings, sockets: int, has_ended: Callable[[Any], bool],
                  is_quiet: Callable[[Any], bool] = lambda _transport: True) -> None:
-        self.heart, self.has_ended, self.looks_quiet = heart, has_ended, is_quiet
-        self.admission = Admission(sockets, heart.clock.now())
+        self.core, self.has_ended, self.looks_quiet = core, has_ended, is_quiet
+        self.admission = Admission(sockets, core.clock.now())
         self.forms = Forms(settings)
         self._making_room = False
 
@@ -37,7 +37,7 @@
     # -- what connections tell
 
     def came(self, client: ClientConnection) -> None:
-        now, spare = self.heart.clock.now(), self.heart.spare_descriptors()
+        now, spare = self.core.clock.now(), self.core.spare_descriptors()
         if not self.admission.came(client, now, spare) and not (
                 self.admission.drop_ended(now, lambda other: self.has_ended(other.transport))
                 and self.admission.came(client, now, spare)):
@@ -45,17 +45,17 @@
         elif len(self.admission) > self.admission.place(spare) and not self._making_room:
             # Not at once: of those that came in one go, who has a request here is read first, and stays.
             self._making_room = True
-            self.heart.alarms.at(self.heart.clock.now() + 1.0, self._make_room)
+            self.core.alarms.at(self.core.clock.now() + 1.0, self._make_room)
         if client.kept:
             self.admission.asked(client)
             self.admission.answered(client, now)
 
     def _make_room(self) -> None:
         self._making_room = False
-        self.admission.make_room(self.heart.clock.now(), self.heart.spare_descriptors())
+        self.admission.make_room(self.core.clock.now(), self.core.spare_descriptors())
 
     def begins(self, client: ClientConnection) -> None:
-        self.admission.begins(client, self.heart.clock.now())
+        self.admission.begins(client, self.core.clock.now())
 
     def take(self, client: ClientConnection, coming: Incoming) -> Any:
         """A request has come in: whole, or with a body that goes on while it comes, as it is too large to be
@@ -63,10 +63,10 @@
         method, headers, target = coming.method, coming.headers, path_of(coming.url)
         form = self.forms.read(method, target, headers, bool(coming.body) or not coming.whole)
         if not coming.whole:
-            coming.stream = self.heart.stream(client, coming.length)
+            coming.stream = self.core.stream(client, coming.length)
         body = bytes(coming.body) if coming.whole else b""
         try:
-            request = self.heart.take(client, Ask(
+            request = self.core.take(client, Ask(
                 *form, method, target, headers.get(b"content-type"), body, coming.came_ms, coming.stream))
         except InUse as problem:
             raise BadRequest(str(problem), 409) from problem
@@ -74,25 +74,25 @@
         return request
 
     def answered(self, client: ClientConnection) -> None:
-        self.admission.answered(client, self.heart.clock.now())
+        self.admission.answered(client, self.core.clock.now())
 
     def left(self, client: ClientConnection, request: Any) -> None:
         self.admission.left(client)
         if request is not None:
-            self.heart.left(request)
+            self.core.left(request)
 
-    # -- what the heart asks
+    # -- what the core asks
 
     def late_ms(self, now: float) -> float:
         return self.admission.late_ms(now)
 
     def sweep(self, now: float, ending: bool) -> None:
         self.admission.sweep(now, ending)
-        if self.heart.door >= Door.IDLE:
-            self.admission.send_away(now, self.heart.door >= Door.UNHEARD)
+        if self.core.door >= Door.IDLE:
+            self.admission.send_away(now, self.core.door >= Door.UNHEARD)
 
     def close_idle(self) -> None:
-        now = self.heart.clock.now()
+        now = self.core.clock.now()
         for client in list(self.admission.all):
             if not self.admission.is_new(client, now):
                 client.close_if_idle()
--- a/plumpick/fronts/management.py
+++ b/plumpick/fronts/management.py
@@ -1,6 +1,6 @@
 """Where operators call: one line a connection, answered with one that begins with +OK or -ERR.
 
-It decides nothing: what is said goes to the heart as an order, and its answer back. Danger: callers that
+It decides nothing: what is said goes to the core as an order, and its answer back. Danger: callers that
 connect and say nothing, hundreds of them, while clients hold every descriptor that they may. So there is room
 for few at a time, out of a reserve of their own; one more takes the place of the oldest that has not made a
 whole call; and nobody is waited for longer than PATIENCE_MS."""
--- a/plumpick/handover/succession.py
+++ b/plumpick/handover/succession.py
@@ -49,7 +49,7 @@
 
 
 class Kin:
-    """The other process, as the heart knows it (door.Sibling)."""
+    """The other process, as the core knows it (door.Sibling)."""
 
     def __init__(self, channel: Channel) -> None:
         self._channel = channel
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -58,10 +58,10 @@
             and node.module.startswith(("plumpick", "anisefront"))}
 
 
-def test_the_heart_knows_no_front_and_no_front_the_heart_or_another():
+def test_the_core_knows_no_front_and_no_front_the_core_or_another():
     door = "plumpick.fronts.door"
-    heart = imports_of(ROOT / "plumpick/gatekeeper.py")
-    assert {name for name in heart if name.startswith("plumpick.fronts")} == {door}
+    core = imports_of(ROOT / "plumpick/gatekeeper.py")
+    assert {name for name in core if name.startswith("plumpick.fronts")} == {door}
     for path in (ROOT / "plumpick/fronts").glob("*/*.py"):
         own = f"plumpick.fronts.{path.parent.name}."
         others = {name for name in imports_of(path) if name.startswith("plumpick.") and name != door}
