--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -21,7 +21,7 @@
 from plumpick import gatekeeper as core
 from plumpick.fronts.http.admission import Admission
 from plumpick.fronts.http.connections import ClientConnection
-from plumpick.clock import Alarms
+from plumpick.clock import Timers
 from plumpick.config import WorkerList
 from plumpick.gatekeeper import Gatekeeper
 from plumpick.simulation.faults import case_of
@@ -155,8 +155,8 @@
             connection.abandon()
             attempt.end(Result.CONNECT_FAILED)
         else:
-            if attempt.dial_alarm is not None:
-                attempt.dial_alarm.cancel()
+            if attempt.dial_timer is not None:
+                attempt.dial_timer.cancel()
             connection.carry(attempt)
 
     def start(self: Workers, attempt: Attempt, allow_ms: float) -> None:
@@ -170,14 +170,14 @@
 
 def rearms_at_once() -> Swap:
     """A timer that is due arms itself again for the same instant."""
-    right = Alarms.at
+    right = Timers.at
 
-    def at(self: Alarms, when_ms: float, call: Callable[[], None]) -> Any:
+    def at(self: Timers, when_ms: float, call: Callable[[], None]) -> Any:
         def again() -> None:
             call()
             self._loop.call_soon(again)
         return right(self, when_ms, again)
-    return [(Alarms, "at", at)]
+    return [(Timers, "at", at)]
 
 
 def looks_no_more() -> Swap:
--- a/plumpick/clock.py
+++ b/plumpick/clock.py
@@ -19,7 +19,7 @@
         return self._base_ms + time.monotonic() * 1000
 
 
-class Alarm:
+class Timer:
     """One thing to do later, unless it is cancelled before."""
 
     __slots__ = ("call",)
@@ -31,24 +31,24 @@
         self.call = None
 
 
-class Alarms:
+class Timers:
     """All timers of the gatekeeper on one timer of the loop: most never fire, and setting them is cheap."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self._loop, self._clock = loop, clock
-        self._heap: list[tuple[float, int, Alarm]] = []
+        self._heap: list[tuple[float, int, Timer]] = []
         self._serial = 0
         self._handle: asyncio.TimerHandle | None = None
         self._armed_ms = math.inf
 
-    def at(self, when_ms: float, call: Callable[[], None]) -> Alarm:
+    def at(self, when_ms: float, call: Callable[[], None]) -> Timer:
         """Call at that time of the clock or soon after, never before."""
         self._serial += 1
-        alarm = Alarm(call)
-        heapq.heappush(self._heap, (when_ms, self._serial, alarm))
+        timer = Timer(call)
+        heapq.heappush(self._heap, (when_ms, self._serial, timer))
         if when_ms < self._armed_ms:
             self._arm(when_ms)
-        return alarm
+        return timer
 
     def _arm(self, when_ms: float) -> None:
         if self._handle is not None:
@@ -63,8 +63,8 @@
         now, heap = self._clock.now(), self._heap
         try:
             while heap and heap[0][0] <= now:
-                alarm = heapq.heappop(heap)[2]
-                call, alarm.call = alarm.call, None  # what it calls may hold the alarm in turn
+                timer = heapq.heappop(heap)[2]
+                call, timer.call = timer.call, None  # what it calls may hold the timer in turn
                 if call is not None:
                     call()
         finally:
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -9,7 +9,7 @@
 
 from anisefront.draining import Door
 from anisefront.interface import RequestClass
-from plumpick.clock import Alarms, Clock
+from plumpick.clock import Timers, Clock
 
 SWEEP_MS = 100.0  # how often fronts close what has had its time
 STILL_MS = 100.0  # a sweep so much late: we stood still
@@ -116,7 +116,7 @@
     """What a front asks of the core."""
 
     clock: Clock
-    alarms: Alarms
+    timers: Timers
     ready: bool  # what `/up` says
     draining: bool  # each answer closes its connection
     door: Door  # what else is closed
@@ -145,7 +145,7 @@
     """What the operators' front asks of the core."""
 
     clock: Clock
-    alarms: Alarms
+    timers: Timers
 
     def call(self, name: str, argument: str) -> tuple[bool, str]:
         """Carry out an operator's call; whether that is refused, and what there is to say."""
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -336,7 +336,7 @@
         self.paused = True
         pause_ms = min(PAUSE_MOST_MS, PAUSE_MS * 2 ** min(self.bad_before, 10))
         self.bad_before += 1
-        self.core.alarms.at(self.core.clock.now() + pause_ms, self._read_on)
+        self.core.timers.at(self.core.clock.now() + pause_ms, self._read_on)
 
     def _read_on(self) -> None:
         self.paused = False
@@ -385,7 +385,7 @@
         if self.waiting or self.coming is not None:
             self.begun = True
             self.front.begins(self)
-            self.core.alarms.at(self.core.clock.now(), self._next)  # not within the answer of another
+            self.core.timers.at(self.core.clock.now(), self._next)  # not within the answer of another
         else:
             self.front.answered(self)
             self._hold_or_go_on()
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -45,7 +45,7 @@
         elif len(self.admission) > self.admission.place(spare) and not self._making_room:
             # Not at once: of those that came in one go, who has a request here is read first, and stays.
             self._making_room = True
-            self.core.alarms.at(self.core.clock.now() + 1.0, self._make_room)
+            self.core.timers.at(self.core.clock.now() + 1.0, self._make_room)
         if client.kept:
             self.admission.asked(client)
             self.admission.answered(client, now)
--- a/plumpick/fronts/management.py
+++ b/plumpick/fronts/management.py
@@ -130,7 +130,7 @@
         self.callers[caller] = None
         if len(self.callers) > MOST and not self._making_room:
             self._making_room = True
-            self.office.alarms.at(caller.since_ms + ROOM_AFTER_MS, lambda: self._make_room(MOST))
+            self.office.timers.at(caller.since_ms + ROOM_AFTER_MS, lambda: self._make_room(MOST))
 
     def left(self, caller: Caller) -> None:
         self.callers.pop(caller, None)
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -19,7 +19,7 @@
     Order, Outcome, Probe, Refuse, Result, Resume, Said, Send, Started, State, Subscribe, Tell, Wake, Woken,
 )
 from anisefront.standing import Standing
-from plumpick.clock import Alarm, Alarms
+from plumpick.clock import Timer, Timers
 from plumpick.config import Config, WorkerList
 from plumpick.fronts.door import STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse, Part, Sibling, Source
 from plumpick.peers import Peers
@@ -56,7 +56,7 @@
         self.due_ms = math.inf  # it is answered by then; a stream's time has not begun
         self.passing: Attempt | None = None  # whose answer is on its way to the client
         self.sends = 0
-        self.guard: Alarm | None = None
+        self.guard: Timer | None = None
         self.plan, self.units = ask.plan, ask.units
 
 
@@ -68,9 +68,9 @@
         system = system or System()
         self.config, self.settings, self.loop = config, config.settings, loop
         self.clock = system.clock()
-        self.alarms = Alarms(loop, self.clock)
+        self.timers = Timers(loop, self.clock)
         self.controller: Any = controller or Controller(config.settings, config.seed)  # tests have another
-        self.workers = Workers(loop, self.clock, self.alarms, idle_ms=config.idle_ms,
+        self.workers = Workers(loop, self.clock, self.timers, idle_ms=config.idle_ms,
                                dial_timeout_ms=config.dial_timeout_ms,
                                max_connections=int(config.sockets * WORKER_PART),
                                report_fields=config.settings.report_fields, is_quiet=system.is_quiet,
@@ -106,8 +106,8 @@
             Send: self._send, Refuse: self._refuse, Fail: self._fail, Cancel: self._cancel, Wake: self._wake,
             Tell: self._tell, Probe: self._ignore, Subscribe: self._ignore, Said: self._say,
             Doors: self._doors, Estate: self._keep_estate}
-        self.alarms.at(self.clock.now() + SWEEP_MS, self._sweep)
-        self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
+        self.timers.at(self.clock.now() + SWEEP_MS, self._sweep)
+        self.timers.at(self.clock.now() + REMEMBER_MS, self._forget_names)
 
     # -- events
 
@@ -311,7 +311,7 @@
         if request.guard is not None:
             request.guard.cancel()
         request.due_ms = due_ms
-        request.guard = self.alarms.at(due_ms - GUARD_MS, lambda: self._overdue(request))
+        request.guard = self.timers.at(due_ms - GUARD_MS, lambda: self._overdue(request))
 
     def _count(self, request: Request, outcome: int) -> None:
         """A request that has been closed: how it ended."""
@@ -458,7 +458,7 @@
         woken = Woken(action.name)
         # On the grid of the module's ticks, so that what is due within one tick takes one turn.
         due_ms, tick_ms = self.clock.now() + action.after_ms, max(1.0, self.settings.tick_ms)
-        self.alarms.at(math.ceil(due_ms / tick_ms) * tick_ms, lambda: self.notice(woken))
+        self.timers.at(math.ceil(due_ms / tick_ms) * tick_ms, lambda: self.notice(woken))
 
     def _tell(self, action: Tell) -> None:
         if action.receiver == self.settings.number:  # another process of ours
@@ -493,7 +493,7 @@
         line = self._standing.look(now, self.controller.silent_homes())
         if line:
             log.warning(line)
-        self.alarms.at(now + SWEEP_MS, self._sweep)
+        self.timers.at(now + SWEEP_MS, self._sweep)
         self._stalled(now)
         for front in self._fronts:
             front.sweep(now, self.ending_last)
@@ -501,7 +501,7 @@
             sweep(now)
 
     def _forget_names(self) -> None:
-        self.alarms.at(self.clock.now() + REMEMBER_MS, self._forget_names)
+        self.timers.at(self.clock.now() + REMEMBER_MS, self._forget_names)
         self._ended_names = (set(), self._ended_names[0])
 
     def leave(self, within_ms: float) -> None:
--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -13,7 +13,7 @@
 import httptools
 
 from anisefront.interface import Result, State
-from plumpick.clock import Alarm, Alarms, Clock
+from plumpick.clock import Timer, Timers, Clock
 from plumpick.config import Entry, WorkerList
 from plumpick.upstream.body import WHOLE, Body, Budget
 
@@ -58,7 +58,7 @@
     `flows(attempt)` is told when the first byte of a stream goes out: it is not kept."""
 
     __slots__ = ("request_id", "number", "worker", "message", "started_ms", "done", "connection", "dial",
-                 "alarm", "dial_alarm", "stream", "begins", "reader", "is_head", "allow_ms", "first_ms",
+                 "timer", "dial_timer", "stream", "begins", "reader", "is_head", "allow_ms", "first_ms",
                  "moved_ms", "flows", "until_ms")
 
     def __init__(self, request_id: int, number: int, worker: str, message: bytes, done: Done,
@@ -74,17 +74,17 @@
         self.until_ms = math.inf  # its first byte leaves by then, or never
         self.connection: WorkerConnection | None = None
         self.dial: asyncio.Task[Any] | None = None
-        self.alarm: Alarm | None = None
-        self.dial_alarm: Alarm | None = None
+        self.timer: Timer | None = None
+        self.dial_timer: Timer | None = None
 
     def end(self, result: Result, body: bytes = b"", kind: bytes = b"", load: tuple[float, ...] = ()) -> None:
         """Tell the outcome, once, and give up what the attempt still holds."""
         done, self.done = self.done, None
         if done is None:
             return
-        for alarm in (self.alarm, self.dial_alarm):
-            if alarm is not None:
-                alarm.cancel()
+        for timer in (self.timer, self.dial_timer):
+            if timer is not None:
+                timer.cancel()
         if self.dial is not None:
             self.dial.cancel()
         if self.connection is not None:  # no whole answer has come: the worker learns by the end of it
@@ -271,8 +271,8 @@
             self.too_large = True
             return
         attempt.reader, attempt.first_ms, attempt.moved_ms = reader, now, now
-        if attempt.alarm is not None:  # from here on only a stall ends it
-            attempt.alarm.cancel()
+        if attempt.timer is not None:  # from here on only a stall ends it
+            attempt.timer.cancel()
         body, self.body = self.body, []
         for part in body:
             reader.part(part)
@@ -378,16 +378,16 @@
 class Workers:
     """The workers that discovery has named, by name."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, alarms: Alarms, *, idle_ms: float,
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, timers: Timers, *, idle_ms: float,
                  dial_timeout_ms: float, max_connections: int, report_fields: tuple[str, ...],
                  is_quiet: Callable[[Any], bool], budget: Budget) -> None:
-        self._loop, self._clock, self._alarms, self.looks_quiet = loop, clock, alarms, is_quiet
+        self._loop, self._clock, self._timers, self.looks_quiet = loop, clock, timers, is_quiet
         self._idle_ms, self._dial_ms = idle_ms * IDLE_PART, dial_timeout_ms
         self._max, self._fields = max_connections, report_fields
         self._known: dict[str, Worker] = {}
         self._connections = 0
         self.budget = budget
-        alarms.at(clock.now() + SWEEP_MS, self._sweep)
+        timers.at(clock.now() + SWEEP_MS, self._sweep)
 
     def connections(self) -> int:
         """How many there are, or are being made."""
@@ -464,7 +464,7 @@
         now = self._clock.now()
         attempt.started_ms, attempt.allow_ms = now, allow_ms
         if attempt.stream is None:  # else its time begins with the last byte: see `sent`
-            attempt.alarm = self._alarms.at(now + allow_ms, lambda: attempt.end(Result.TIMEOUT))
+            attempt.timer = self._timers.at(now + allow_ms, lambda: attempt.end(Result.TIMEOUT))
         worker = self._known.get(attempt.worker)
         kept = self._kept(worker, now) if worker is not None and self._may_leave(worker, attempt) else None
         if kept is not None:
@@ -476,7 +476,7 @@
             worker.connections += 1
             self._connections += 1
             worker.dialling.append(attempt)
-            attempt.dial_alarm = self._alarms.at(now + self._dial_ms,
+            attempt.dial_timer = self._timers.at(now + self._dial_ms,
                                                  lambda: attempt.end(Result.CONNECT_FAILED))
             connection = WorkerConnection(self, worker)
             attempt.dial = self._loop.create_task(
@@ -490,7 +490,7 @@
         """The last byte of a request that went on while it came has been written."""
         now = attempt.started_ms = self._clock.now()
         if attempt.done is not None and attempt.reader is None:
-            attempt.alarm = self._alarms.at(now + attempt.allow_ms, lambda: attempt.end(Result.TIMEOUT))
+            attempt.timer = self._timers.at(now + attempt.allow_ms, lambda: attempt.end(Result.TIMEOUT))
 
     def _kept(self, worker: Worker, now: float) -> WorkerConnection | None:
         """The kept connection used last that has rested and on which nothing waits. Where something does, it
@@ -513,8 +513,8 @@
         problem = None if dial.cancelled() else dial.exception()
         if problem is not None and not isinstance(problem, OSError):
             log.error("connecting to %s failed", worker.entry.address, exc_info=problem)
-        if attempt.dial_alarm is not None:
-            attempt.dial_alarm.cancel()
+        if attempt.dial_timer is not None:
+            attempt.dial_timer.cancel()
         usable = not dial.cancelled() and problem is None and not connection.closed
         if usable and self._may_leave(worker, attempt):
             connection.carry(attempt)
@@ -543,7 +543,7 @@
     def _sweep(self) -> None:
         """Close what has been idle for long, before the worker does: that could cross a request."""
         now = self._clock.now()
-        self._alarms.at(now + SWEEP_MS, self._sweep)
+        self._timers.at(now + SWEEP_MS, self._sweep)
         for worker in self._known.values():
             while worker.idle and now - worker.idle[0].idle_since_ms > self._idle_ms - SWEEP_MS:
                 worker.idle[0].abandon()
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -21,7 +21,7 @@
     Wake,
     Woken,
 )
-from plumpick.clock import Alarms
+from plumpick.clock import Timers
 from plumpick.config import config_from, worker_list_from
 from plumpick.fronts.http.admission import SWEEP_MS
 from plumpick.fronts.http.connections import MOST_WAITING
@@ -247,7 +247,7 @@
     async def scenario(worker, gate, client):
         keeper, times = gate.keeper, []
         keeper.clock = type("Still", (), {"now": staticmethod(lambda: 4_000_000.0)})
-        keeper.alarms = type("Kept", (), {"at": staticmethod(lambda at_ms, call: times.append(at_ms))})
+        keeper.timers = type("Kept", (), {"at": staticmethod(lambda at_ms, call: times.append(at_ms))})
         for after_ms in (0.0, 0.5, 4.0, 4.5):
             keeper._wake(Wake(after_ms, "agenda"))
         assert times == [4_000_000.0, 4_000_004.0, 4_000_004.0, 4_000_008.0]
@@ -660,9 +660,9 @@
 def test_the_same_again_is_not_read_at_full_speed():
     """Each request that is turned away doubles the pause before the next is read; each error goes at once."""
     async def scenario(worker, gate, client):
-        gate.keeper.alarms = alarms = Alarms(asyncio.get_running_loop(), gate.keeper.clock)
-        waits, at = [], alarms.at
-        alarms.at = lambda at_ms, call: (waits.append(round(at_ms - gate.keeper.clock.now())), at(0.0, call))
+        gate.keeper.timers = timers = Timers(asyncio.get_running_loop(), gate.keeper.clock)
+        waits, at = [], timers.at
+        timers.at = lambda at_ms, call: (waits.append(round(at_ms - gate.keeper.clock.now())), at(0.0, call))
         for _ in range(7):
             assert (await client.send(request(path="/none")).answer())[0] == 404
         assert waits == [50, 100, 200, 400, 800, 1000, 1000]
--- a/tests/test_surroundings.py
+++ b/tests/test_surroundings.py
@@ -8,7 +8,7 @@
 import pytest
 from fakes import HOST, FakeDiscovery, answer, config, entry, listing, run, told
 
-from plumpick.clock import Alarms, Clock
+from plumpick.clock import Timers, Clock
 from plumpick.config import config_from
 from plumpick.discovery import Discovery
 from plumpick.peers import Peers
@@ -315,10 +315,10 @@
 # ---- the clock ----------------------------------------------------------------------------------
 
 
-def test_alarms_fire_in_order_and_never_early():
+def test_timers_fire_in_order_and_never_early():
     async def scenario():
         loop, clock = asyncio.get_running_loop(), Clock()
-        alarms, fired, done = Alarms(loop, clock), [], asyncio.Event()
+        timers, fired, done = Timers(loop, clock), [], asyncio.Event()
         start = clock.now()
 
         def fire(at_ms):
@@ -327,20 +327,20 @@
             if at_ms == 30.5:
                 done.set()
         for at_ms in (30.5, 10.25, 20.0, 0.0):
-            alarms.at(start + at_ms, lambda at_ms=at_ms: fire(at_ms))
-        alarms.at(start + 15, lambda: fire(15)).cancel()
+            timers.at(start + at_ms, lambda at_ms=at_ms: fire(at_ms))
+        timers.at(start + 15, lambda: fire(15)).cancel()
         await done.wait()
         assert fired == [0.0, 10.25, 20.0, 30.5]
     run(scenario())
 
 
-def test_an_alarm_that_fails_does_not_stop_the_others():
+def test_a_timer_that_fails_does_not_stop_the_others():
     async def scenario():
         loop, clock = asyncio.get_running_loop(), Clock()
         loop.set_exception_handler(lambda *_: None)
-        alarms, done = Alarms(loop, clock), asyncio.Event()
-        alarms.at(clock.now(), lambda: 1 / 0)
-        alarms.at(clock.now(), done.set)
+        timers, done = Timers(loop, clock), asyncio.Event()
+        timers.at(clock.now(), lambda: 1 / 0)
+        timers.at(clock.now(), done.set)
         await done.wait()
     run(scenario())
 
