--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -131,67 +131,67 @@
             part.change(fleet)
 
 
-class Office:
+class ManagementPlane:
     """What a gatekeeper with operators has beside the rest: their listener, and the way to the next process
     and from the one before. What it is made of is imported only where there are operators."""
 
     def __init__(self, config: Config, gatekeeper: Gatekeeper, front: HttpFront,
                  loop: asyncio.AbstractEventLoop) -> None:
         from plumpick.fronts.management import ManagementFront
-        from plumpick.handover.succession import Giver, Household
+        from plumpick.handover.succession import HandoverContext, Predecessor
         self._config, self._gatekeeper, self._loop = config, gatekeeper, loop
         self._calls = ManagementFront(gatekeeper)
         gatekeeper.sweeps.append(self._calls.sweep)
-        self._house = Household(config.name, config.settings.number, gatekeeper, front)
-        self._house.fleet = gatekeeper.fleet
+        self._context = HandoverContext(config.name, config.settings.number, gatekeeper, front)
+        self._context.fleet = gatekeeper.fleet
         self.leases: Any = None  # what the process before left of its part in the fleet's work
-        self._giver = Giver(loop, self._house, self._changed)
-        gatekeeper.sweeps.append(lambda _now: self._giver.tell_held())
-        self._taker: Any = None
+        self._predecessor = Predecessor(loop, self._context, self._changed)
+        gatekeeper.sweeps.append(lambda _now: self._predecessor.tell_held())
+        self._successor: Any = None
         self._server: Any = None
         self._path: Path | None = None
 
     async def open(self) -> None:
         """Hear operators, and find out who runs already; the peers' socket is its, if somebody does."""
         from plumpick.fronts.management import listening
-        from plumpick.handover.succession import Taker, path_in
+        from plumpick.handover.succession import Successor, path_in
         assert self._config.management is not None
         self._server = await listening(self._calls, self._config.management, self._loop)
         folder = os.environ.get("TMPDIR")
         if folder:
             self._path = path_in(folder, self._config.name)
-            self._taker = await Taker.ask(self._loop, self._path, self._config.name)
+            self._successor = await Successor.ask(self._loop, self._path, self._config.name)
         peers = self._gatekeeper.peers
-        if self._taker is not None:
-            self._taker.left, self._taker.held = self._alone, self._held
+        if self._successor is not None:
+            self._successor.left, self._successor.held = self._alone, self._held
             self._gatekeeper.limit(self._config.sockets // 2)
-            if self._taker.datagrams is not None:
-                peers.open(self._loop, self._taker.datagrams)
+            if self._successor.datagrams is not None:
+                peers.open(self._loop, self._successor.datagrams)
                 return
         peers.open(self._loop, shared=True)
-        if self._taker is None:
-            self._house.listener = shared_listener(self._config.listen)
-            await self._house.listen(self._loop)
+        if self._successor is None:
+            self._context.listener = shared_listener(self._config.listen)
+            await self._context.listen(self._loop)
 
     async def serve(self) -> None:
         """Take clients from the process before, if there is one; and wait for the next."""
-        house, taker = self._house, self._taker
-        if taker is not None:
-            house.listener = taker.listener
-            state = await taker.take()
+        context, successor = self._context, self._successor
+        if successor is not None:
+            context.listener = successor.listener
+            state = await successor.take()
             if state is not None:
                 self.leases = state.get("fleet")
                 self._gatekeeper.inherit({key: value for key, value in state.items() if key != "fleet"})
             self._gatekeeper.peers.listen()
-            await house.listen(self._loop)
-            taker.settle(house)
+            await context.listen(self._loop)
+            successor.settle(context)
         if self._path is not None:
-            self._giver.open(self._path)
+            self._predecessor.open(self._path)
 
     def _changed(self, handed_over: bool) -> None:
         """The next process has taken over, or has died and this one goes on."""
         if not handed_over:
-            task = self._loop.create_task(self._house.listen(self._loop))
+            task = self._loop.create_task(self._context.listen(self._loop))
             task.add_done_callback(lambda done: done.exception() and log.error("%s", done.exception()))
 
     def _held(self, count: int) -> None:
@@ -204,21 +204,21 @@
 
     async def finish(self, until_s: float) -> None:
         """Serve until then, or until another process has everything; then take nothing more."""
-        self._giver.ending = True
+        self._predecessor.ending = True
         keeper = self._gatekeeper
         while self._loop.time() < until_s and not (keeper.succeeded and keeper.is_quiet()):
             await asyncio.sleep(STEP_S)
-        house = self._house
-        if not keeper.succeeded and house.server is not None:  # nobody else takes what waits at the listener
-            await close_listener(self._loop, house.server, house.listener, house.front)
-            if house.listener is not None:
-                house.listener.close()
-        house.close()
+        context = self._context
+        if not keeper.succeeded and context.server is not None:  # nobody else empties the listener
+            await close_listener(self._loop, context.server, context.listener, context.front)
+            if context.listener is not None:
+                context.listener.close()
+        context.close()
 
     def close(self) -> None:
-        self._giver.close()
-        if self._taker is not None:
-            self._taker.close()
+        self._predecessor.close()
+        if self._successor is not None:
+            self._successor.close()
         self._calls.close()
         if self._server is not None:
             self._server.close()
@@ -267,11 +267,11 @@
     part = part_in(fleet, config, loop, system, gatekeeper) if fleet is not None else None
     gatekeeper.fleet = part
     gatekeeper.listed(config.known)
-    office = Office(config, gatekeeper, front, loop) if config.management else None
-    if office is None:
+    plane = ManagementPlane(config, gatekeeper, front, loop) if config.management else None
+    if plane is None:
         gatekeeper.peers.open(loop)
     else:
-        await office.open()
+        await plane.open()
     shared, known = config.settings.must_subscribe, config.known.entries
     sharers, rng = config.settings.gateways if shared else 0, random.Random(config.seed)
     discovery = Discovery(config.discovery, gatekeeper.listed,
@@ -281,7 +281,7 @@
              loop.create_task(reload(config, discovery, reload_asked, system, part))]
     server: Any = None
     plug: socket.socket | None = None
-    if office is None:
+    if plane is None:
         plug = system.listener(config.listen, BACKLOG)
         server = await loop.create_server(front.connection, sock=plug, backlog=BACKLOG) if plug else (
             await loop.create_server(front.connection, *config.listen, backlog=BACKLOG, reuse_address=True))
@@ -289,11 +289,11 @@
     if not (shared and known) and not await stop.within(discovery.listed, FIRST_LIST_S):
         log.warning("discovery is silent; starting with the known list")
     system.settle()
-    if office is not None and not stop.is_asked():
-        await office.serve()
+    if plane is not None and not stop.is_asked():
+        await plane.serve()
     gatekeeper.come_up(stop.is_asked())
     if part is not None:
-        part.open(office.leases if office is not None else None)
+        part.open(plane.leases if plane is not None else None)
     log.info("gatekeeper %s is up", config.name)
 
     await stop.wait()
@@ -301,11 +301,11 @@
     gatekeeper.leave((stop.at_s + end_s - loop.time()) * 1000)
     if part is not None:
         part.leave()
-    if office is None:
+    if plane is None:
         await asyncio.sleep(max(0.0, stop.at_s + serve_s - loop.time()))
         await close_listener(loop, server, plug, front)
     else:
-        await office.finish(stop.at_s + serve_s)
+        await plane.finish(stop.at_s + serve_s)
     gatekeeper.drain()
     gatekeeper.close_idle()
     while gatekeeper.busy() and loop.time() < stop.at_s + TO_FINISH_S and not (
@@ -317,8 +317,8 @@
     if part is not None:
         part.close()
     gatekeeper.peers.close()
-    if office is not None:
-        office.close()
+    if plane is not None:
+        plane.close()
     log.info("gatekeeper %s has finished", config.name)
 
 
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -124,7 +124,7 @@
     def spare_descriptors(self) -> int:
         """Descriptors kept for workers that nobody uses now."""
 
-    def stood_still(self) -> bool:
+    def has_stalled(self) -> bool:
         """Whether what is read now may have waited for us; timers come before it."""
 
     def stream(self, giver: Source, length: int) -> Any:
@@ -141,7 +141,7 @@
         """Who asked that has gone; a request that has been answered is passed over."""
 
 
-class Office(Protocol):
+class Operable(Protocol):
     """What the operators' front asks of the core."""
 
     clock: Clock
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -504,7 +504,7 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return True
-        return (self.held or self.paused or self.core.stood_still()) and self.front.has_ended(transport)
+        return (self.held or self.paused or self.core.has_stalled()) and self.front.has_ended(transport)
 
     def drop(self) -> None:
         """Close at once."""
--- a/plumpick/fronts/management.py
+++ b/plumpick/fronts/management.py
@@ -10,7 +10,7 @@
 import asyncio
 from typing import Any
 
-from plumpick.fronts.door import Office
+from plumpick.fronts.door import Operable
 
 MOST, HARD = 12, 40  # connections at a time; those that come at one stroke are all read before some go
 MAX_LINE = 512  # bytes, its end included
@@ -93,7 +93,7 @@
                 if ended:
                     self.drop()
                 return
-            wrong, word = self.front.office.call(*call_of(line))
+            wrong, word = self.front.core.call(*call_of(line))
         except ValueError as problem:
             wrong, word = True, str(problem)
         self.done = True
@@ -114,8 +114,8 @@
 class ManagementFront:
     """All connections of operators."""
 
-    def __init__(self, office: Office) -> None:
-        self.office = office
+    def __init__(self, core: Operable) -> None:
+        self.core = core
         self.callers: dict[Caller, None] = {}  # in the order in which they came
         self._making_room = False
 
@@ -124,13 +124,13 @@
         return Caller(self)
 
     def came(self, caller: Caller) -> None:
-        caller.since_ms = self.office.clock.now()
+        caller.since_ms = self.core.clock.now()
         if len(self.callers) >= HARD:
             self._make_room(HARD - 1)
         self.callers[caller] = None
         if len(self.callers) > MOST and not self._making_room:
             self._making_room = True
-            self.office.timers.at(caller.since_ms + ROOM_AFTER_MS, lambda: self._make_room(MOST))
+            self.core.timers.at(caller.since_ms + ROOM_AFTER_MS, lambda: self._make_room(MOST))
 
     def left(self, caller: Caller) -> None:
         self.callers.pop(caller, None)
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -479,7 +479,7 @@
             return late_ms
         return self._stood_ms if now < self._stood_until_ms else 0.0
 
-    def stood_still(self) -> bool:
+    def has_stalled(self) -> bool:
         return self._unread_ms(self.clock.now()) > 0.0
 
     def _late_ms(self, now: float) -> float:
--- a/plumpick/handover/succession.py
+++ b/plumpick/handover/succession.py
@@ -28,7 +28,7 @@
 log = logging.getLogger(__name__)
 
 
-class Household:
+class HandoverContext:
     """What the handover needs of the process round it."""
 
     def __init__(self, name: str, number: int, gatekeeper: Any, front: Any) -> None:
@@ -64,23 +64,23 @@
         self._channel.tell("ordered", [name, argument])
 
 
-def take_in(house: Household, kind: str, value: Any) -> bool:
+def take_in(context: HandoverContext, kind: str, value: Any) -> bool:
     """What either process tells the other while both live; False where it is nothing of that."""
-    keeper = house.gatekeeper
+    keeper = context.gatekeeper
     try:
         if kind == "heard":
             sender, data = value
             keeper.heard_elsewhere(int(sender), bytes.fromhex(data))
         elif kind == "said":
-            keeper.heard_elsewhere(house.number, bytes.fromhex(value))
+            keeper.heard_elsewhere(context.number, bytes.fromhex(value))
         elif kind == "ordered":
             name, argument = value
             wrong = keeper.order(str(name), str(argument))
             if wrong:  # our list may be another; the word stands where it was said
                 log.warning("handover: %s %s: %s", name, argument, wrong)
         elif kind == "counted":
-            if house.fleet is not None:
-                house.fleet.counted_elsewhere(value)
+            if context.fleet is not None:
+                context.fleet.counted_elsewhere(value)
         else:
             return False
     except (ValueError, TypeError) as problem:
@@ -112,12 +112,12 @@
     return bool(user == os.getuid())
 
 
-class Giver:
+class Predecessor:
     """The running process: waits for the next one. `changed` is told when it has handed over, or goes on."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, house: Household,
+    def __init__(self, loop: asyncio.AbstractEventLoop, context: HandoverContext,
                  changed: Callable[[bool], None]) -> None:
-        self._loop, self._house, self._changed = loop, house, changed
+        self._loop, self._context, self._changed = loop, context, changed
         self._plug: socket.socket | None = None
         self._path: Path | None = None
         self._inode = 0
@@ -156,32 +156,32 @@
     def _heard(self, kind: str, value: Any, descriptors: list[int]) -> None:
         for descriptor in descriptors:  # none are due
             os.close(descriptor)
-        house, channel = self._house, self._channel
+        context, channel = self._context, self._channel
         if channel is None:
             return
         if kind == "hello":
-            if value != house.name or house.listener is None:
-                log.warning("handover: %r has asked %r", value, house.name)
+            if value != context.name or context.listener is None:
+                log.warning("handover: %r has asked %r", value, context.name)
                 channel.close()
                 return
-            plugs = [plug for plug in (house.listener, house.gatekeeper.peers.plug) if plug is not None]
+            plugs = [plug for plug in (context.listener, context.gatekeeper.peers.plug) if plug is not None]
             channel.tell("offer", {"descriptors": len(plugs)}, [os.dup(plug.fileno()) for plug in plugs])
         elif kind == "take":
             self._hand_over(channel)
-        elif not take_in(house, kind, value):
+        elif not take_in(context, kind, value):
             log.warning("handover: %r is unknown", kind)
 
     def _hand_over(self, channel: Channel) -> None:
-        house, keeper = self._house, self._house.gatekeeper
+        context, keeper = self._context, self._context.gatekeeper
         if keeper.succeeded:
             return
         leases = None
-        if house.fleet is not None:  # whatever becomes of it, from here on they are not ours
-            leases = house.fleet.hand_over()
-            house.fleet.passed_on = lambda row: channel.tell("counted", row)
+        if context.fleet is not None:  # whatever becomes of it, from here on they are not ours
+            leases = context.fleet.hand_over()
+            context.fleet.passed_on = lambda row: channel.tell("counted", row)
         try:
             state = {**keeper.hand_over(), "fleet": leases}
-            house.close()
+            context.close()
             keeper.peers.mute()
             keeper.sibling = Kin(channel)
             channel.tell("state", state)
@@ -189,14 +189,14 @@
             log.error("handover: no state: %s", problem)
             channel.tell("state", None)
         log.info("handed over to the next process")
-        house.front.give_idle(lambda transport: self._give(channel, transport))
+        context.front.give_idle(lambda transport: self._give(channel, transport))
         keeper.only_finish()
         self.tell_held()
         self._changed(True)
 
     def tell_held(self) -> None:
         """How many descriptors this process still holds: the rest is the next one's."""
-        keeper = self._house.gatekeeper
+        keeper = self._context.gatekeeper
         if self._channel is not None and keeper.succeeded:
             self._channel.tell("held", keeper.descriptors())
 
@@ -207,13 +207,13 @@
 
     def _gone(self) -> None:
         """The next process has gone, before it took over or after."""
-        self._channel, keeper = None, self._house.gatekeeper
+        self._channel, keeper = None, self._context.gatekeeper
         if keeper.succeeded and not self.ending:
             log.warning("handover: the next process has gone; this one goes on")
             keeper.peers.listen()
             keeper.resume()
-            if self._house.fleet is not None:
-                self._house.fleet.resume()
+            if self._context.fleet is not None:
+                self._context.fleet.resume()
             self._changed(False)
             self._open_again(REOPEN_TRIES)
 
@@ -257,7 +257,7 @@
             self._channel.close()
 
 
-class Taker:
+class Successor:
     """The new process: takes over from the one that runs."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -269,13 +269,13 @@
         self._early: list[tuple[str, Any, list[int]]] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         self.channel: Channel | None = None
-        self.house: Household | None = None
+        self.context: HandoverContext | None = None
         self.alone = False
         self.left: Callable[[], None] = lambda: None  # told when the other process has gone,
         self.held: Callable[[int], None] = lambda _count: None  # and how many descriptors it has meanwhile
 
     @classmethod
-    async def ask(cls, loop: asyncio.AbstractEventLoop, path: Path, name: str) -> Taker | None:
+    async def ask(cls, loop: asyncio.AbstractEventLoop, path: Path, name: str) -> Successor | None:
         """Who runs now, with its sockets; None where there is nobody to be understood."""
         plug = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
@@ -291,15 +291,15 @@
             log.warning("handover: nobody at %s (%s): an ordinary start", path, problem.strerror or problem)
             plug.close()
             return None
-        taker = cls(loop)
-        taker.channel = Channel(loop, plug, taker._heard, taker._gone)
-        taker.channel.tell("hello", name)
-        done, _ = await asyncio.wait([taker._offer], timeout=HELLO_S)
-        if not done or not taker._offer.result() or taker.listener is None:
+        successor = cls(loop)
+        successor.channel = Channel(loop, plug, successor._heard, successor._gone)
+        successor.channel.tell("hello", name)
+        done, _ = await asyncio.wait([successor._offer], timeout=HELLO_S)
+        if not done or not successor._offer.result() or successor.listener is None:
             log.warning("handover: no offer at %s: an ordinary start", path)
-            taker.channel.close()
+            successor.channel.close()
             return None
-        return taker
+        return successor
 
     def _heard(self, kind: str, value: Any, descriptors: list[int]) -> None:
         if kind == "offer" and not self._offer.done():
@@ -314,13 +314,13 @@
             self._offer.set_result(True)
         elif kind == "state" and not self._state.done():
             self._state.set_result(value if isinstance(value, dict) else None)
-        elif self.house is None:
+        elif self.context is None:
             self._early.append((kind, value, descriptors))
         else:
             self._take_in(kind, value, descriptors)
 
     def _take_in(self, kind: str, value: Any, descriptors: list[int]) -> None:
-        assert self.house is not None
+        assert self.context is not None
         if kind == "held":
             self.held(int(value) if isinstance(value, int) else 0)
             return
@@ -332,14 +332,14 @@
             return
         for descriptor in descriptors:
             os.close(descriptor)
-        take_in(self.house, kind, value)
+        take_in(self.context, kind, value)
 
     async def _client(self, plug: socket.socket) -> None:
         """Go on with a connection that the other process had."""
-        assert self.house is not None
+        assert self.context is not None
         try:
             plug.setblocking(False)
-            await self._loop.connect_accepted_socket(self.house.front.kept_connection, plug)
+            await self._loop.connect_accepted_socket(self.context.front.kept_connection, plug)
         except OSError as problem:
             log.warning("handover: a client's connection was lost: %s", problem)
             plug.close()
@@ -351,11 +351,11 @@
         done, _ = await asyncio.wait([self._state], timeout=TAKE_S)
         return self._state.result() if done else None
 
-    def settle(self, house: Household) -> None:
+    def settle(self, context: HandoverContext) -> None:
         """From now on the other process is told, and heard."""
-        self.house = house
+        self.context = context
         if not self.alone and self.channel is not None:
-            house.gatekeeper.sibling = Kin(self.channel)
+            context.gatekeeper.sibling = Kin(self.channel)
         early, self._early = self._early, []
         for kind, value, descriptors in early:
             self._take_in(kind, value, descriptors)
@@ -369,8 +369,8 @@
             self._offer.set_result(False)
         if not self._state.done():
             self._state.set_result(None)
-        if self.house is not None:
-            self.house.gatekeeper.sibling = None
+        if self.context is not None:
+            self.context.gatekeeper.sibling = None
             self.left()
 
     def close(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -161,22 +161,22 @@
 
     def __init__(self, folder, fake, worker):
         self.folder, self.fake, self.worker, self.port = folder, fake, worker, free_port()
-        self.offices, self.processes = [], []
+        self.management, self.processes = [], []
 
     async def start(self):
         """One more process; its management port."""
-        self.offices.append(free_port())
-        path = self.folder / f"config-{len(self.offices)}.json"
+        self.management.append(free_port())
+        path = self.folder / f"config-{len(self.management)}.json"
         path.write_text(json.dumps(config(
             self.fake.port, self.port, [entry("w1", self.worker.port)],
-            management=f"{HOST}:{self.offices[-1]}", limits={"sockets": 1024})))
+            management=f"{HOST}:{self.management[-1]}", limits={"sockets": 1024})))
         process = await start(path)
         self.processes.append(process)
         _, writer = await self.fake.called()
         writer.write(told(listing(entry("w1", self.worker.port))))
         while True:
             try:
-                if (await say(self.offices[-1], b"READY\n")).startswith("+OK"):
+                if (await say(self.management[-1], b"READY\n")).startswith("+OK"):
                     return process
             except ConnectionError:
                 await asyncio.sleep(0.01)
@@ -239,7 +239,7 @@
             old = one.processes[-1]
             before = counts["whole"]
             await one.start()
-            assert (await say(one.offices[-2], b"READY\n")).startswith("-ERR")
+            assert (await say(one.management[-2], b"READY\n")).startswith("-ERR")
             old.send_signal(signal.SIGTERM)
             assert await old.wait() == 0
             while counts["whole"] < before + 50:
@@ -254,15 +254,15 @@
 
 def test_a_ban_and_a_drain_last_over_an_upgrade_and_a_call_to_either_holds_in_both(tmp_path, monkeypatch):
     async def scenario(one):
-        assert (await say(one.offices[0], b"DISABLE w1\n")).startswith("+OK")
-        assert (await say(one.offices[0], b"DRAIN\n")).startswith("+OK")
+        assert (await say(one.management[0], b"DISABLE w1\n")).startswith("+OK")
+        assert (await say(one.management[0], b"DRAIN\n")).startswith("+OK")
         await one.start()
         assert (await (await Client().open(one.port)).send(UP).answer())[0] == 503
-        assert (await say(one.offices[0], b"UNDRAIN\n")).startswith("+OK")  # to the old one
+        assert (await say(one.management[0], b"UNDRAIN\n")).startswith("+OK")  # to the old one
         while (await (await Client().open(one.port)).send(UP).answer())[0] == 503:
             await asyncio.sleep(0.01)
-        assert (await say(one.offices[1], b"ENABLE w9\n")).startswith("-ERR")
-        assert (await say(one.offices[1], b"ENABLE w1\n")).startswith("+OK")
+        assert (await say(one.management[1], b"ENABLE w9\n")).startswith("-ERR")
+        assert (await say(one.management[1], b"ENABLE w1\n")).startswith("+OK")
         serving = asyncio.create_task(serve_all(one.worker))
         assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
         serving.cancel()
@@ -276,7 +276,7 @@
         await new.wait()
         serving = asyncio.create_task(serve_all(one.worker))
         assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
-        assert (await say(one.offices[0], b"READY\n")).startswith("+OK")
+        assert (await say(one.management[0], b"READY\n")).startswith("+OK")
         serving.cancel()
     upgrades(tmp_path, monkeypatch, scenario)
 
@@ -338,18 +338,18 @@
         said = 0
         while not starting.done():
             word = (b"DISABLE w1\n", b"ENABLE w1\n")[said % 2]
-            if (await say(one.offices[0], word)).startswith("+OK"):
+            if (await say(one.management[0], word)).startswith("+OK"):
                 said += 1
             if said == 3:
                 old.send_signal(signal.SIGHUP)
         if word.startswith(b"ENABLE"):
-            assert (await say(one.offices[0], b"DISABLE w1\n")).startswith("+OK")
+            assert (await say(one.management[0], b"DISABLE w1\n")).startswith("+OK")
         old.send_signal(signal.SIGTERM)
         assert await old.wait() == 0 and said > 3
         assert (await reading).count(b" w1: done") >= said
         client = await Client().open(one.port)
         assert (await client.send(request(deadline=300)).answer())[0] in (503, 504)
-        assert (await say(one.offices[1], b"ENABLE w1\n")).startswith("+OK")
+        assert (await say(one.management[1], b"ENABLE w1\n")).startswith("+OK")
         serving = asyncio.create_task(serve_all(one.worker))
         assert (await (await Client().open(one.port)).send(request()).answer())[0] == 200
         serving.cancel()
@@ -367,7 +367,7 @@
         while b"may come here again" not in said:
             said += await first.stderr.read(4096)
         await one.start()
-        assert (await say(one.offices[0], b"READY\n")).startswith("-ERR handed over")
+        assert (await say(one.management[0], b"READY\n")).startswith("-ERR handed over")
         first.send_signal(signal.SIGTERM)
         assert await first.wait() == 0
         client = await Client().open(one.port)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -37,7 +37,7 @@
                 front = ManagementFront(gate.keeper)
                 loop = asyncio.get_running_loop()
                 server = await listening(front, (HOST, 0), loop)
-                gate.office = front
+                gate.operators = front
                 gate.keeper.sweeps.append(front.sweep)
                 gate.keeper.listed(worker_list_from(known, "list"))
                 try:
@@ -107,7 +107,7 @@
         for _, writer in silent[::2]:
             writer.write(b"DISA")
         assert (await say(port, b"READY\n")).startswith("+OK")
-        assert len(gate.office.callers) <= HARD
+        assert len(gate.operators.callers) <= HARD
         for _, writer in silent:
             writer.transport.abort()
     with_office(scenario)
@@ -116,9 +116,9 @@
 def test_a_caller_that_says_nothing_is_closed_in_time():
     async def scenario(port, gate, _worker):
         reader, writer = await asyncio.open_connection(HOST, port)
-        while not gate.office.callers:
+        while not gate.operators.callers:
             await asyncio.sleep(0)
-        gate.office.sweep(gate.keeper.clock.now() + 60_000.0)
+        gate.operators.sweep(gate.keeper.clock.now() + 60_000.0)
         assert await Client().open(port) and not await reader.read()
         writer.close()
     with_office(scenario)
