--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -375,3 +375,58 @@
         assert (await client.send(request()).answer())[0] == 200
         serving.cancel()
     upgrades(tmp_path, monkeypatch, scenario)
+
+
+def homed(request_id, path="/debit", key=None):
+    """A request of a customer whose home is this gatekeeper: no peer is asked."""
+    return request(request_id, path, key=key, body=b"x").replace(b"spread=2", b"spread=1")
+
+
+def test_both_processes_told_to_end_each_answer_what_they_have_taken(tmp_path, monkeypatch):
+    """The older has an open debit, the next one took another; both have SIGTERM before either is answered."""
+    async def scenario(one):
+        older = await Client().open(one.port)
+        older.send(homed("00000000000000a1"))
+        _, first = await one.worker.asked()
+        await one.start()
+        newer = await Client().open(one.port)
+        newer.send(homed("00000000000000a2"))
+        message, second = await one.worker.asked()
+        assert message.headers["x-request-id"] == "00000000000000a2"
+        for process in one.processes:
+            process.send_signal(signal.SIGTERM)
+        while (await say_or_gone(one.management[1], b"READY\n")).startswith(b"+OK"):
+            pass
+        second.write(answer(body=b"newer"))
+        first.write(answer(body=b"older"))
+        assert (await older.answer())[2] == b"older" and (await newer.answer())[2] == b"newer"
+        assert [await process.wait() for process in one.processes] == [0, 0]
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+async def say_or_gone(port, line):
+    """The answer to an operator's call; nothing where nobody listens any more."""
+    try:
+        return (await say(port, line)).encode()
+    except ConnectionError:
+        return b""
+
+
+def test_a_clients_retry_through_the_next_process_is_a_request_of_its_own(tmp_path, monkeypatch):
+    """The first is open with the older process; its client asks again, under a new id, on a new
+    connection."""
+    async def scenario(one):
+        older = await Client().open(one.port)
+        older.send(homed("00000000000000b1", "/book", "same"))
+        _, first = await one.worker.asked()
+        await one.start()
+        retry = await Client().open(one.port)
+        retry.send(homed("00000000000000b2", "/book", "same"))
+        message, second = await one.worker.asked()
+        assert message.headers["idempotency-key"] == "same"
+        one.processes[0].send_signal(signal.SIGTERM)
+        second.write(answer(body=b"retry"))
+        assert (await retry.answer())[2] == b"retry"
+        first.write(answer(body=b"first"))
+        assert (await older.answer())[2] == b"first" and await one.processes[0].wait() == 0
+    upgrades(tmp_path, monkeypatch, scenario)
