Ready only once a first list has come where none is known; a moved watch of a shared service in 3.7 s

By reading, then by test: with no known list readiness was said after 0.5 s and every request refused; it waits for a list, 8 s at most.

--- a/anisefront/watching.py
+++ b/anisefront/watching.py
@@ -32,6 +32,7 @@
 SHARED_WATCH_MS, SHARED_SPARE_MS = 1000.0, 300.0
 ROUND_MS, TURN_MS = 2400.0, 2000.0
 ROUND_EACH_MS = 500.0  # a few need no longer round than so much for each
+FIRST_ROUND_MS = 1700.0  # at a new address: 4 s after SIGHUP what is there counts, and it is 1700 + 2000
 # After a call that waited in vain the next is in one of so many rounds; after many, in one of more: it is not
 # an outage, and the service works on calls that nobody waits for.
 FEW_ROUNDS, MOST_ROUNDS, MANY_VAIN = 2, 8, 5
@@ -67,7 +68,7 @@
     def __init__(self, sharers: int, index: int | None, rng: random.Random, number: int = 0) -> None:
         self.shared, self.index, self._rng = sharers > 0, index if sharers else None, rng
         self._round_ms = min(ROUND_MS, ROUND_EACH_MS * max(1, sharers))
-        self._slot_ms = self._round_ms * (number % sharers) / sharers if sharers else 0.0
+        self._place = (number % sharers) / sharers if sharers else 0.0  # of our slot in a round
         self.failures = 0  # in a row
         self.vain = 0  # calls that waited for a turn in vain, since one was answered
         self._goes_on = False  # an answer has come, and its watch may go on
@@ -92,7 +93,9 @@
             return 0.0
         rounds = 1 if not self.vain else FEW_ROUNDS if self.vain <= MANY_VAIN else MOST_ROUNDS
         left_out = self._rng.randrange(rounds)
-        return (self._slot_ms - now) % self._round_ms + left_out * self._round_ms
+        first = self.index is None and not self.failures
+        round_ms = min(self._round_ms, FIRST_ROUND_MS) if first else self._round_ms
+        return (self._place * round_ms - now) % round_ms + left_out * round_ms
 
     def answered(self, index: int, complete: bool) -> str:
         """A list has come; returns what is wrong with it, which counts as a failure, or nothing.
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -24,7 +24,8 @@
 from plumpick.gatekeeper import Gatekeeper
 from plumpick.system import System
 
-FIRST_LIST_S = 0.5  # how long the first whole list is waited for; after that the known one has to do
+FIRST_LIST_S = 0.5  # how long the first whole list is waited for; after that the known one has to do,
+NO_LIST_S = 8.0  # where there is one: without any each request would be refused. Ready within 10 s still
 # After SIGTERM connections go on coming for up to 0.4 s, and clients go on using those that they have; peers
 # find their customers' home here. All this is served until it is time to finish: the longest deadline, of 3 s
 # at most, and 0.7 s more are sure before SIGKILL.
@@ -286,7 +287,8 @@
         server = await loop.create_server(front.connection, sock=plug, backlog=BACKLOG) if plug else (
             await loop.create_server(front.connection, *config.listen, backlog=BACKLOG, reuse_address=True))
     # There a watch says nothing while nothing has changed.
-    if not (shared and known) and not await stop.within(discovery.listed, FIRST_LIST_S):
+    wait_s = FIRST_LIST_S if known else NO_LIST_S
+    if not (shared and known) and not await stop.within(discovery.listed, wait_s):
         log.warning("discovery is silent; starting with the known list")
     system.settle()
     if plane is not None and not stop.is_asked():
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -6,9 +6,10 @@
 
 import pytest
 from fakes import (
-    HOST, Client, FakeDiscovery, FakeWorker, Gate, Plug, Script, answer, config, entry, request, run,
+    HOST, Client, FakeDiscovery, FakeWorker, Gate, Plug, Script, answer, config, entry, listing, request,
+    run, told,
 )
-from test_process import free_port, until_up
+from test_process import UP, free_port, until_up
 
 from anisefront.interface import Arrival
 from plumpick import daemon
@@ -62,7 +63,8 @@
     async def whole():
         async with FakeDiscovery() as fake, FakeWorker() as worker:
             port = free_port()
-            own = config_from(config(fake.port, port, known=[entry("w1", worker.port)], **more), {})
+            values = {"known": listing(entry("w1", worker.port)), **more}
+            own = config_from({**config(fake.port, port), **values}, {})
             task = asyncio.get_running_loop().create_task(daemon.serve(own))
             try:
                 await scenario(port, fake, worker, task)
@@ -132,3 +134,20 @@
         assert b"200 OK" in await plugs[0].receive()
         plugs[0].close()
     served(scenario, monkeypatch, (0.05, 20.0, 25.0), management=f"{HOST}:{free_port()}")
+
+
+def test_with_no_list_at_all_it_is_ready_once_the_first_has_come(monkeypatch):
+    """It was ready after half a second, and refused every request; a known list serves as before."""
+    assert daemon.FIRST_LIST_S < 1.0 < daemon.NO_LIST_S < 10.0
+    monkeypatch.setattr(daemon, "FIRST_LIST_S", 0.0)
+    monkeypatch.setattr(daemon, "NO_LIST_S", 1000.0)
+
+    async def scenario(port, fake, worker, _task):
+        _, writer = await fake.called()
+        client = await Client().open(port)
+        for _ in range(3):
+            assert (await client.send(UP).answer())[0] == 503
+        writer.write(told(listing(entry("w1", worker.port))))
+        await until_up(port)
+        assert (await client.send(UP).answer())[0] == 200
+    served(scenario, monkeypatch, known=listing())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -81,7 +81,7 @@
         while (await (await Client().open(port)).send(UP).answer())[0] != 503:
             pass  # it has not had the signal yet
         late = await Client().open(port)
-        late.send(request("00000000000000ac"))
+        late.send(request())
         _, late_writer = await worker.asked()
         late_writer.write(answer(body=b"late"))
         status, headers, body = await late.answer()
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -58,6 +58,14 @@
             and node.module.startswith(("plumpick", "anisefront"))}
 
 
+def test_the_page_of_crossings_names_tests_that_exist():
+    text = (ROOT / "docs/design/crossings.md").read_text()
+    named = set(re.findall(r"::(test_\w+)", text))
+    defined = {name for path in (ROOT / "tests").rglob("test_*.py")
+               for name in re.findall(r"^def (test_\w+)", path.read_text(), re.M)}
+    assert len(named) > 40 and not named - defined
+
+
 def test_the_core_knows_no_front_and_no_front_the_core_or_another():
     door = "plumpick.fronts.door"
     core = imports_of(ROOT / "plumpick/gatekeeper.py")
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -4,7 +4,7 @@
 import random
 
 from anisefront.watching import (
-    CALL_MS, MANY_VAIN, MOST_ROUNDS, NOW_MS, ROUND_MS, SPARE_MS, TOLD_MS, TURN_MS, Watching, worst_ms,
+    CALL_MS, MANY_VAIN, MOST_ROUNDS, NOW_MS, ROUND_MS, SPARE_MS, TOLD_MS, Watching, worst_ms,
 )
 
 TURNS_PER_S, LINE_MS = 7.0, 2000.0  # the service takes so many calls a second; one that waited longer fails
@@ -148,9 +148,11 @@
     plan.failed(waited=True)
     call = plan.next(spent)
     assert spent + call.after_ms + call.within_ms <= 4000.0 - SPARE_MS
-    call = Watching(200, None, random.Random(0), 199).next(0.0)
-    assert call.after_ms + call.within_ms > 4000.0  # a shared service's slot and turn: told by 4.4 s, not 4
-    assert call.after_ms + call.within_ms <= ROUND_MS + TURN_MS
+    for count in (1, 3, 40, 200):
+        for number in {0, count // 2, count - 1}:
+            for now in range(0, 6000, 89):
+                call = Watching(count, None, random.Random(0), number).next(float(now))
+                assert call.after_ms + call.within_ms <= 4000.0 - SPARE_MS
 
 
 def test_all_are_told_within_six_seconds_of_a_services_return():
