--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,7 +3,9 @@
 import asyncio
 import itertools
 import json
+import os
 import socket
+import struct
 
 import httptools
 import uvloop
@@ -253,6 +255,13 @@
     return answer(body=json.dumps(value).encode())
 
 
+def reset(writer):
+    """Close with a reset, behind what the system has of it."""
+    with socket.socket(fileno=os.dup(writer.transport.get_extra_info("socket").fileno())) as plug:
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.close()
+
+
 class HeldDials:
     """Connections to workers come up only once `go` is set; `opened` tells that one is being made."""
 
--- a/tests/test_surroundings.py
+++ b/tests/test_surroundings.py
@@ -1,12 +1,10 @@
 """Discovery, peers and the clock against small fakes."""
 
 import asyncio
-import os
 import socket
-import struct
 
 import pytest
-from fakes import HOST, FakeDiscovery, answer, config, entry, listing, run, told
+from fakes import HOST, FakeDiscovery, answer, config, entry, listing, reset, run, told
 
 from plumpick.clock import Timers, Clock
 from plumpick.config import config_from
@@ -177,39 +175,33 @@
     watched(scenario)
 
 
-@pytest.mark.parametrize("reset", [False, True])
-def test_a_list_with_no_length_ends_with_its_connection_and_never_with_a_reset(reset):
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_a_list_with_no_length_ends_with_its_connection_and_never_with_a_reset(is_reset):
     async def scenario(fake, lists, _discovery):
         _, writer = await fake.called()
         body = told(listing(entry("w1", 5001), index=41)).partition(b"\r\n\r\n")[2]
         writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + body)
-        if reset:
+        if is_reset:
             await writer.drain()
             while writer.transport.get_write_buffer_size():
                 await asyncio.sleep(0)
-            reset_at_close(writer)
-        writer.close()
-        if not reset:
+            reset(writer)
+        else:
+            writer.close()
+        if not is_reset:
             assert (await lists.get()).index == 41
         target, writer = await fake.called()
-        assert target == ("/discovery/hosts" if reset else WATCH.format(41)) and lists.empty()
+        assert target == ("/discovery/hosts" if is_reset else WATCH.format(41)) and lists.empty()
     watched(scenario)
 
 
-def reset_at_close(writer):
-    """Its close is a reset."""
-    with socket.socket(fileno=os.dup(writer.transport.get_extra_info("socket").fileno())) as plug:
-        plug.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-
-
 def test_a_watch_that_is_reset_just_behind_its_answer_is_opened_anew_at_once():
     async def scenario(fake, lists, _discovery):
         _, writer = await fake.called()
         writer.write(told(listing(entry("w1", 5001), index=41)))
         await lists.get()
         _, writer = await fake.called()
-        reset_at_close(writer)
-        writer.close()
+        reset(writer)
         target, writer = await fake.called()
         assert target == "/discovery/hosts"
         writer.write(told(listing(entry("w1", 5001, "draining"), index=42)))
--- a/tests/upstream/test_what_may_have_run.py
+++ b/tests/upstream/test_what_may_have_run.py
@@ -1,12 +1,9 @@
 """What an attempt that breaks off proves, and what the module makes of it, from end to end over sockets."""
 
 import asyncio
-import os
-import socket
-import struct
 
 import pytest
-from fakes import FakeWorker, Gate, Script, answer, entry, request, run
+from fakes import FakeWorker, Gate, Script, answer, entry, request, reset, run
 
 from anisefront.interface import Outcome, Result
 
@@ -14,13 +11,6 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
-def reset(writer):
-    """Close with a reset."""
-    with socket.socket(fileno=os.dup(writer.transport.get_extra_info("socket").fileno())) as plug:
-        plug.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.close()
-
-
 async def written(writer):
     """All of it is with the system."""
     while writer.transport.get_write_buffer_size():
