A reset that comes in one poll with the last bytes is no end of an answer with no length

Checked: eof_received is all that makes such an answer whole; libuv (uv__stream_io), where bytes and a hang-up come in one poll, reads the bytes and tells the hang-up as an end, without the read that would have told the reset. Forced: a paused connection on which bytes and a reset wait gives half an answer as whole, small and streamed. Ruled out: a second answer (one attempt, one answer), a length in the head. Now the system is asked once more at the end of such an answer (one recv with MSG_PEEK). Test: fails without it in both forms.

--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -74,7 +74,8 @@
                                dial_timeout_ms=config.dial_timeout_ms,
                                max_connections=int(config.sockets * WORKER_PART),
                                report_fields=config.settings.report_fields, is_quiet=system.is_quiet,
-                               budget=Budget(int(config.memory_mb * 2**20 * STREAM_PART)))
+                               budget=Budget(int(config.memory_mb * 2**20 * STREAM_PART)),
+                               was_reset=system.was_reset)
         self.peers = Peers(config, self.heard, system.datagrams)
         self._fronts: list[Front] = []
         self.sweeps: list[Callable[[float], None]] = []  # of others that have to be looked after as often
--- a/plumpick/simulation/world.py
+++ b/plumpick/simulation/world.py
@@ -66,6 +66,11 @@
     def is_quiet(transport: Any) -> bool:
         return bool(transport.is_quiet())
 
+    @staticmethod
+    def was_reset(transport: Any) -> bool:
+        """An end and a reset are told apart here."""
+        return False
+
     @staticmethod
     def has_ended(transport: Any) -> bool:
         return bool(transport.has_ended())
--- a/plumpick/system.py
+++ b/plumpick/system.py
@@ -53,6 +53,24 @@
         """Whether nothing waits on the connection: bytes, or its end, that the loop may not have read yet."""
         return not _shows(transport, select.POLLIN)
 
+    @staticmethod
+    def was_reset(transport: Any) -> bool:
+        """Whether what the loop told as the end of a connection is a reset.
+
+        Danger: where bytes and a reset have come by the time of one poll, libuv reads the bytes and tells the
+        hang-up as an end, without the read that would have told the reset. So the system is asked."""
+        plug = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0,
+                             fileno=transport.get_extra_info("socket").fileno())
+        try:
+            plug.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            plug.detach()  # it is the transport's
+        return False
+
     @staticmethod
     def has_ended(transport: Any) -> bool:
         """Whether the other side has closed the connection, whatever is still unread on it."""
--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -199,7 +199,8 @@
     def eof_received(self) -> None:
         """A worker that ends its sending has closed: so does the transport. An answer that has neither a
         length nor chunks is whole then; a process that dies resets its connections."""
-        if self.until_close and self.attempt is not None and not self.complete and not self.closed:
+        if self.until_close and self.attempt is not None and not self.complete and not self.closed and (
+                not self.pool.was_reset(self.transport)):
             self.complete, self.keep, self.status = True, False, self.parser.get_status_code()
             self._answered()
 
@@ -380,10 +381,11 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, timers: Timers, *, idle_ms: float,
                  dial_timeout_ms: float, max_connections: int, report_fields: tuple[str, ...],
-                 is_quiet: Callable[[Any], bool], budget: Budget) -> None:
+                 is_quiet: Callable[[Any], bool], budget: Budget,
+                 was_reset: Callable[[Any], bool] = lambda _transport: False) -> None:
         self._loop, self._clock, self._timers, self.looks_quiet = loop, clock, timers, is_quiet
         self._idle_ms, self._dial_ms = idle_ms * IDLE_PART, dial_timeout_ms
-        self._max, self._fields = max_connections, report_fields
+        self._max, self._fields, self.was_reset = max_connections, report_fields, was_reset
         self._known: dict[str, Worker] = {}
         self._connections = 0
         self.budget = budget
--- a/tests/upstream/test_what_may_have_run.py
+++ b/tests/upstream/test_what_may_have_run.py
@@ -4,8 +4,10 @@
 
 import pytest
 from fakes import FakeWorker, Gate, Script, answer, entry, request, reset, run
+from test_streams import whole_answer
 
 from anisefront.interface import Outcome, Result
+from plumpick.system import System
 
 NOT_RUN = "X-Not-Run: 1\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -73,6 +75,31 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("part", [b"a part", b"x" * 70_000], ids=["small", "streams"])
+def test_a_reset_that_comes_in_the_same_poll_as_the_last_bytes_is_no_end(part):
+    """Found on zone+brink (brink seed 5): libuv tells it as an end, and half an answer passed for whole."""
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(Script(), known=[entry("w1", worker.port)]) as gate:
+                client = await gate.client()
+                client.send(request(path="/debit", body=b"x"))
+                _, writer = await worker.asked()
+                attempt, = gate.keeper.attempts.values()
+                transport = attempt.connection.transport
+                transport.pause_reading()  # as if the loop had not come to it
+                writer.write(HEAD + b"\r\n" + part)
+                await written(writer)
+                reset(writer)
+                while not System().has_ended(transport):
+                    await asyncio.sleep(0)
+                if attempt.connection is not None and not transport.is_closing():
+                    transport.resume_reading()
+                assert (await gate.script.event(Outcome)).result is Result.RESET
+                status, _, _, whole = await whole_answer(client.reader)
+                assert (status, whole) == ((502, True) if len(part) < 65536 else (200, False))
+    run(scenario())
+
+
 def homed(path, **more):
     """A request of a customer whose home is this gatekeeper: it asks no peer."""
     return request(path=path, **more).replace(b"spread=2", b"spread=1")
