A streamed request whose last byte may have left is told as reset, not as never sent

Ruled out: buffers of whole requests (no pause of writing in any trace), turned-away answers, dials.

At fault: WorkerConnection.finish, 'unsent = get_write_buffer_size() > 0'. The loop writes at the end of its turn, so the size is above 0 right after every small write, and nothing tells when those bytes left: resume_writing comes only behind a pause_writing. The mark so stayed for good.

Now the last byte counts as kept only while writing is paused, whose end is told.

--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -106,6 +106,7 @@
         self.idle_since_ms = 0.0
         self.closed = False
         self.unsent = False  # the last byte of the request has not been handed to the system
+        self.full = False  # the loop holds more for the socket than the high water mark; it tells when not
         self.parser: Any = None
         self.head_size = self.status = 0
         self.stream: Body | None = None  # the request's body, while it comes
@@ -132,13 +133,13 @@
 
     def pause_writing(self) -> None:
         """A large request is not out: should the connection break now, the worker never had it whole."""
-        self.unsent = True
+        self.unsent = self.full = True
         stream = self.stream
         if stream is not None:
             stream.hold()
 
     def resume_writing(self) -> None:
-        stream = self.stream
+        stream, self.full = self.stream, False
         self.unsent = stream is not None and not stream.whole
         if stream is not None:
             stream.moved_ms = self.pool.now()
@@ -157,13 +158,17 @@
         transport.write(data)
 
     def finish(self) -> None:
-        """All of it has been written."""
+        """All of it has been written.
+
+        Danger: what the loop still holds leaves with its next turn, and no callback tells it. Only while the
+        buffer is full, which its draining would tell, is the last byte surely here. Seen: a request of which
+        all had come to its worker was refused, as one that had never left."""
         stream, transport, attempt = self.stream, self.transport, self.attempt
         if stream is None or transport is None or attempt is None or self.closed:
             return
         if stream.length < 0:
             transport.write(b"0\r\n\r\n")
-        self.unsent = transport.get_write_buffer_size() > 0
+        self.unsent = self.full
         self.pool.sent(attempt)
 
     # -- an answer's body that goes on while it comes: its reader
