--- a/anisefront/bounds.py
+++ b/anisefront/bounds.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from anisefront.control import CEILING_USE, HOLD_PINGS, OWN_PART, PING_ALL, ping_ms
+from anisefront.control import CEILING_USE, HOLD_PINGS, OWN_PART, PING_ALL
 from anisefront.interface import Plan, Settings
+from anisefront.upkeep import ping_ms
 
 WINDOWS_S = (1.0, 10.0, 60.0)
 MOST_SPREAD = 4  # gateways of a customer's set, as the protocol has it at this site
--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -12,7 +12,6 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import Any, TypeVar
 
 from anisefront import aperture, estate
 from anisefront.bans import Bans
@@ -24,15 +23,14 @@
     State, Subscribe, Tell, Wake,
 )
 from anisefront.messages import (
-    MAX_ITEMS, MAX_SIGHTINGS, Item, Kind, Sighting, decode, encode, ratio_of, server_tag, sighting, tag_of,
+    MAX_SIGHTINGS, Codec, Item, Kind, Sighting, by_tag, place_of, ratio_of, sighting, tag_of,
 )
-from anisefront.stores import begin_with, spare
+from anisefront.stores import begin_with, old_store_name, spare, store_name
+from anisefront.upkeep import part_of, ping_ms
 from anisefront.state import (
     Account, Ask, Attempt, Backend, Lateness, QuotaState, Request, ServersState, Store, WindowState,
 )
 
-T = TypeVar("T")
-
 # Fuzzy shares (paper, Tables 6 and 7, absolute delay).
 ERROR_GAIN, CHANGE_GAIN, OUTPUT_GAIN = 0.4, 3.0, 0.01  # per second of error, of its change; share per output
 CENTRES = (-1.0, -0.5, 0.0, 0.5, 1.0)  # five triangles, each as wide as its neighbours' distance
@@ -76,7 +74,7 @@
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
 # A home hears its askers as often, with no more others than that all do; in a wide tier as often as life
 # signs of all fill so much of an inbox. Who is silent for so many times that lives by its even part.
-PING_MS, PING_ALL, PING_PART, HOLD_PINGS = 500.0, 8, 0.3, 4.0
+PING_ALL, HOLD_PINGS = 8, 4.0
 CREDIT_MS = 30_000.0  # for so long what a home told of a firm's asking counts for credit
 UNHEARD_MS, UNHEARD_MOST = 10_000.0, 256  # what went out while a home was silent is told it again after
 OUTBOX_MESSAGES = 4  # so many messages of business wait for one gateway at most
@@ -118,7 +116,6 @@
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
 OF_REQUESTS = frozenset(("ask", "expired", "hedge", "overdue", "hopeless", "due"))  # agenda of one request
 TIDY_MS, FORGET_MS, AGENDA_SPARE = 250.0, 8000.0, 256  # how often what is over is forgotten; after how long
-TIDY_PARTS, TIDY_LEAST = 20, 64  # of a long table so many-th is looked at each time; of a short one all
 CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
 
 
@@ -231,30 +228,6 @@
         return -math.expm1(-LATE_SPANS * (self.answers + LATE_PRIOR * prior) / (self.spans + LATE_PRIOR))
 
 
-def part_of(table: dict[T, Any], left: list[T]) -> list[T]:
-    """The next part of the names, all of them in turn; `left` holds those not looked at in this round.
-    Only who asks here may take names out of the table."""
-    if not left:
-        left += table
-    count = max(TIDY_LEAST, len(table) // TIDY_PARTS)
-    part = left[-count:]
-    del left[-count:]
-    return part
-
-
-def ping_ms(settings: Settings) -> float:
-    """How long a gateway that asked a home is silent to it at most, messages lost aside.
-
-    Danger: the inbox is the tier's scarcest good. Seen at 40 gateways that each sent 39 life signs every
-    500 ms: 1,600 of 2,400 messages a second that all inboxes take, and one of five lost, business as well."""
-    return max(PING_MS, 1000 * (settings.gateways - 1) / (PING_PART * (settings.inbox_per_s or math.inf)))
-
-
-def store_name(item: Item) -> int:
-    """The store that an item of business is about: of a customer, and of the plan that is said to be its."""
-    return item.tag << 4 | item.plan_index
-
-
 class Quota(QuotaState):
     """Each customer's bucket fills at the quota times our part of its recent use.
 
@@ -281,7 +254,7 @@
         account = self.accounts.get(name)
         if account is None:
             spread, tag = max(1, min(arrival.spread, self.settings.gateways)), tag_of(arrival.customer)
-            home = (arrival.first_gateway + tag % spread) % self.settings.gateways
+            home = (arrival.first_gateway + place_of(tag, spread)) % self.settings.gateways
             account = self.accounts[name] = Account(plan, tag, spread, home, now)
             account.slice = self.slice(account, arrival.first_gateway)
         gone_s = 0.0 if self.heir else (now - account.at_ms) / 1000
@@ -300,7 +273,8 @@
 
     def slice(self, account: Account, first: int) -> float:
         """Our part of its ceiling, with nobody's word; `first`: of its set."""
-        place = ((self.settings.number - first) % self.settings.gateways - account.tag) % account.spread
+        at = (self.settings.number - first) % self.settings.gateways
+        place = (at - place_of(account.tag, account.spread)) % account.spread
         return REST_CEILING * slice_of(account.plan.ceiling_burst * REST_CEILING, account.spread, place)
 
     def forget(self, now: float, open_requests: Iterable[Request]) -> None:
@@ -450,9 +424,9 @@
         elif self.settings.may_tell or gateway == self.settings.number:
             self.outbox.setdefault(gateway, []).append(item)
 
-    def post(self, now: float) -> list[tuple[int, list[Item]]]:
-        """What each gateway is told now. Danger: what comes faster than an inbox takes is lost; so while
-        ours is half full, which stands in for those of our peers, business waits for more to go along."""
+    def post(self, now: float, most: int) -> list[tuple[int, list[Item]]]:
+        """What each gateway is told now, `most` items each. Danger: what comes faster than an inbox takes is
+        lost; so while ours is half full, which stands in for our peers', business waits for more to go."""
         self.heard_ms = {other: ms for other, ms in self.heard_ms.items() if now - ms <= TALKING_MS}
         room = TELL_PART * self.settings.inbox_per_s or math.inf
 
@@ -466,17 +440,16 @@
         posts = [(other, self.outbox.pop(other)) for other in ready]
         for other, items in posts:
             self.told_ms[other], self.told[other] = now, self.told.get(other, 0.0) + 1
-            if len(items) > MAX_ITEMS:
-                self.outbox[other] = items[MAX_ITEMS:OUTBOX_MESSAGES * MAX_ITEMS]
+            if len(items) > most:
+                self.outbox[other] = items[most:OUTBOX_MESSAGES * most]
         if self.outbox and now >= self.flush_ms:
             self.flush_ms = now + max(self.settings.tick_ms, min(map(gap, self.outbox)) / 2)
             self.plan_at(self.flush_ms, "flush", -1)
-        return [(other, items[:MAX_ITEMS]) for other, items in posts]
+        return [(other, items[:most]) for other, items in posts]
 
     def hear(self, now: float, sender: int, boot: int, item: Item) -> None:
         if item.kind not in (Kind.GRANT, Kind.WAIT, Kind.DENY):
-            plans, classes = len(self.settings.plans), len(self.settings.classes)
-            if item.plan_index < plans and item.class_index < classes and not self.heir:
+            if not self.heir:
                 self.at_home(now, (sender, boot, item.serial), item)
             return
         request = self.asking.get(item.serial)
@@ -504,11 +477,11 @@
     def at_home(self, now: float, key: tuple[int, int, int], item: Item) -> None:
         plan, kind = self.settings.plans[item.plan_index], self.settings.classes[item.class_index]
         name = store_name(item)
-        store = self.stores.get(name)
-        if store is None:
-            store = self.stores[name] = Store(plan, plan.burst, now, kept=plan.burst, born_ms=now)
+        store = self.stores.get(name) or self.stores.pop(old_store_name(item), None) or Store(
+            plan, plan.burst, now, kept=plan.burst, born_ms=now)
+        self.stores[name] = store
         if not store.members and item.spread > 1:
-            first = self.settings.number - item.tag % item.spread
+            first = self.settings.number - place_of(item.tag, item.spread)
             store.members = tuple({(first + place) % self.settings.gateways for place in range(item.spread)}
                                   - {self.settings.number})
         queued = any(ask.key == key for ask in store.queue)
@@ -650,8 +623,8 @@
             back, wrong = name in self.bans, self.bans.enable(now, name, self.known)
             if back and name in self.known:  # it is a new life, and has no past
                 old = self.known[name]
-                self.known[name] = new = Backend(old.entry, place=old.place)
-                self.by_tag[server_tag(name)] = new
+                self.known[name] = Backend(old.entry, place=old.place)
+                self.by_tag = by_tag(self.known)
         self.sort(now)
         return wrong
 
@@ -659,7 +632,7 @@
         """Of servers that have gone nothing is kept, once nothing is out there: ids may be ever new."""
         self.known = {name: backend for name, backend in self.known.items()
                       if backend.entry.state is not State.GONE or backend.out}
-        self.by_tag = {server_tag(name): backend for name, backend in self.known.items()}
+        self.by_tag = by_tag(self.known)
 
     def sort(self, now: float) -> None:
         """The servers that are ready, by warmth."""
@@ -832,9 +805,7 @@
         weight = HEARD_WEIGHT / (1 + CHOICE_PER_SEND * self.sends / max(1, len(self.near)))
         for seen in sightings:
             backend = self.by_tag.get(seen.server)
-            if backend is None or seen.class_index >= len(self.names):
-                continue
-            if now - backend.words.get(sender, -math.inf) < WORD_GAP_MS:
+            if backend is None or now - backend.words.get(sender, -math.inf) < WORD_GAP_MS:
                 continue
             backend.words[sender] = now
             ratio = ratio_of(seen)
@@ -851,7 +822,7 @@
     """One gateway's decisions. The same events give the same actions."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings, self.rng = settings, random.Random(seed)
+        self.settings, self.rng, self.codec = settings, random.Random(seed), Codec(settings)
         self.classes = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name: plan for plan in settings.plans}
         self.window, self.servers = Window(settings.gateways), Servers(
@@ -909,10 +880,11 @@
             _, _, what, number = heapq.heappop(self.agenda)
             self.due(what, number)
         self.release()
-        posts = self.quota.post(now_ms) if self.quota.outbox else []
+        posts = self.quota.post(now_ms, self.codec.max_items) if self.quota.outbox else []
         seen = [seen for ms, seen in self.servers.sightings if now_ms - ms <= SIGHTING_MS] if posts else []
         for gateway, items in posts:
-            self.actions.append(Tell(gateway, encode(self.quota.boot, self.window.room, items, seen)))
+            data = self.codec.encode(self.quota.boot, self.window.room, items, seen)
+            self.actions.append(Tell(gateway, data))
         self.set_wake()
         return self.actions
 
@@ -1075,7 +1047,7 @@
 
     def on_heard(self, event: Heard) -> None:
         """What another gateway tells; bytes that cannot be read and unknown senders change nothing."""
-        news = decode(event.data)
+        news = self.codec.decode(event.data)
         if news is None or event.sender >= self.settings.gateways:
             return
         if event.sender == self.settings.number:  # another process of ours: of quotas alone
--- a/anisefront/estate.py
+++ b/anisefront/estate.py
@@ -6,7 +6,12 @@
 grants apart.
 
 Nothing may be granted twice: once a process has left its state, its own buckets fill no more, and its
-business with its own home goes to the heir (Quota.heir). Times are of one clock: both run on one machine."""
+business with its own home goes to the heir (Quota.heir). Times are of one clock: both run on one machine.
+
+Form 1 had tags of 32 bits and no names of classes. It is read: an account's tag comes from its customer's
+name, and a store waits under the old one for its customer's first word (stores.old_store_name). Asks that
+wait in it are left out, since whoever asked reads no answer of ours; it goes on credit or is refused in
+time. A process that reads form 1 alone begins as after a restart."""
 
 from __future__ import annotations
 
@@ -14,13 +19,15 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
-from anisefront.messages import Item, Kind
+from anisefront.messages import Item, Kind, tag_of
 from anisefront.state import Account, Ask, Backend, Store
+from anisefront.stores import renamed
 
 if TYPE_CHECKING:
     from anisefront.control import Controller
 
-FORM = 1  # of these values; another is not read
+FORM, OLD_FORM = 2, 1  # of these values; another is not read
+_OLD_PLANS = 16  # places of plans in a store's name of form 1
 _ACCOUNT = ("tag", "spread", "home", "at_ms", "own", "ceiling", "asked", "total", "total_ms")
 _STORE = ("level", "at_ms", "ceiling", "asked", "kept", "born_ms", "before", "begun")
 _WINDOW = ("peak", "cut", "room", "fleet_room", "well", "full", "ended", "mean_out")
@@ -51,9 +58,14 @@
     return [list(ask.key), list(ask.item), ask.worth, ask.came_ms, ask.until_ms]
 
 
-def _ask(row: list[Any]) -> Ask:
-    kind, *rest = row[1]
-    return Ask(_key(row[0]), Item(Kind(kind), *rest), float(row[2]), float(row[3]), float(row[4]))
+def _ask(row: list[Any], places: Mapping[int, int]) -> Ask | None:
+    """`places`: of the classes that there are still, by their places before."""
+    kind, tag, serial, units, asked_per_s, class_index, plan_index, spread = row[1]
+    if class_index not in places:
+        return None
+    item = Item(Kind(kind), int(tag), int(serial), float(units), float(asked_per_s), places[class_index],
+                int(plan_index), int(spread))
+    return Ask(_key(row[0]), item, float(row[2]), float(row[3]), float(row[4]))
 
 
 def _key(row: list[Any]) -> tuple[int, int, int]:
@@ -69,7 +81,7 @@
     banned, back = servers.bans.state()
     return {
         "form": FORM, "number": control.settings.number, "gateways": control.settings.gateways,
-        "plans": [plan.name for plan in plans],
+        "classes": list(control.classes), "plans": [plan.name for plan in plans],
         "bans": list(banned), "back": [list(row) for row in back],
         "draining": control.draining.since_ms,
         "accounts": [[list(name), _row(account, _ACCOUNT)] for name, account in quota.accounts.items()],
@@ -96,30 +108,36 @@
     """Go on from that state; raises ValueError where it is another gatekeeper's or cannot be read, and
     nothing of it counts then."""
     settings, quota, servers = control.settings, control.quota, control.servers
-    if left.get("form") != FORM:
+    if left.get("form") not in (FORM, OLD_FORM):
         raise ValueError(f"a state of form {left.get('form')!r}")
     if left.get("number") != settings.number or left.get("gateways") != settings.gateways:
         raise ValueError("the state of another gatekeeper")
     plans = {plan.name: plan for plan in settings.plans}
     try:
         accounts, stores, backends = {}, {}, {}
+        old = left["form"] == OLD_FORM
+        now_at = {kind.name: place for place, kind in enumerate(settings.classes)}
+        places = {place: now_at[name] for place, name in enumerate(() if old else left["classes"])
+                  if name in now_at}
         for name, row in left["accounts"]:
             customer, plan, spread, first = name
             if plan in plans:
                 account = accounts[customer, plan, spread, first] = Account(plans[plan], 0, 1, 0, now)
                 _fill(account, _ACCOUNT, row)
+                account.tag = tag_of(customer)
                 account.slice = quota.slice(account, int(first))
         for name, place, row, members, askers, done, backs, spent, leases, queue in left["stores"]:
             # Its name holds the plan's place, so a plan that has moved is another store.
             if place < len(settings.plans) and settings.plans[place].name == left["plans"][place]:
-                store = stores[int(name)] = Store(settings.plans[place], 0.0, now)
+                number = renamed(*divmod(int(name), _OLD_PLANS)) if old else int(name)
+                store = stores[number] = Store(settings.plans[place], 0.0, now)
                 _fill(store, _STORE, row)
                 store.members = tuple(int(who) for who in members)
                 store.askers = {int(who): float(ms) for who, ms in askers}
                 store.done = {_key(key): float(ms) for key, ms in done}
                 store.backs, store.spent = {_key(key) for key in backs}, {_key(key) for key in spent}
                 store.leases = {_key(key): float(ms) for key, ms in leases}
-                store.queue = [_ask(ask) for ask in queue]
+                store.queue = [ask for ask in (_ask(row, places) for row in queue) if ask is not None]
         for name, started_ms, row, seen, bad, cold_ms in left["servers"]:
             known = servers.known.get(name)
             if known is not None and known.entry.started_ms == started_ms:  # what restarted has no past
--- a/anisefront/messages.py
+++ b/anisefront/messages.py
@@ -1,20 +1,37 @@
-"""The bytes that gateways send each other, at most 256: quota business and sightings of servers."""
+"""The bytes that gateways send each other, at most 256: quota business and sightings of servers.
+
+Version 4. Its head holds a digest of the names of classes and plans in their order: an index means nothing to
+a gateway with others, so their messages are dropped, as those of another version are. An index takes as many
+bytes as the settings need.
+
+Names travel as tags, which may meet. Of 40,000 customers two share a tag with a chance of 3 in a million;
+they are then one to a home that both have, if their plan is the same as well. The tags are no secret: who may
+choose names can make two meet. Of 5,900 servers two share one with a chance of 0.4 %; of such a pair no
+peer's word is taken (by_tag). A server that the sender knows and we do not yet may share one with ours."""
 
 from __future__ import annotations
 
+import hashlib
 import math
 import struct
 import zlib
+from collections import Counter
+from collections.abc import Mapping
 from enum import IntEnum
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
+
+from anisefront.interface import Settings
+
+T = TypeVar("T")
 
 MAX_BYTES = 256
-_VERSION = 3
-_HEAD = struct.Struct("<BHHB")  # version, boot number, room of the sender x 64, items
-_ITEM = struct.Struct("<BIHHHB")  # kind and set, tag, serial, units x 16, asked a second x 16, both indexes
-_SIGHTING = struct.Struct("<HB")  # server tag, class and grade
+VERSION = 4
+_HEAD = "<BHHHB"  # version, digest of names, boot number, room of the sender x 64, items
+_ITEM = "<BIHHHH"  # kind and set, tag (low, high), serial, units x 16, asked a second x 16; then both indexes
+_SIGHTING = "<I"  # server tag; then class and grade
 MAX_SIGHTINGS, MAX_SPREAD = 4, 15
-MAX_ITEMS = (MAX_BYTES - _HEAD.size - MAX_SIGHTINGS * _SIGHTING.size) // _ITEM.size
+_GRADES = 16  # of a sighting
+_LOW = 0xFFFFFFFF
 
 
 class Kind(IntEnum):
@@ -66,7 +83,7 @@
 def sighting(server: str, class_index: int, ratio: float) -> Sighting:
     """What was seen of a server: the answer time against the usual, or inf for a failure."""
     grade = _FAILED if ratio == math.inf else _EVEN + round(2 * math.log2(max(0.25, min(32.0, ratio))))
-    return Sighting(server_tag(server), class_index & 15, grade)
+    return Sighting(server_tag(server), class_index, grade)
 
 
 def ratio_of(seen: Sighting) -> float:
@@ -75,47 +92,91 @@
 
 
 def tag_of(customer: str) -> int:
-    """A short stand-in for a customer's name; the same at every gateway."""
-    return zlib.crc32(customer.encode())
+    """A short stand-in for a customer's name, 48 bits; the same at every gateway. The lower 32 are those of
+    version 3, by which homes go (place_of): a roll moves no home, so that no firm has two meanwhile."""
+    name = customer.encode()
+    return int.from_bytes(hashlib.blake2b(name, digest_size=2).digest(), "little") << 32 | zlib.crc32(name)
+
+
+def place_of(tag: int, spread: int) -> int:
+    """The place of a customer's home in its set."""
+    return (tag & _LOW) % spread
 
 
 def server_tag(server: str) -> int:
-    """A short stand-in for a server's id."""
-    return zlib.crc32(server.encode()) & 0xFFFF
+    """A short stand-in for a server's id, 32 bits."""
+    return zlib.crc32(server.encode(errors="surrogatepass"))
 
 
-def encode(boot: int, room: float, items: list[Item], sightings: list[Sighting]) -> bytes:
-    """The message; items and sightings beyond what it holds are left out."""
-    items, sightings = items[:MAX_ITEMS], sightings[:MAX_SIGHTINGS]
-    parts = [_HEAD.pack(_VERSION, boot & 0xFFFF, _clip(room * 64), len(items))]
-    for item in items:
-        kind = item.kind << 4 | (item.spread if item.spread <= MAX_SPREAD else 0)
-        parts.append(_ITEM.pack(kind, item.tag, item.serial & 0xFFFF, _clip(item.units * 16),
-                                _clip(item.asked_per_s * 16), item.class_index << 4 | item.plan_index))
-    parts += [_SIGHTING.pack(seen.server, seen.class_index << 4 | seen.grade) for seen in sightings]
-    return b"".join(parts)
+def by_tag(known: Mapping[str, T]) -> dict[int, T]:
+    """The servers by their tags. Two that share one are left out: a word on it may be on the other."""
+    tags = {name: server_tag(name) for name in known}
+    holders = Counter(tags.values())
+    return {tag: known[name] for name, tag in tags.items() if holders[tag] == 1}
 
 
 def _clip(value: float) -> int:
-    return max(0, min(0xFFFF, round(value)))
-
-
-def decode(data: bytes) -> News | None:
-    """The message in these bytes, or None where they cannot be read."""
-    if len(data) < _HEAD.size or len(data) > MAX_BYTES or data[0] != _VERSION:
-        return None
-    _, boot, room, count = _HEAD.unpack_from(data)
-    body = _HEAD.size + count * _ITEM.size
-    if len(data) < body or (len(data) - body) % _SIGHTING.size:
-        return None
-    rows = list(_ITEM.iter_unpack(data[_HEAD.size:body]))
-    if any(row[0] >> 4 not in _KINDS for row in rows):
-        return None
-    return News(boot, room / 64, tuple(
-        Item(Kind(kind >> 4), tag, serial, units / 16, asked / 16, packed >> 4, packed & 15, kind & 15)
-        for kind, tag, serial, units, asked, packed in rows), tuple(
-        Sighting(server, packed >> 4, packed & 15)
-        for server, packed in _SIGHTING.iter_unpack(data[body:])))
+    return round(value) if 0 <= value <= 0xFFFF else 0xFFFF if value > 0 else 0
+
+
+def _width(count: int) -> str:
+    """The struct letter of the least unsigned number that tells so many apart."""
+    return "B" if count <= 1 << 8 else "H" if count <= 1 << 16 else "I"
+
+
+class Codec:
+    """Messages to bytes and back, between gateways of the same classes and plans."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.classes, self.plans = len(settings.classes), len(settings.plans)
+        names = ascii(([kind.name for kind in settings.classes], [plan.name for plan in settings.plans]))
+        digest = hashlib.blake2b(names.encode(), digest_size=2).digest()
+        self.version, self.digest = VERSION, int.from_bytes(digest, "little")
+        self._head = struct.Struct(_HEAD)
+        self._item = struct.Struct(_ITEM + _width(self.classes * self.plans))
+        self._sighting = struct.Struct(_SIGHTING + _width(self.classes * _GRADES))
+        room = MAX_BYTES - self._head.size - MAX_SIGHTINGS * self._sighting.size
+        self.max_items = room // self._item.size
+
+    def encode(self, boot: int, room: float, items: list[Item], sightings: list[Sighting]) -> bytes:
+        """The message; items and sightings beyond what it holds are left out. Raises ValueError where an
+        index is none of the settings': packed all the same, it would be another class's."""
+        items, sightings = items[:self.max_items], sightings[:MAX_SIGHTINGS]
+        parts = [self._head.pack(self.version, self.digest, boot & 0xFFFF, _clip(room * 64), len(items))]
+        for item in items:
+            if not (0 <= item.class_index < self.classes and 0 <= item.plan_index < self.plans):
+                raise ValueError(f"no index of class and plan: {item!r}")
+            kind = item.kind << 4 | (item.spread if item.spread <= MAX_SPREAD else 0)
+            parts.append(self._item.pack(
+                kind, item.tag & _LOW, item.tag >> 32, item.serial & 0xFFFF, _clip(item.units * 16),
+                _clip(item.asked_per_s * 16), item.class_index * self.plans + item.plan_index))
+        for seen in sightings:
+            if not (0 <= seen.class_index < self.classes and 0 <= seen.grade < _GRADES):
+                raise ValueError(f"no index of a class, or no grade: {seen!r}")
+            parts.append(self._sighting.pack(seen.server, seen.class_index * _GRADES + seen.grade))
+        return b"".join(parts)
+
+    def decode(self, data: bytes) -> News | None:
+        """The message in these bytes, or None where they cannot be read."""
+        if len(data) < self._head.size or len(data) > MAX_BYTES:
+            return None
+        version, digest, boot, room, count = self._head.unpack_from(data)
+        body = self._head.size + count * self._item.size
+        if version != self.version or digest != self.digest:
+            return None
+        if len(data) < body or (len(data) - body) % self._sighting.size:
+            return None
+        rows = list(self._item.iter_unpack(data[self._head.size:body]))
+        seen = list(self._sighting.iter_unpack(data[body:]))
+        if any(row[0] >> 4 not in _KINDS or row[6] >= self.classes * self.plans for row in rows):
+            return None
+        if any(packed >= self.classes * _GRADES for _, packed in seen):
+            return None
+        return News(boot, room / 64, tuple(
+            Item(Kind(kind >> 4), high << 32 | low, serial, units / 16, asked / 16, index // self.plans,
+                 index % self.plans, kind & 15)
+            for kind, low, high, serial, units, asked, index in rows), tuple(
+            Sighting(server, packed // _GRADES, packed % _GRADES) for server, packed in seen))
 
 
 _KINDS = frozenset(int(kind) for kind in Kind)
--- a/anisefront/settings.py
+++ b/anisefront/settings.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from typing import Any
 
 from anisefront import interface as face
 
+MAX_CLASSES, MAX_PLANS = 1 << 16, 1 << 12  # an index of both takes 4 bytes of a message at most
 _REPEATS = {"retryable": face.Repeat.SAFE, "dedup": face.Repeat.KEYED, "fragile": face.Repeat.UNSAFE}
 
 
@@ -94,19 +96,33 @@
         ceiling_slack=row.number("capSlack", 0.0))
 
 
+def _limited(path: str, rows: Sequence[Table], most: int) -> Sequence[Table]:
+    """Between one and so many, each of a name of its own."""
+    if not rows:
+        raise SettingsError(f"{path}: there are none")
+    if len(rows) > most:
+        raise SettingsError(f"{path}: {len(rows)} are more than {most}")
+    first: dict[str, str] = {}
+    for row in rows:
+        name = row.text("name")
+        if first.setdefault(name, row.path) != row.path:
+            raise SettingsError(f"{row.path}.name: {name!r} is the name of {first[name]} too")
+    return rows
+
+
 def settings_from(value: Any, path: str = "info") -> face.Settings:
     """The settings in an object of JSON; keys that are not known are skipped."""
     top = Table(value, path)
     rules, limits = top.table("rules"), top.table("limits")
     domain, report = top.table("domain", {}), top.table("report", {})
     prices = top.table("penalties", {})
-    if not top.items("classes"):
-        raise SettingsError(f"{path}.classes: there are none")
+    classes = _limited(f"{path}.classes", top.rows("classes"), MAX_CLASSES)
+    plans = _limited(f"{path}.packages", top.rows("packages"), MAX_PLANS)
     return face.Settings(
         gateways=int(top.number("balancers")), number=int(top.number("myNumber")),
         zone=top.text("locality", ""),
-        classes=tuple(_request_class(row) for row in top.rows("classes")),
-        plans=tuple(_plan(row) for row in top.rows("packages")),
+        classes=tuple(_request_class(row) for row in classes),
+        plans=tuple(_plan(row) for row in plans),
         warm_up_ms=rules.number("warmUpMs"), cold_from=rules.number("coldFrom"),
         fall_multiple=rules.number("fallMultiple"), fall_window_ms=rules.number("tipAfterMs"),
         ask_within_ms=rules.number("askWithinMs", 10_000.0),
--- a/anisefront/stores.py
+++ b/anisefront/stores.py
@@ -2,10 +2,28 @@
 
 from __future__ import annotations
 
+from anisefront.messages import Item
 from anisefront.state import Ask, Store
 
 NEW_PART = 0.5  # of a quota asked by a firm's gateways of late that still lets a new store begin full
 RESERVE = 0.8  # of the burst that what is worth nothing leaves in store, and less the more it is worth
+_PLAN_BITS = 16
+
+
+def store_name(item: Item) -> int:
+    """The store that an item of business is about: of a customer, and of the plan that is said to be its."""
+    return item.tag << _PLAN_BITS | item.plan_index
+
+
+def old_store_name(item: Item) -> int:
+    """The same, for a store that a process of version 3 left: of its customer's tag 32 bits are known. Below
+    nothing, where no other store is."""
+    return renamed(item.tag & 0xFFFFFFFF, item.plan_index)
+
+
+def renamed(old_tag: int, plan_index: int) -> int:
+    """As old_store_name."""
+    return -1 - (old_tag << _PLAN_BITS | plan_index)
 
 
 def begin_with(store: Store, asked_per_s: float) -> None:
--- a/benchmarks/gray/world.py
+++ b/benchmarks/gray/world.py
@@ -39,7 +39,7 @@
     Woken,
 )
 
-from anisefront.messages import MAX_SIGHTINGS, decode, encode, sighting
+from anisefront.messages import MAX_SIGHTINGS, Codec, sighting
 
 TICK_MS = 4.0
 HALLS = ("hall-a", "hall-b", "hall-c")
@@ -87,12 +87,12 @@
 DRAIN_LOOK_MS = 100.0  # how often a server that drains is looked at; and one that gets warmer
 
 
-def lie(data: bytes) -> bytes:
+def lie(codec: Codec, data: bytes) -> bytes:
     """A message with wrong words: a whole hall's servers fail, and there is room without end."""
-    news = decode(data)
+    news = codec.decode(data)
     assert news is not None
     words = [sighting(f"s{number}", 0, math.inf) for number in range(0, 3 * MAX_SIGHTINGS, len(HALLS))]
-    return encode(news.boot, 1000.0, list(news.items), words)
+    return codec.encode(news.boot, 1000.0, list(news.items), words)
 
 
 class Clock:
@@ -326,7 +326,7 @@
                 clock.at(clock.now + action.after_ms, self.notice, Woken(action.name))
             case Tell() if world.rng.random() > 0.03:
                 if self.number == 0 and world.lies():
-                    action = Tell(action.receiver, lie(action.data))
+                    action = Tell(action.receiver, lie(world.codec, action.data))
                 for other in world.gateways:
                     if other is not self and action.receiver in (other.number, -1):
                         clock.at(clock.now + world.rng.uniform(1.6, 39), other.notice,
@@ -395,6 +395,7 @@
                 max_attempts=5, tick_ms=TICK_MS, may_tell=True, second_copies=True,
                 max_retry_after_ms=1000.0, inbox_per_s=60.0,
                 report_how="answers", report_fields=("util", "latency_ms"))
+            self.codec = Codec(settings)
             self.gateways.append(Gateway(self, number, make(settings, seed * 1000 + number)))
         capacity = sum(machine.speed for machine in self.machines) * CORES
         mean = sum(SHARES[name] * WORK_MS[name] for name in SHARES)
--- a/benchmarks/quota_ways.py
+++ b/benchmarks/quota_ways.py
@@ -26,9 +26,10 @@
 from unittest.mock import patch
 
 from anisefront import control
-from anisefront.control import Quota, store_name
+from anisefront.control import Quota
 from anisefront.messages import Item
 from anisefront.state import Account, Request, Store
+from anisefront.stores import store_name
 from benchmarks.quota_windows import case_of_splits, play
 from plumpick.simulation.commands import seeds_of
 
--- a/plumpick/tools/traced.py
+++ b/plumpick/tools/traced.py
@@ -44,8 +44,8 @@
     """A controller that writes down what comes in and goes out, and leaves all else to the real one."""
 
     def __init__(self, record: Record, inner: Any) -> None:
-        from anisefront import interface, messages
-        self._record, self._inner, self._face, self._decode = record, inner, interface, messages.decode
+        from anisefront import interface
+        self._record, self._inner, self._face, self._decode = record, inner, interface, inner.codec.decode
         self._belief_ms = 0.0
         self._requests: dict[int, Any] = {}  # the module's own records of those that are open
 
--- a/tests/quota_rig.py
+++ b/tests/quota_rig.py
@@ -28,7 +28,7 @@
     Wake,
     Woken,
 )
-from anisefront.messages import Kind, decode, tag_of
+from anisefront.messages import Kind, place_of, tag_of
 
 CLASSES = (RequestClass("seat-check", 750, 2000, 3, Repeat.SAFE),)
 TICK_MS, ANSWER_MS = 4.0, 40.0
@@ -110,7 +110,7 @@
             takes = self.way(number, other, self.now) if other != number else None
             if other in (action.receiver, *(range(self.gateways) if action.receiver == -1 else ())):
                 self.messages[number, other, int(self.now // 1000)] += 1
-                self.told.append((self.now, number, other, decode(action.data)))
+                self.told.append((self.now, number, other, self.modules[number].codec.decode(action.data)))
                 if takes is not None:
                     self.at(self.now + takes, self.arrives, number, self.life[number], other,
                             self.life[other], Heard(number, action.data))
@@ -122,7 +122,7 @@
     # -- who asks
 
     def home(self, firm="f"):
-        return tag_of(firm) % min(self.spread, self.gateways)
+        return place_of(tag_of(firm), min(self.spread, self.gateways))
 
     def ask(self, number, firm="f"):
         self.notice(number, self.life[number], Arrival(
--- a/tests/same_actions.py
+++ b/tests/same_actions.py
@@ -15,7 +15,7 @@
     which = compiled.use(compiled.Path(sys.argv[1])) if len(sys.argv) > 1 else "decisions: plain Python"
     from anisefront import control
     from anisefront.interface import Arrival, Fleet, Heard, Outcome, Result, Server, Woken
-    from anisefront.messages import Item, Kind, encode
+    from anisefront.messages import Item, Kind
     from benchmarks.gray import world as rig
 
     text, faults = hashlib.sha256(), 0
@@ -40,7 +40,7 @@
     worlds, text = (text.hexdigest(), faults), hashlib.sha256()
     one = Arrival(1, "c", "seat-check", "plan", 3000.0)
     own = rig.World(Told, rig.Failure(), 0.5, 3, 3, 1).gateways[0].rule
-    good = encode(3, 1.0, [Item(Kind.ASK, 7, 1, 1.0, 2.0, 0, 0, 3)], [])
+    good = own.controller.codec.encode(3, 1.0, [Item(Kind.ASK, 7, 1, 1.0, 2.0, 0, 0, 3)], [])
     hostile = [
         one, one, replace(one, id=2, due_ms=math.nan), replace(one, id=3, units=math.nan),
         replace(one, id=4, units="x"), replace(one, id=5, customer=None), replace(one, id=6, spread=0),
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -9,7 +9,7 @@
 from anisefront.bounds import BoundsError, Situation, beyond_ceiling, beyond_quota, held_s, table
 from anisefront.control import Controller, Quota
 from anisefront.interface import Heard, Plan, Repeat, RequestClass, Scope, Settings, Tell
-from anisefront.messages import Item, Kind, decode, encode
+from anisefront.messages import Item, Kind
 from benchmarks.quota_ways import WAYS, way
 from benchmarks.quota_windows import case_of_splits, play
 from benchmarks.simulation.plants import planted
@@ -131,9 +131,9 @@
     home = Controller(site(plans=(plan,), may_tell=True), 1)
     home.handle(1000.0, [])
     ask = Item(Kind.ASK, 7, 1, 1.0, asked_per_s, 1, 0)
-    told = [one for one in home.handle(1001.0, [Heard(1, encode(5, 1.0, [ask], []))])
+    told = [one for one in home.handle(1001.0, [Heard(1, home.codec.encode(5, 1.0, [ask], []))])
             if isinstance(one, Tell)]
-    kinds = {item.kind for one in told for item in decode(one.data).items}
+    kinds = {item.kind for one in told for item in home.codec.decode(one.data).items}
     assert (Kind.GRANT in kinds) is granted
 
 
@@ -147,6 +147,7 @@
     home = Controller(site(plans=(Plan("basico", 1e-9, 8.0),), may_tell=True), 1)
     home.handle(1000.0, [])
     for place, kind in enumerate(words):
-        home.handle(1001.0 + place, [Heard(1, encode(5, 1.0, [Item(kind, 7, 1, 1.0, 0.0, 1, 0)], []))])
+        word = home.codec.encode(5, 1.0, [Item(kind, 7, 1, 1.0, 0.0, 1, 0)], [])
+        home.handle(1001.0 + place, [Heard(1, word)])
     store, = home.quota.stores.values()
     assert store.level == pytest.approx(left, abs=1e-6)
--- a/tests/test_gray.py
+++ b/tests/test_gray.py
@@ -44,7 +44,7 @@
     Wake,
     Woken,
 )
-from anisefront.messages import encode, sighting
+from anisefront.messages import Codec, sighting
 from anisefront.state import Attempt
 from benchmarks.gray.rules import RULES
 from benchmarks.gray.world import Failure, World
@@ -307,9 +307,10 @@
 
 def test_one_peer_alone_brings_no_server_into_disrepute_two_do():
     """A peer's words may be wrong: by its own network, or a fault. 60 of them a second did as they liked."""
-    lie = encode(7, 1.0, [], [sighting("s1", 0, math.inf)] * 4)
+    given = settings(gateways=4, plans=(Plan("rated", 1e6, 1e6),))
+    lie = Codec(given).encode(7, 1.0, [], [sighting("s1", 0, math.inf)] * 4)
     for liars, avoided in (((1,), False), ((1, 2), True)):
-        control = Controller(settings(gateways=4, plans=(Plan("rated", 1e6, 1e6),)), 1)
+        control = Controller(given, 1)
         control.handle(1000.0, [FLEET])
         for turn in range(120):
             control.handle(1000.0 + 20 * turn, [Heard(liar, lie) for liar in liars])
@@ -322,7 +323,7 @@
     control.handle(1000.0, [FLEET])
     now, to_bad = 1000.0, 0
     for turn in range(30):
-        news = encode(7, 0.2, [], [sighting("s1", 0, math.inf), sighting("s2", 0, 1.0)])
+        news = control.codec.encode(7, 0.2, [], [sighting("s1", 0, math.inf), sighting("s2", 0, 1.0)])
         now += 500
         control.handle(now, [Heard(1 + turn % 20, news)])
         actions = control.handle(now + 1, [Arrival(turn, f"c{turn}", "look", "rated", now + 2500.0)])
@@ -337,7 +338,7 @@
     control = Controller(settings(gateways=4), 1)
     control.handle(1000.0, [FLEET])
     for turn in range(200):
-        control.handle(1000.0 + 10 * turn, [Heard(1, encode(7, 1000.0, [], []))])
+        control.handle(1000.0 + 10 * turn, [Heard(1, control.codec.encode(7, 1000.0, [], []))])
     assert control.window.fleet_room <= 2 * 12 * 6 / 4
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,7 +10,7 @@
 import pytest
 from fakes import HOST, Client, FakeDiscovery, FakeWorker, answer, config, entry, listing, request, run, told
 from test_management import UP, say
-from test_module import FLEET, ask, home_of, of
+from test_module import FLEET, ask, home_of, item, of
 from test_process import free_port, start, until_up
 from test_rules import settings
 
@@ -19,6 +19,8 @@
 from anisefront.interface import (
     Arrival, Call, Estate, Heard, Inherit, Leave, Order, Outcome, Plan, Result, Resume, Said, Send, Tell,
 )
+from anisefront.messages import Kind
+from anisefront.stores import store_name
 from plumpick.handover.message import MAGIC, MAX_TEXT, Reader, Unreadable, encode
 from plumpick.handover.succession import path_in
 
@@ -84,6 +86,50 @@
                                  if isinstance(tell, Tell) and tell.receiver == number])
 
 
+def as_form_1(state):
+    """What a process of version 3 leaves: tags of 32 bits, and no names of classes."""
+    low = 0xFFFFFFFF
+    state = {**state, "form": 1}
+    del state["classes"]
+    state["accounts"] = [[name, [row[0] & low, *row[1:]]] for name, row in state["accounts"]]
+    state["stores"] = [
+        [(name >> 16 & low) << 4 | name & 15, *rest[:-1],
+         [[key, [item[0], item[1] & low, *item[2:]], *ask] for key, item, *ask in rest[-1]]]
+        for name, *rest in state["stores"]]
+    return state
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_a_state_of_form_1_is_read_and_nothing_is_granted_twice(known):
+    """Also to a customer that has asked at other gateways alone: its whole tag comes with its first word."""
+    old, new = gate(1), gate(2)
+    assert let_in(old, 1.0, 40) >= 5
+    state = as_form_1(left_by(old, 2.0))
+    state["accounts"] = state["accounts"] if known else []
+    new.handle(2.0, [Inherit(state)])
+    assert not new.faults
+    assert let_in(new, 3.0, 40, 1000) <= 1
+    (store,) = new.quota.stores
+    assert store == store_name(item(Kind.ASK, plan_index=3))
+    for step in range(200):
+        new.handle(100.0 * step, [])
+    assert not new.quota.stores and not new.faults
+
+
+def test_asks_that_wait_go_with_their_class_where_it_has_moved_and_end_where_it_has_gone():
+    old = gate(1)
+    let_in(old, 1.0, 40)
+    old.handle(2.0, [ask(n, name="book", plan="rated", due=4000.0) for n in range(100, 140)])
+    state, given = left_by(old, 3.0), old.settings
+    waiting = {row[1][2]: given.classes[row[1][5]].name for store in state["stores"] for row in store[-1]}
+    assert {"look", "book"} == set(waiting.values())
+    new = Controller(replace(given, classes=given.classes[:0:-1]), 2)  # in another order, without `look`
+    new.handle(3.0, [FLEET, Inherit(state)])
+    assert not new.faults
+    queue = [one for store in new.quota.stores.values() for one in store.queue]
+    assert queue and {new.settings.classes[one.item.class_index].name for one in queue} == {"book"}
+
+
 def test_what_the_old_process_still_asks_its_own_home_the_new_one_grants():
     old, new = gate(1), gate(2)
     new.handle(1.0, [Inherit(left_by(old, 1.0))])
@@ -150,7 +196,7 @@
         arrival = Arrival(step, "c", "look", "capped", now + 1400.0, 1, 0, 3)
         sent += len(of(Send, control.handle(now, [arrival])))
     assert sent <= 32 + 16 * 2.0 + 4
-    assert estate.FORM == 1
+    assert estate.FORM == 2
 
 
 # -- the program
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -10,12 +10,9 @@
     CENTRES,
     FORGET_MS,
     REPEAT_SPARE_MS,
-    TIDY_LEAST,
-    TIDY_PARTS,
     Controller,
     FuzzyShare,
     Window,
-    store_name,
 )
 from anisefront.interface import (
     Arrival,
@@ -40,6 +37,8 @@
     Wake,
     Woken,
 )
+from anisefront.stores import store_name
+from anisefront.upkeep import TIDY_LEAST, TIDY_PARTS
 
 FLEET = Fleet(tuple(Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(6)))
 
@@ -196,20 +195,22 @@
 
 
 def home_of(customer, first=0, spread=3):
-    return first + messages.tag_of(customer) % spread
+    return first + messages.place_of(messages.tag_of(customer), spread)
 
 
 def test_peer_bytes_that_cannot_be_read_change_nothing():
     c = gateway()
     c.handle(1000, [FLEET])
-    good = messages.encode(5, 1.0, [item(messages.Kind.SPENT, units=4)], [])
-    odd = [messages.encode(5, 1.0, [item(messages.Kind.SPENT, class_index=15)], []),
-           messages.encode(5, 1.0, [item(messages.Kind.ASK, plan_index=15)], []),
-           messages.encode(5, 1.0, [item(messages.Kind.GRANT), item(messages.Kind.WAIT)], []),
-           messages.encode(5, 1.0, [], [messages.Sighting(77, 15, 15)])]
-    bad_kind = bytearray(good)
-    bad_kind[6] = 0xF3
-    for data in (b"", b"\x00", good[:-1], b"\xff" + good[1:], bytes(300), bytes(bad_kind), *odd):
+    good = c.codec.encode(5, 1.0, [item(messages.Kind.SPENT, units=4)], [])
+    told = c.codec.encode(5, 1.0, [], [messages.Sighting(77, 5, 15)])
+    odd = [c.codec.encode(5, 1.0, [item(messages.Kind.GRANT), item(messages.Kind.WAIT)], []),
+           *(good[:-1] + bytes([index]) for index in (18, 0xF0, 255)),  # of six classes and three plans
+           *(told[:-1] + bytes([index]) for index in (6 << 4 | 15, 255))]
+    bad_kind, other_names = bytearray(good), bytearray(good)
+    bad_kind[8], other_names[1] = 0xF3, good[1] ^ 1
+    old = b"\x03" + good[1:]
+    for data in (b"", b"\x00", good[:-1], b"\xff" + good[1:], old, bytes(300), bytes(bad_kind),
+                 bytes(other_names), *odd):
         assert not of(Send, c.handle(1001, [Heard(1, data)]))
     c.handle(1001, [Heard(9, good), Heard(0, good)])
     assert not c.quota.stores and not c.requests
@@ -218,13 +219,14 @@
 
 
 def test_messages_survive_a_round_trip_and_stay_small():
-    items = [item(messages.Kind(1 + n % 6), f"c{n}", n, n / 16, 2.25, n % 16, 3) for n in range(100)]
+    codec = gateway().codec
+    items = [item(messages.Kind(1 + n % 6), f"c{n}", n, n / 16, 2.25, n % 6, 2) for n in range(100)]
     ratios = (0.01, 1.0, 2.0, float("inf"))
     sightings = [messages.sighting(f"s{n}", n, ratio) for n, ratio in enumerate(ratios)]
-    data = messages.encode(70000, 1.5, items, sightings)
-    news = messages.decode(data)
+    data = codec.encode(70000, 1.5, items, sightings)
+    news = codec.decode(data)
     assert len(data) <= messages.MAX_BYTES and news.boot == 70000 & 0xFFFF and news.room == 1.5
-    assert news.items == tuple(items[:messages.MAX_ITEMS]) and news.sightings == tuple(sightings)
+    assert news.items == tuple(items[:codec.max_items]) and news.sightings == tuple(sightings)
     assert [messages.ratio_of(seen) for seen in news.sightings] == [0.25, 1.0, 2.0, float("inf")]
 
 
@@ -310,9 +312,9 @@
     c = gateway(number=number)
     peer = (number + 1) % 3
     asks = [item(messages.Kind.ASK, "o", n, plan_index=2) for n in (1, 2, 3)]
-    c.handle(1000, [FLEET, Heard(peer, messages.encode(1, 1.0, asks, []))])
+    c.handle(1000, [FLEET, Heard(peer, c.codec.encode(1, 1.0, asks, []))])
     assert len(of(Send, c.handle(1001, [ask(n, plan="open", customer="o") for n in range(1, 9)]))) == 1
-    free = messages.encode(1, 1.0, [item(messages.Kind.BACK, "o", 2, plan_index=2)], [])
+    free = c.codec.encode(1, 1.0, [item(messages.Kind.BACK, "o", 2, plan_index=2)], [])
     assert len(of(Send, c.handle(1002, [Heard(peer, free)]))) == 1
 
 
@@ -322,10 +324,10 @@
     c.handle(1000, [FLEET])
     granted = set()
     for n in range(300):
-        data = messages.encode(1, 1.0, [item(messages.Kind.ASK, serial=9)], [])
+        data = c.codec.encode(1, 1.0, [item(messages.Kind.ASK, serial=9)], [])
         if n != 7:
             for tell in of(Tell, c.handle(1001 + n / 100, [Heard(n, data), Heard(n, data)])):
-                news = messages.decode(tell.data)
+                news = c.codec.decode(tell.data)
                 granted |= {tell.receiver for told in news.items if told.kind is messages.Kind.GRANT}
     # The class is worth half the worthiest: it leaves two fifths of the burst in store for that one.
     assert 6 <= len(granted) <= 8 and 4.8 <= c.quota.stores[store_name(item(messages.Kind.ASK))].level < 5.9
@@ -338,7 +340,7 @@
         c = gateway(gateways=300, number=7)
         c.handle(1000, [FLEET])
         asks = [item(kind, serial=n, class_index=worthiest) for n in range(1, 16)]
-        c.handle(1001, [Heard(1, messages.encode(1, 1.0, asks, []))])
+        c.handle(1001, [Heard(1, c.codec.encode(1, 1.0, asks, []))])
         granted[kind] = len(c.quota.stores[store_name(asks[0])].done)
     assert granted[messages.Kind.AGAIN] <= 7 and granted[messages.Kind.ASK] >= 11
 
@@ -351,7 +353,7 @@
     for now in range(1000, 1500, 4):
         actions = c.handle(now, [*events, Woken("agenda")])
         events, told, sent = [], told + of(Tell, actions), sent + of(Send, actions)
-    kinds = [told.kind for tell in told for told in messages.decode(tell.data).items]
+    kinds = [told.kind for tell in told for told in c.codec.decode(tell.data).items]
     assert len(sent) == 1 and kinds.count(messages.Kind.ASK) >= 6 and kinds.count(messages.Kind.SPENT) == 1
 
 
@@ -434,16 +436,16 @@
     home, peer = (gateway(gateways=300, number=number, plans=plans) for number in (7, 1))
     home.handle(1000, [FLEET])
     asks = [item(messages.Kind.ASK, serial=n) for n in range(1, 16)]
-    told = of(Tell, home.handle(1001, [Heard(1, messages.encode(1, 1.0, asks, []))]))
-    kinds = [one.kind for tell in told for one in messages.decode(tell.data).items]
+    told = of(Tell, home.handle(1001, [Heard(1, home.codec.encode(1, 1.0, asks, []))]))
+    kinds = [one.kind for tell in told for one in home.codec.decode(tell.data).items]
     assert messages.Kind.DENY in kinds and messages.Kind.GRANT in kinds
     peer.handle(1000, [FLEET])
-    first = peer.settings.number + 6 - messages.tag_of("c") % 2
+    first = peer.settings.number + 6 - home_of("c", spread=2)
     peer.handle(1001, [Arrival(1, "c", "look", "rated", 5000.0, 1.0, first, 2)])
     request = peer.requests[1]
     assert request.account.home == 7
     deny = item(messages.Kind.DENY, serial=request.serial)
-    refused = of(Refuse, peer.handle(1002, [Heard(7, messages.encode(1, 1.0, [deny], []))]))
+    refused = of(Refuse, peer.handle(1002, [Heard(7, peer.codec.encode(1, 1.0, [deny], []))]))
     assert [one.id for one in refused] == [1]
 
 
@@ -465,11 +467,11 @@
 def test_what_was_granted_and_not_used_goes_back():
     c = gateway(number=(home_of("c") + 1) % 3)
     tells = of(Tell, c.handle(1000, [Fleet(()), ask(1, units=4)]))
-    asked, = [told for tell in tells for told in messages.decode(tell.data).items]
-    data = messages.encode(1, 1.0, [asked._replace(kind=messages.Kind.GRANT)], [])
+    asked, = [told for tell in tells for told in c.codec.decode(tell.data).items]
+    data = c.codec.encode(1, 1.0, [asked._replace(kind=messages.Kind.GRANT)], [])
     c.handle(1010, [Heard(home_of("c"), data)])
     tells = of(Tell, c.handle(1200, [ClientGone(1), Woken("agenda")]))
-    assert [told.kind for tell in tells for told in messages.decode(tell.data).items] == [messages.Kind.BACK]
+    assert [told.kind for tell in tells for told in c.codec.decode(tell.data).items] == [messages.Kind.BACK]
 
 
 def test_cold_server_is_bounded_over_hundreds_of_gateways_even_after_a_stall():
@@ -513,7 +515,7 @@
     for now in range(1004, 3000, 4):
         events = [ask(now, due=now + 1500.0)] if now == 1500 else []
         for tell in of(Tell, c.handle(now, [*events, Woken("agenda")])):
-            (told if messages.decode(tell.data).items else signs).append(tell.receiver)
+            (told if c.codec.decode(tell.data).items else signs).append(tell.receiver)
     assert set(told) == {home_of("c")} and len(told) <= 4
     assert max(map(signs.count, set(signs))) <= 4  # in 2 s
 
@@ -521,12 +523,12 @@
 def test_a_customer_that_repeats_without_end_leaves_room_in_its_homes_inbox():
     c = gateway(number=(home_of("c") + 1) % 3, inbox_per_s=20)
     c.handle(1000, [FLEET, ask(1)])
-    wait = messages.encode(1, 1.0, [item(messages.Kind.WAIT, serial=c.quota.serial, asked=400.0)], [])
+    wait = c.codec.encode(1, 1.0, [item(messages.Kind.WAIT, serial=c.quota.serial, asked=400.0)], [])
     c.handle(1010, [Heard(home_of("c"), wait)])
     asked = 0
     for n in range(400):
         for tell in of(Tell, c.handle(1012 + n, [ask(n + 2)])):
-            asked += sum(told.kind is messages.Kind.ASK for told in messages.decode(tell.data).items)
+            asked += sum(told.kind is messages.Kind.ASK for told in c.codec.decode(tell.data).items)
     assert 0 < asked < 100
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,6 +13,8 @@
 import pytest
 from fakes import HOST, Client, FakeDiscovery, FakeWorker, answer, config, entry, listing, request, run, told
 
+from plumpick.config import config_from
+
 ROOT = pathlib.Path(__file__).parent.parent
 UP = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -171,6 +173,57 @@
     run(scenario())
 
 
+def with_settings(value, **more):
+    return {**value, "settings": {**value["settings"], **more}}
+
+
+def many(rows, count):
+    return [{**rows[0], "name": f"n{place}"} for place in range(count)]
+
+
+CLASSES, PLANS = (config()["settings"][key] for key in ("classes", "packages"))
+BEYOND_LIMITS = [
+    ({"classes": many(CLASSES, 65_537)}, "config.settings.classes: 65537"),
+    ({"packages": many(PLANS, 4097)}, "config.settings.packages: 4097"),
+    ({"classes": []}, "config.settings.classes: "), ({"packages": []}, "config.settings.packages: "),
+    ({"classes": [*CLASSES, CLASSES[1]]}, "config.settings.classes[3].name: 'book'"),
+    ({"packages": [PLANS[0], PLANS[0]]}, "config.settings.packages[1].name: 'basic'")]
+
+
+@pytest.mark.parametrize("change, said", BEYOND_LIMITS)
+def test_settings_that_no_message_can_tell_of_end_it_with_one_line(tmp_path, change, said):
+    test_a_configuration_that_cannot_be_used_ends_it_with_one_line(
+        tmp_path, json.dumps(with_settings(config(), **change)), said)
+
+
+def test_as_many_classes_and_plans_as_may_be_are_taken():
+    given = with_settings(config(), classes=many(CLASSES, 65_536), packages=many(PLANS, 4096))
+    taken = config_from(given, {}).settings
+    assert (len(taken.classes), len(taken.plans)) == (65_536, 4096)
+
+
+def test_at_sighup_settings_beyond_the_limits_change_nothing(tmp_path):
+    async def scenario(process, port, worker, fake, path):
+        first = json.loads(path.read_text())
+        assert (await fake.called())[0].startswith("/discovery/hosts?since=")
+        async with FakeDiscovery() as other:
+            for change, said in BEYOND_LIMITS:
+                path.write_text(json.dumps(with_settings(
+                    {**first, "discovery": f"{HOST}:{other.port}"}, **change)))
+                process.send_signal(signal.SIGHUP)
+                while b"stays as it was" not in (line := await process.stderr.readline()):
+                    pass
+                assert said.encode() in line
+            client = await Client().open(port)
+            client.send(request())
+            _, writer = await worker.asked()
+            writer.write(answer())
+            assert (await client.answer())[0] == 200 and other.calls.empty()
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+    with_program(tmp_path, scenario)
+
+
 def test_silent_discovery_does_not_keep_it_from_starting_with_the_known_list(tmp_path):
     async def whole():
         async with FakeDiscovery() as fake, FakeWorker() as worker:
--- a/tests/test_quota_hard.py
+++ b/tests/test_quota_hard.py
@@ -11,7 +11,7 @@
 from anisefront.bounds import Situation, beyond_quota
 from anisefront.control import Controller
 from anisefront.interface import Heard, Plan
-from anisefront.messages import Item, Kind, encode
+from anisefront.messages import Item, Kind
 from tests.quota_rig import Rig, cut
 
 
@@ -228,7 +228,8 @@
     home.handle(1000.0, [])
     for sender in range(1, askers + 1):
         ms = 1001.0 + (sender > 1) * late_ms
-        home.handle(ms, [Heard(sender, encode(5, 1.0, [Item(Kind.ASK, 7, 1, 1.0, 0.9 + 1 / 3, 0, 0)], []))])
+        ask = Item(Kind.ASK, 7, 1, 1.0, 0.9 + 1 / 3, 0, 0)
+        home.handle(ms, [Heard(sender, home.codec.encode(5, 1.0, [ask], []))])
         level = next(iter(home.quota.stores.values())).level
     assert level == pytest.approx(left, abs=1.01)
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -5,7 +5,7 @@
 
 from anisefront.control import Controller
 from anisefront.interface import Arrival, Heard, Plan, Tell, Wake, Woken
-from anisefront.messages import Kind, decode
+from anisefront.messages import Kind
 from anisefront.standing import SETTLE_MS, Standing
 
 PLANS = (Plan("rated", 10.0, 20.0),)
@@ -38,7 +38,7 @@
     booked = len(store.done)
     again, _ = asked(second, home, 1410.0, 1)
     assert told and again and booked == 1 and len(store.done) == 2
-    assert decode(told[0].data).boot != decode(again[0].data).boot
+    assert home.codec.decode(told[0].data).boot != home.codec.decode(again[0].data).boot
 
 
 def test_a_grant_to_the_last_life_is_not_believed_by_the_next_but_given_back():
@@ -46,7 +46,7 @@
     home = gateway(0, 1000.0)
     first, second = gateway(1, 1000.0), gateway(1, 1400.0)
     _, answers = asked(first, home, 1010.0, 1)
-    assert [item.kind for answer in answers for item in decode(answer.data).items] == [Kind.GRANT]
+    assert [item.kind for answer in answers for item in home.codec.decode(answer.data).items] == [Kind.GRANT]
     asked(second, home, 1410.0, 1)
     done = second.handle(1411.0, [Heard(0, answers[0].data)])
     request = second.requests[1]
@@ -54,7 +54,8 @@
     while not [action for action in done if isinstance(action, Tell)]:
         (wake,) = [action for action in done if isinstance(action, Wake)][:1]
         done = second.handle(1411.0 + wake.after_ms, [Woken(wake.name)])
-    kinds = [item.kind for action in done if isinstance(action, Tell) for item in decode(action.data).items]
+    kinds = [item.kind for action in done if isinstance(action, Tell)
+             for item in second.codec.decode(action.data).items]
     assert Kind.BACK in kinds
 
 
