--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import Any, TypeVar
+from typing import Any
 
 from anisefront import aperture, estate
 from anisefront.bans import Bans
@@ -24,15 +24,14 @@
     State, Subscribe, Tell, Wake,
 )
 from anisefront.messages import (
-    MAX_ITEMS, MAX_SIGHTINGS, Item, Kind, Sighting, decode, encode, ratio_of, server_tag, sighting, tag_of,
+    MAX_SIGHTINGS, Codec, Item, Kind, Sighting, by_tag, place_of, ratio_of, sighting, tag_of,
 )
-from anisefront.stores import begin_with, spare
+from anisefront.stores import begin_with, old_store_name, spare, store_name
+from anisefront.upkeep import part_of, ping_ms
 from anisefront.state import (
     Account, Ask, Attempt, Backend, Lateness, QuotaState, Request, ServersState, Store, WindowState,
 )
 
-T = TypeVar("T")
-
 # Fuzzy shares (paper, Tables 6 and 7, absolute delay).
 ERROR_GAIN, CHANGE_GAIN, OUTPUT_GAIN = 0.4, 3.0, 0.01  # per second of error, of its change; share per output
 CENTRES = (-1.0, -0.5, 0.0, 0.5, 1.0)  # five triangles, each as wide as its neighbours' distance
@@ -76,7 +75,7 @@
 INBOX_PART, ASK_MOST = 0.5, 2.0  # of a home's inbox that one customer may fill; or so many times its quota
 # A home hears its askers as often, with no more others than that all do; in a wide tier as often as life
 # signs of all fill so much of an inbox. Who is silent for so many times that lives by its even part.
-PING_MS, PING_ALL, PING_PART, HOLD_PINGS = 500.0, 8, 0.3, 4.0
+PING_ALL, HOLD_PINGS = 8, 4.0
 CREDIT_MS = 30_000.0  # for so long what a home told of a firm's asking counts for credit
 UNHEARD_MS, UNHEARD_MOST = 10_000.0, 256  # what went out while a home was silent is told it again after
 OUTBOX_MESSAGES = 4  # so many messages of business wait for one gateway at most
@@ -118,7 +117,6 @@
 SAFE_TIMES = 2.5  # usual answer times to leave before the aim: the mean alone lets half come late
 OF_REQUESTS = frozenset(("ask", "expired", "hedge", "overdue", "hopeless", "due"))  # agenda of one request
 TIDY_MS, FORGET_MS, AGENDA_SPARE = 250.0, 8000.0, 256  # how often what is over is forgotten; after how long
-TIDY_PARTS, TIDY_LEAST = 20, 64  # of a long table so many-th is looked at each time; of a short one all
 CLOCK_GRAIN_MS, STALL_PERIODS = 0.001, 4.0  # a wake-up may be so early; no turn for so long: we stood still
 
 
@@ -231,30 +229,6 @@
         return -math.expm1(-LATE_SPANS * (self.answers + LATE_PRIOR * prior) / (self.spans + LATE_PRIOR))
 
 
-def part_of(table: dict[T, Any], left: list[T]) -> list[T]:
-    """The next part of the names, all of them in turn; `left` holds those not looked at in this round.
-    Only who asks here may take names out of the table."""
-    if not left:
-        left += table
-    count = max(TIDY_LEAST, len(table) // TIDY_PARTS)
-    part = left[-count:]
-    del left[-count:]
-    return part
-
-
-def ping_ms(settings: Settings) -> float:
-    """How long a gateway that asked a home is silent to it at most, messages lost aside.
-
-    Danger: the inbox is the tier's scarcest good. Seen at 40 gateways that each sent 39 life signs every
-    500 ms: 1,600 of 2,400 messages a second that all inboxes take, and one of five lost, business as well."""
-    return max(PING_MS, 1000 * (settings.gateways - 1) / (PING_PART * (settings.inbox_per_s or math.inf)))
-
-
-def store_name(item: Item) -> int:
-    """The store that an item of business is about: of a customer, and of the plan that is said to be its."""
-    return item.tag << 4 | item.plan_index
-
-
 class Quota(QuotaState):
     """Each customer's bucket fills at the quota times our part of its recent use.
 
@@ -281,7 +255,7 @@
         account = self.accounts.get(name)
         if account is None:
             spread, tag = max(1, min(arrival.spread, self.settings.gateways)), tag_of(arrival.customer)
-            home = (arrival.first_gateway + tag % spread) % self.settings.gateways
+            home = (arrival.first_gateway + place_of(tag, spread)) % self.settings.gateways
             account = self.accounts[name] = Account(plan, tag, spread, home, now)
             account.slice = self.slice(account, arrival.first_gateway)
         gone_s = 0.0 if self.heir else (now - account.at_ms) / 1000
@@ -300,7 +274,8 @@
 
     def slice(self, account: Account, first: int) -> float:
         """Our part of its ceiling, with nobody's word; `first`: of its set."""
-        place = ((self.settings.number - first) % self.settings.gateways - account.tag) % account.spread
+        at = (self.settings.number - first) % self.settings.gateways
+        place = (at - place_of(account.tag, account.spread)) % account.spread
         return REST_CEILING * slice_of(account.plan.ceiling_burst * REST_CEILING, account.spread, place)
 
     def forget(self, now: float, open_requests: Iterable[Request]) -> None:
@@ -450,9 +425,9 @@
         elif self.settings.may_tell or gateway == self.settings.number:
             self.outbox.setdefault(gateway, []).append(item)
 
-    def post(self, now: float) -> list[tuple[int, list[Item]]]:
-        """What each gateway is told now. Danger: what comes faster than an inbox takes is lost; so while
-        ours is half full, which stands in for those of our peers, business waits for more to go along."""
+    def post(self, now: float, most: int) -> list[tuple[int, list[Item]]]:
+        """What each gateway is told now, `most` items each. Danger: what comes faster than an inbox takes is
+        lost; so while ours is half full, which stands in for our peers', business waits for more to go."""
         self.heard_ms = {other: ms for other, ms in self.heard_ms.items() if now - ms <= TALKING_MS}
         room = TELL_PART * self.settings.inbox_per_s or math.inf
 
@@ -466,17 +441,16 @@
         posts = [(other, self.outbox.pop(other)) for other in ready]
         for other, items in posts:
             self.told_ms[other], self.told[other] = now, self.told.get(other, 0.0) + 1
-            if len(items) > MAX_ITEMS:
-                self.outbox[other] = items[MAX_ITEMS:OUTBOX_MESSAGES * MAX_ITEMS]
+            if len(items) > most:
+                self.outbox[other] = items[most:OUTBOX_MESSAGES * most]
         if self.outbox and now >= self.flush_ms:
             self.flush_ms = now + max(self.settings.tick_ms, min(map(gap, self.outbox)) / 2)
             self.plan_at(self.flush_ms, "flush", -1)
-        return [(other, items[:MAX_ITEMS]) for other, items in posts]
+        return [(other, items[:most]) for other, items in posts]
 
     def hear(self, now: float, sender: int, boot: int, item: Item) -> None:
         if item.kind not in (Kind.GRANT, Kind.WAIT, Kind.DENY):
-            plans, classes = len(self.settings.plans), len(self.settings.classes)
-            if item.plan_index < plans and item.class_index < classes and not self.heir:
+            if not self.heir:
                 self.at_home(now, (sender, boot, item.serial), item)
             return
         request = self.asking.get(item.serial)
@@ -504,11 +478,11 @@
     def at_home(self, now: float, key: tuple[int, int, int], item: Item) -> None:
         plan, kind = self.settings.plans[item.plan_index], self.settings.classes[item.class_index]
         name = store_name(item)
-        store = self.stores.get(name)
-        if store is None:
-            store = self.stores[name] = Store(plan, plan.burst, now, kept=plan.burst, born_ms=now)
+        store = self.stores.get(name) or self.stores.pop(old_store_name(item), None) or Store(
+            plan, plan.burst, now, kept=plan.burst, born_ms=now)
+        self.stores[name] = store
         if not store.members and item.spread > 1:
-            first = self.settings.number - item.tag % item.spread
+            first = self.settings.number - place_of(item.tag, item.spread)
             store.members = tuple({(first + place) % self.settings.gateways for place in range(item.spread)}
                                   - {self.settings.number})
         queued = any(ask.key == key for ask in store.queue)
@@ -650,8 +624,8 @@
             back, wrong = name in self.bans, self.bans.enable(now, name, self.known)
             if back and name in self.known:  # it is a new life, and has no past
                 old = self.known[name]
-                self.known[name] = new = Backend(old.entry, place=old.place)
-                self.by_tag[server_tag(name)] = new
+                self.known[name] = Backend(old.entry, place=old.place)
+                self.by_tag = by_tag(self.known)
         self.sort(now)
         return wrong
 
@@ -659,7 +633,7 @@
         """Of servers that have gone nothing is kept, once nothing is out there: ids may be ever new."""
         self.known = {name: backend for name, backend in self.known.items()
                       if backend.entry.state is not State.GONE or backend.out}
-        self.by_tag = {server_tag(name): backend for name, backend in self.known.items()}
+        self.by_tag = by_tag(self.known)
 
     def sort(self, now: float) -> None:
         """The servers that are ready, by warmth."""
@@ -832,9 +806,7 @@
         weight = HEARD_WEIGHT / (1 + CHOICE_PER_SEND * self.sends / max(1, len(self.near)))
         for seen in sightings:
             backend = self.by_tag.get(seen.server)
-            if backend is None or seen.class_index >= len(self.names):
-                continue
-            if now - backend.words.get(sender, -math.inf) < WORD_GAP_MS:
+            if backend is None or now - backend.words.get(sender, -math.inf) < WORD_GAP_MS:
                 continue
             backend.words[sender] = now
             ratio = ratio_of(seen)
@@ -851,7 +823,7 @@
     """One gateway's decisions. The same events give the same actions."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings, self.rng = settings, random.Random(seed)
+        self.settings, self.rng, self.codec = settings, random.Random(seed), Codec(settings)
         self.classes = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name: plan for plan in settings.plans}
         self.window, self.servers = Window(settings.gateways), Servers(
@@ -874,7 +846,7 @@
         self.agenda: list[tuple[float, int, str, int]] = []
         self.serial, self.budget, self.now, self.stalled = 0, RETRY_MOST / 2, -1.0, False
         self.wake_ms = math.inf  # the wake-up that is asked for
-        self.tidy_ms = 0.0
+        self.tidy_ms, self.begun = 0.0, False
         self.draining = Draining()
         self.admits: Callable[[Arrival], bool] | None = None  # budgets of the whole tier, where there are any
         self.faults: list[Exception] = []  # raised by events of this turn
@@ -892,30 +864,34 @@
             self.wake_ms = math.inf
         left: list[Backend] = []
         if first:
-            self.quota.begin(now_ms)
             self.plan_at(now_ms, "period")
             self.plan_at(now_ms, "subscribe")
+        self.begun = self.begun or self.stage(self.quota.begin, now_ms)
         for event in events:
-            try:
-                self.take_in(event, left)
-            except Exception as problem:  # whoever calls tells it; the turn's other events count all the same
-                self.faults.append(problem)
-        # A server that leaves may be dead before it has answered: safe work out there is sent elsewhere too.
+            self.stage(self.take_in, event, left)
         for request in list(self.requests.values()) if left and self.settings.second_copies else ():
-            at_risk = len(request.out) == 1 and next(iter(request.out.values())) in left
-            if at_risk and request.kind.repeat is Repeat.SAFE and not request.streaming:
-                self.again(request)
+            self.stage(self.copy_elsewhere, request, left)
         while self.agenda and self.agenda[0][0] <= now_ms + CLOCK_GRAIN_MS:
             _, _, what, number = heapq.heappop(self.agenda)
-            self.due(what, number)
-        self.release()
-        posts = self.quota.post(now_ms) if self.quota.outbox else []
-        seen = [seen for ms, seen in self.servers.sightings if now_ms - ms <= SIGHTING_MS] if posts else []
-        for gateway, items in posts:
-            self.actions.append(Tell(gateway, encode(self.quota.boot, self.window.room, items, seen)))
-        self.set_wake()
+            if what == "period":  # first of all, so that the next one comes whatever fails
+                self.plan_at(now_ms + PERIOD_MS, "period")
+            self.stage(self.due, what, number)
+        self.stage(self.release)
+        self.stage(self.post)
+        if not self.stage(self.set_wake):
+            self.wake_ms = now_ms + PERIOD_MS
+            self.actions.append(Wake(PERIOD_MS, "agenda"))
         return self.actions
 
+    def stage(self, step: Callable[..., object], *what: Any) -> bool:
+        """A part of the turn. If it fails, whoever calls tells it; the turn's other parts go on."""
+        try:
+            step(*what)
+        except Exception as problem:
+            self.faults.append(problem)
+            return False
+        return True
+
     def take_in(self, event: Event, left: list[Backend]) -> None:
         """One event; the servers that leave service by it are added to those that left."""
         match event:
@@ -945,6 +921,23 @@
             case Fleet():
                 self.plan_at(self.now + self.settings.ask_within_ms / 4, "subscribe")
 
+    def copy_elsewhere(self, request: Request, left: list[Backend]) -> None:
+        """A server that leaves may be dead before it has answered: safe work out there goes elsewhere too."""
+        at_risk = len(request.out) == 1 and next(iter(request.out.values())) in left
+        if at_risk and request.kind.repeat is Repeat.SAFE and not request.streaming:
+            self.again(request)
+
+    def post(self) -> None:
+        """Tell the others what is due to them."""
+        posts = self.quota.post(self.now, self.codec.max_items) if self.quota.outbox else []
+        seen = [seen for ms, seen in self.servers.sightings if self.now - ms <= SIGHTING_MS] if posts else []
+        for gateway, items in posts:
+            self.stage(self.tell, gateway, items, seen)
+
+    def tell(self, gateway: int, items: list[Item], seen: list[Sighting]) -> None:
+        data = self.codec.encode(self.quota.boot, self.window.room, items, seen)
+        self.actions.append(Tell(gateway, data))
+
     def plan_at(self, at_ms: float, what: str, number: int = -1) -> None:
         """Put a thing on the agenda."""
         self.serial += 1
@@ -963,13 +956,12 @@
     def due(self, what: str, number: int) -> None:
         request = self.requests.get(number)
         if what == "period":
-            self.plan_at(self.now + PERIOD_MS, "period")
-            self.step_shares()
-            self.quota.step(self.now)
-            self.servers.step(self.now)
+            self.stage(self.step_shares)
+            self.stage(self.quota.step, self.now)
+            self.stage(self.servers.step, self.now)
             if self.now >= self.tidy_ms:
                 self.tidy_ms = self.now + TIDY_MS
-                self.tidy()
+                self.stage(self.tidy)
             self.window.idle = self.servers.idle(self.now) * self.timely_part()
             self.window.step(self.now, self.servers.capacity)
         elif what == "store":
@@ -1075,7 +1067,7 @@
 
     def on_heard(self, event: Heard) -> None:
         """What another gateway tells; bytes that cannot be read and unknown senders change nothing."""
-        news = decode(event.data)
+        news = self.codec.decode(event.data)
         if news is None or event.sender >= self.settings.gateways:
             return
         if event.sender == self.settings.number:  # another process of ours: of quotas alone
@@ -1112,7 +1104,7 @@
                 and all(isinstance(word, str) for word in words)):
             raise TypeError(f"an arrival with a part of a wrong type: {arrival!r}")
         kind, plan = self.classes.get(arrival.class_name), self.plans.get(arrival.plan_name)
-        if kind is None or plan is None or arrival.due_ms <= self.now or arrival.id in self.requests:
+        if kind is None or plan is None or not arrival.due_ms > self.now or arrival.id in self.requests:
             self.actions.append(Refuse(arrival.id))
             return
         if self.admits is not None and not self.admits(arrival):
@@ -1175,7 +1167,12 @@
             self.held = first + rest
         busy = self.window.mean_out >= OVER_ROOM * cap
         self.held = [request for request in self.held if self.window.free() < 1
-                     or busy and not request.inside or not self.send(request)]
+                     or busy and not request.inside or self.stays(request)]
+
+    def stays(self, request: Request) -> bool:
+        """Send on what is held, if that can be; whether it is held still."""
+        self.stage(self.send, request)
+        return request.held
 
     def send(self, request: Request) -> bool:
         """One more attempt, where a server may take it."""
