--- a/anisefront/budgets/book.py
+++ b/anisefront/budgets/book.py
@@ -110,7 +110,7 @@
 
     def spend(self, now_ms: float, wanted: list[tuple[str, float]]) -> bool:
         """Whether a request that takes so many units of each of these budgets may go on; it has, then.
-        `now_ms` is the moment of spending: a clock that goes on through a standstill, looked at just now."""
+        `now_ms` is the moment of spending: a clock that goes on through a stall, looked at just now."""
         if len(wanted) == 1:  # most requests take from one, and its level is looked at once
             (name, units), = wanted
             mine = self.mine[name]
--- a/anisefront/budgets/holder.py
+++ b/anisefront/budgets/holder.py
@@ -1,7 +1,7 @@
 """What may I spend now: a floor by number, and a share that is lent and ends.
 
 Guards against: a share of an earlier asking, or of an earlier divider, that comes late (its serial, its
-token); a share that comes twice (its level is added once); a standstill (time is looked at where the unit
+token); a share that comes twice (its level is added once); a stall (time is looked at where the unit
 is spent, and nothing fills beyond a share's end); a life that has forgotten what the last one spent (a
 floor begins empty)."""
 
--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -1267,7 +1267,7 @@
             self.timely[class_name] += (timely - self.timely[class_name]) * USUAL_GAIN
             ratio = event.took_ms / usual
             self.usual[class_name] += (event.took_ms - usual) * USUAL_GAIN * (not self.stalled)
-        # After a standstill our own pause would be taken for the server's slowness.
+        # After a stall our own pause would be taken for the server's slowness.
         if event.result not in (Result.CANCELLED, Result.MOOT) and not self.stalled:
             self.servers.learn(self.now, backend, class_name, ratio, 1.0)
         if request is None:
--- a/anisefront/ownership/holder.py
+++ b/anisefront/ownership/holder.py
@@ -1,6 +1,6 @@
 """What this process holds, and what it asks for: its end counts from when it asked, and only for that asking.
 
-Guards against: an answer to another asking than the open one (thrown away, whatever it says); a standstill
+Guards against: an answer to another asking than the open one (thrown away, whatever it says); a stall
 (what has ended goes first, before anything that came meanwhile is looked at); a renewal after the end
 (there is none: what has ended is taken anew, under a larger token); a vote that nobody needs (given back,
 so that others need not wait)."""
--- a/benchmarks/budgets/plants.py
+++ b/benchmarks/budgets/plants.py
@@ -53,7 +53,7 @@
         return super().lend(now_ms, share, asked_ms)
 
 
-class FillsOverAStandstill(RateHolder):
+class FillsOverAStall(RateHolder):
     """What is lent has no end, and fills for all the time that went by."""
 
     def lend(self, now_ms: float, share: Share, asked_ms: float | None) -> bool:
@@ -111,13 +111,13 @@
     "forgets-what-was-out": _divider(ForgetsWhatIsOut),
     "believes-a-late-share": _late,
     "returns-twice": _holder(LevelTwice),
-    "fills-over-a-standstill": _holder(FillsOverAStandstill),
+    "fills-over-a-stall": _holder(FillsOverAStall),
     "counts-the-floor-twice": _holder(FloorTwice),
     "hands-over-and-keeps": _hands_over_and_keeps,
     "keeps-the-old-whole": _divider(KeepsTheOldWhole),
 }
 CASE_OF = {"gives-before-the-end": "divider-leaves", "believes-a-late-share": "late-shares",
-           "returns-twice": "twice", "fills-over-a-standstill": "holder-stops",
+           "returns-twice": "twice", "fills-over-a-stall": "holder-stops",
            "hands-over-and-keeps": "upgrade", "forgets-what-was-out": "demand-moves",
            "counts-the-floor-twice": "demand-moves", "keeps-the-old-whole": "figures"}
 
--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -132,7 +132,7 @@
 
 
 def stands_still_and_closes() -> Swap:
-    """The sweep of connections goes by the clock alone, also after a standstill: as it was."""
+    """The sweep of connections goes by the clock alone, also after a stall: as it was."""
     right = Admission.sweep
 
     def sweep(self: Admission, now: float, ending: bool) -> None:
--- a/benchmarks/standstills.py
+++ b/benchmarks/stalls.py
@@ -1,4 +1,4 @@
-"""`python -m benchmarks.standstills`: what gatekeepers that stand still cost, told apart: at the one that
+"""`python -m benchmarks.stalls`: what gatekeepers that stand still cost, told apart: at the one that
 stands, and at the others because of it.
 
 Plays the scenario `standstills` and the same without its stops, same seed, and counts the tries by where and
@@ -72,7 +72,7 @@
 
 def main() -> int:
     """Print the table."""
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.standstills", description=__doc__)
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.stalls", description=__doc__)
     parser.add_argument("--seed", type=int, default=90417)
     parser.add_argument("--after", type=float, default=3.0, help="seconds that count as after (3)")
     parser.add_argument("--json", action="store_true")
@@ -96,7 +96,7 @@
     if given.json:
         print(json.dumps({"stood": here, "calm": there}))
         return 0
-    print(f"{len(spans)} standstills; each figure: with them, and at the same moments with none")
+    print(f"{len(spans)} stalls; each figure: with them, and at the same moments with none")
     for name in ROWS:
         print(f"{name:<26}" + "  ".join(f"{what} {here[name][what]:>5} {there[name][what]:>5}"
                                         for what in ("tries", "none", "refused", "served", "other")))
--- a/plumpick/fleet/runner.py
+++ b/plumpick/fleet/runner.py
@@ -33,7 +33,7 @@
 from plumpick.operator import USE, DutySettings, FleetSettings
 from plumpick.system import System
 
-STILL_MS = 1000.0  # a standstill of so long is worth a line
+STILL_MS = 1000.0  # a stall of so long is worth a line
 GUARD_S = 0.5  # the place of a voter that another process has is tried for again so often
 GATHER_S = 0.02
 PAGE = 16  # duties, or budgets, in an answer to staff
--- a/plumpick/fronts/http/admission.py
+++ b/plumpick/fronts/http/admission.py
@@ -54,7 +54,7 @@
     def came(self, client: ClientConnection, now: float, spare: int = 0) -> bool:
         """A new connection; False if there is no room at all. `spare`: descriptors that nobody else uses now.
 
-        Danger: after a standstill of ours all that waits comes at one go, first those whose clients have long
+        Danger: after a stall of ours all that waits comes at one go, first those whose clients have long
         gone, last those that still wait for an answer. Whatever is over the limits goes once all are read."""
         if len(self.all) >= self.hard + spare:
             return False
@@ -148,8 +148,8 @@
     def sweep(self, now: float, ending: bool) -> None:
         """Close what has had its time.
 
-        Danger: after a standstill of ours this may come before what was sent meanwhile is read, and would
-        close connections that hold whole requests. So a standstill counts on nobody's time."""
+        Danger: after a stall of ours this may come before what was sent meanwhile is read, and would
+        close connections that hold whole requests. So a stall counts on nobody's time."""
         stood_ms = self.late_ms(now)
         self._swept_ms = now
         if stood_ms > STILL_MS:
--- a/plumpick/fronts/http/connections.py
+++ b/plumpick/fronts/http/connections.py
@@ -460,7 +460,7 @@
     def close_if_idle(self) -> None:
         """Between requests a connection may be closed; not while one is open or coming in."""
         # Danger: the loop may not have read yet what has come, and the request would be lost with it. Seen:
-        # four at one stroke, beside other work that held us up for less than what counts as a standstill.
+        # four at one stroke, beside other work that held us up for less than what counts as a stall.
         transport = self.transport
         if transport is None or transport.is_closing() or not self.is_idle():
             return
@@ -500,7 +500,7 @@
 
     def has_gone(self) -> bool:
         """Whether its client has left. What is not read tells nothing: of a held connection nothing is, and
-        after a standstill of ours not yet."""
+        after a stall of ours not yet."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return True
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -287,7 +287,7 @@
         if ask.id in self._names or ask.id in self._ended_names[0] or ask.id in self._ended_names[1]:
             raise InUse("x-request-id is in use")
         self._serial += 1
-        # What is read after a standstill of ours may have waited all through it; its client's time ran on.
+        # What is read after a stall of ours may have waited all through it; its client's time ran on.
         unread_ms = self._unread_ms(now) + now - ask.came_ms  # it may have waited behind another, too
         wait_ms = max(ask.wait_ms - unread_ms, min(ask.wait_ms, 2 * MARGIN_MS))
         end_ms = min(self._end_ms, self._late_end_ms)
--- a/tests/budgets/test_budget_tier.py
+++ b/tests/budgets/test_budget_tier.py
@@ -28,7 +28,7 @@
     assert outcome.over == [] and outcome.spent > 100  # how soon all is back the benchmark tells
 
 
-@pytest.mark.parametrize("plant", ["returns-twice", "fills-over-a-standstill"])
+@pytest.mark.parametrize("plant", ["returns-twice", "fills-over-a-stall"])
 def test_a_planted_bug_is_found(plant):
     assert asyncio.run(play(21, 3, plant, cases=1)).over
 
--- a/tests/budgets/test_budgets.py
+++ b/tests/budgets/test_budgets.py
@@ -91,7 +91,7 @@
         return super().lend(now_ms, share, now_ms)
 
 
-class FillsOverAStandstill(RateHolder):
+class FillsOverAStall(RateHolder):
     """Its share fills on beyond its end."""
 
     def lend(self, now_ms, share, asked_ms):
@@ -132,7 +132,7 @@
         (Budget("lent", Kind.RATE, 60.0, burst=3.0, floor=0.0), {"divider": LendsAtOnce}),
         (STOCK, {"divider": ForgetsWhatIsOut}),
         (STOCK, {"holder": BelievesLateShares}),
-        (RATE, {"holder": FillsOverAStandstill}),
+        (RATE, {"holder": FillsOverAStall}),
         (Budget("floors", Kind.RATE, 60.0, burst=30.0, floor=1.0), {"holder": FullFloor}),
         (STOCK, {"holder": FloorAtOnce}),
     ],
--- a/tests/simulation/test_cases.py
+++ b/tests/simulation/test_cases.py
@@ -142,12 +142,12 @@
             "a gatekeeper came back while the roster was silent")
 
 
-def test_a_request_that_came_during_a_standstill_is_not_lost_by_the_sweep_after_it():
+def test_a_request_that_came_during_a_stall_is_not_lost_by_the_sweep_after_it():
     """Found by seed 5: connections were closed as idle, with a whole request unread on them."""
-    case = case_from((Path(__file__).parent / "corpus" / "standstill.json").read_text())
+    case = case_from((Path(__file__).parent / "corpus" / "stall.json").read_text())
     cases = [replace(case, seed=seed) for seed in range(case.seed, case.seed + 12)]
     assert not [one.seed for one in cases[:3] if play(one).failed]
-    dense = case_from(json.dumps(FOUND_BY["stands-still-and-closes"]))  # four standstills, much load
+    dense = case_from(json.dumps(FOUND_BY["stands-still-and-closes"]))  # four stalls, much load
     cases += [replace(dense, seed=seed) for seed in range(1, 9)]
     with planted("stands-still-and-closes"):
         assert any(play(one).rule == "no-request-lost" for one in reversed(cases))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Connections of clients and a standstill of our own process: no time of ours counts on theirs."""
+"""Connections of clients and a stall of our own process: no time of ours counts on theirs."""
 
 from plumpick.fronts.http.admission import OWED_MS, QUICK_MS, SPARED_MS, SWEEP_MS, Admission
 
@@ -41,7 +41,7 @@
     return admission, idle, owing
 
 
-def test_after_a_standstill_nobody_is_closed_for_what_was_not_read_meanwhile():
+def test_after_a_stall_nobody_is_closed_for_what_was_not_read_meanwhile():
     """Their requests may wait unread. Found by the simulation: they were closed, and the requests lost."""
     admission, idle, owing = crowd()
     admission.sweep(5000.0, False)
@@ -64,7 +64,7 @@
     assert owing.closed == "gave up" and [client for client in idle if client.closed]
 
 
-def test_what_waited_through_a_standstill_comes_in_beyond_the_limit_as_far_as_others_leave_room():
+def test_what_waited_through_a_stall_comes_in_beyond_the_limit_as_far_as_others_leave_room():
     """Found by the simulation (seed 122): those that came last, still waiting, were dropped for the dead."""
     admission = Admission(100)
     clients = [Client() for _ in range(admission.hard + 10)]
@@ -78,7 +78,7 @@
 
 
 def test_where_all_is_full_those_go_whose_clients_have_gone_and_a_crowd_that_stays_is_looked_at_seldom():
-    """Found by the simulation (seed 717): a standstill of 4.4 s, and the last to come were dropped."""
+    """Found by the simulation (seed 717): a stall of 4.4 s, and the last to come were dropped."""
     admission, looks = Admission(100), []
     clients = [Client() for _ in range(admission.hard)]
     gone = set(clients[5:8])
--- a/tests/test_gatekeeper.py
+++ b/tests/test_gatekeeper.py
@@ -693,7 +693,7 @@
 
 
 def later(gate, ms):
-    """Let so much time go by for the connections of clients, and no standstill of ours."""
+    """Let so much time go by for the connections of clients, and no stall of ours."""
     admission, now = gate.front.admission, gate.keeper.clock.now() + ms
     admission._swept_ms = now - SWEEP_MS
     admission.sweep(now, gate.keeper.draining)
--- a/tests/test_gray.py
+++ b/tests/test_gray.py
@@ -195,7 +195,7 @@
     assert late.chance() > 0.8
 
 
-def test_our_own_standstill_makes_nobody_overdue():
+def test_our_own_stall_makes_nobody_overdue():
     play = Play(lambda *_: None, rate=20.0, leave_ms=60_000.0).run(0.15)
     play.do(play.control.handle(play.now + 900, [Woken("agenda")]))
     assert not play.control.window.lost
--- a/tests/upstream/test_late_connections.py
+++ b/tests/upstream/test_late_connections.py
@@ -160,7 +160,7 @@
     run(scenario())
 
 
-def test_after_a_standstill_timers_send_nothing_whose_client_has_gone_meanwhile():
+def test_after_a_stall_timers_send_nothing_whose_client_has_gone_meanwhile():
     """Timers come before what is read: its client's end is there, and has not been read yet."""
     async def scenario():
         async with FakeWorker() as worker:
