--- a/anisefront/bans.py
+++ b/anisefront/bans.py
@@ -21,7 +21,7 @@
     leaves after `warm_up_ms`."""
 
     def __init__(self, warm_up_ms: float) -> None:
-        self._warm_up_ms = warm_up_ms
+        self.warm_up_ms = warm_up_ms  # settings may change it in service
         self._banned: dict[str, None] = {}  # in the order in which they were banned
         self._back_ms: dict[str, float] = {}  # when the ban was taken back, in order of time
         self._owed: set[str] = set()
@@ -59,7 +59,7 @@
         back_ms = self._back_ms.get(name)
         if back_ms is None:
             return started_ms
-        if now - back_ms >= self._warm_up_ms:
+        if now - back_ms >= self.warm_up_ms:
             del self._back_ms[name]
             self._owed.discard(name)
             return started_ms
--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -14,19 +14,19 @@
 from dataclasses import replace
 from typing import Any
 
-from anisefront import aperture, estate
+from anisefront import aperture, estate, reconfigure
 from anisefront.bans import Bans
 from anisefront.ceilings import slice_of
 from anisefront.draining import Draining
 from anisefront.interface import (
     Action, Arrival, Call, Cancel, ClientGone, Doors, Estate, Event, Fail, Fleet, Heard, Inherit, Leave,
-    Order, Outcome, Plan, Refuse, Repeat, RequestClass, Result, Resume, Said, Scope, Send, Settings, Started,
-    State, Subscribe, Tell, Wake,
+    Order, Outcome, Plan, Reconfigure, Refuse, Repeat, RequestClass, Result, Resume, Said, Scope, Send,
+    Settings, Started, State, Subscribe, Tell, Wake,
 )
 from anisefront.messages import (
     MAX_SIGHTINGS, Codec, Item, Kind, Sighting, by_tag, place_of, ratio_of, sighting, tag_of,
 )
-from anisefront.stores import begin_with, old_store_name, spare, store_name
+from anisefront.stores import begin_with, is_full, old_store_name, spare, store_name
 from anisefront.upkeep import part_of, ping_ms
 from anisefront.state import (
     Account, Ask, Attempt, Backend, Lateness, QuotaState, Request, ServersState, Store, WindowState,
@@ -239,9 +239,7 @@
     def begin(self, now: float) -> None:
         """A life of its own, by when it begins: with the numbers of the last one its grants would pass for
         ours, and what we ask for what was granted before."""
-        # By name: an index of records compares all their fields.
-        self.class_index = {kind.name: place for place, kind in enumerate(self.settings.classes)}
-        self.plan_index = {plan.name: place for place, plan in enumerate(self.settings.plans)}
+        reconfigure.index(self)
         self.hold_ms = HOLD_PINGS * ping_ms(self.settings)
         self.boot, self.serial = random.Random(f"{self.boot}/{now}").choices(range(1 << 16), k=2)
         if self.pings_all():  # who tells nothing from the start may be cut off, and live by its own part
@@ -261,6 +259,8 @@
         gone_s = 0.0 if self.heir else (now - account.at_ms) / 1000
         account.at_ms = now
         account.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
+        if account.plan is not plan or plan.name not in self.plan_index:  # the settings have changed
+            gone_s, plan = reconfigure.renew(self, now, account, arrival.first_gateway, gone_s)
         alone = account.home in self.silent and self.is_lost(now, account.home)
         if alone or now - account.total_ms > 2 * DEMAND_MEMORY_MS:
             account.total = 0.0  # nothing is heard: the even slice serves
@@ -288,17 +288,12 @@
             plan, gone_s = account.plan, (now - account.at_ms) / 1000
             idle = gone_s * 1000 > FORGET_MS and id(account) not in open_now and not account.out
             fills = plan.ceiling_per_s * account.slice * gone_s
+            full = account.ceiling + fills >= plan.ceiling_burst * account.slice
             if idle and account.own + plan.rate_per_s / account.spread * gone_s >= 0 and (
-                    account.ceiling + fills >= plan.ceiling_burst * account.slice):
+                    full or plan.name not in self.plan_index):
                 del self.accounts[name]
         for key in part_of(self.stores, self.stores_left):
-            store = self.stores[key]
-            plan, gone_s = store.plan, (now - store.at_ms) / 1000
-            idle = gone_s * 1000 > FORGET_MS and not store.queue and store.wake_ms == math.inf
-            if idle and store.level + plan.rate_per_s * gone_s >= plan.burst and (
-                    not plan.ceiling_per_s or store.ceiling + plan.ceiling_per_s * HOME_CEILING * gone_s
-                    >= plan.ceiling_burst * HOME_CEILING) and all(
-                    until <= now for until in store.leases.values()):
+            if now - self.stores[key].at_ms > FORGET_MS and is_full(self.stores[key], now, HOME_CEILING):
                 del self.stores[key]
 
     def request(self, now: float, request: Request) -> bool:
@@ -395,13 +390,15 @@
         return account.own >= 0 and not (request.plan.max_out and account.out) and self.draw(now, request)
 
     def tell_home(self, now: float, kind: Kind, request: Request) -> None:
-        account = request.account
+        account, place = request.account, self.plan_index.get(request.plan.name)
+        if place is None:  # of a plan that was dropped nobody has a store; a slot ends by its time
+            return
         if not request.serial:
             self.serial = request.serial = self.serial % 0xFFFF + 1
             self.asking[request.serial] = request
         item = Item(
             kind, account.tag, request.serial, request.arrival.units, account.asked * 1000 / DEMAND_MEMORY_MS,
-            self.class_index[request.kind.name], self.plan_index[request.plan.name], account.spread)
+            self.class_index.get(request.kind.name, 0), place, account.spread)  # what goes back is of any
         self.say(now, account.home, item)
         if kind is Kind.SPENT and account.home in self.silent:
             late = now, item._replace(kind=Kind.LATE)
@@ -523,7 +520,7 @@
             # Danger: it went out on credit, and the grant that comes too late would be given back. Seen: 21
             # units beyond a quota of 20 s, with messages late by 200 ms. If it was given back, it is booked.
             if key in store.backs and not plan.max_out:
-                store.level = max(-plan.burst, store.level - item.units)
+                store.level = max(min(-plan.burst, store.level), store.level - item.units)
             store.backs.add(key)
         elif item.kind is Kind.BACK:
             free = store.leases.pop(key, None) is None and key in store.done and not plan.max_out
@@ -588,7 +585,8 @@
             store.backs &= store.done.keys()
             store.spent &= store.done.keys()
         store.done[key] = now
-        store.level, store.ceiling = max(-store.plan.burst, store.level - item.units), store.ceiling - ceiling
+        floor = min(-store.plan.burst, store.level)  # it may have had more to owe by
+        store.level, store.ceiling = max(floor, store.level - item.units), store.ceiling - ceiling
         if store.plan.max_out:
             store.leases[key] = now + LEASE_AIMS * self.settings.classes[item.class_index].aim_ms
 
@@ -781,8 +779,8 @@
         """One outcome: its time against the usual, or inf where it failed. Full is a failure too: what
         answers fast without serving looks idle and draws all there is."""
         fade, backend.slow = math.exp((backend.seen_ms - now) / FAIL_MEMORY_MS), self.slow(now, backend)
-        backend.seen = {other: count * fade for other, count in backend.seen.items()}
-        backend.bad = {other: count * fade for other, count in backend.bad.items()}
+        backend.seen = {other: n * fade for other, n in backend.seen.items() if other in self.names}
+        backend.bad = {other: n * fade for other, n in backend.bad.items() if other in self.names}
         backend.seen[name] = backend.seen.get(name, 0.0) + weight
         if ratio == math.inf:
             backend.bad[name] = backend.bad.get(name, 0.0) + weight
@@ -796,8 +794,9 @@
         if weight > HEARD_WEIGHT:  # first-hand: worth telling
             if ratio == math.inf:
                 backend.accused[-1] = now
-            seen = sighting(backend.entry.id, self.names.index(name), ratio)
-            self.sightings = [*self.sightings[1 - MAX_SIGHTINGS:], (now, seen)]
+            if name in self.names:  # it may have been dropped
+                seen = sighting(backend.entry.id, self.names[name], ratio)
+                self.sightings = [*self.sightings[1 - MAX_SIGHTINGS:], (now, seen)]
 
     def hear(self, now: float, sender: int, sightings: tuple[Sighting, ...]) -> None:
         """What a peer saw weighs the less the more we see ourselves, or all would flee and crowd alike.
@@ -816,7 +815,7 @@
                 backend.accused[sender] = now
                 if len(backend.accused) < 2:
                     continue
-            self.learn(now, backend, self.names[seen.class_index], ratio, weight)
+            self.learn(now, backend, self.settings.classes[seen.class_index].name, ratio, weight)
 
 
 class Controller:
@@ -827,7 +826,7 @@
         self.classes = {kind.name: kind for kind in settings.classes}
         self.plans = {plan.name: plan for plan in settings.plans}
         self.window, self.servers = Window(settings.gateways), Servers(
-            settings, self.rng, list(self.classes), Bans(settings.warm_up_ms))
+            settings, self.rng, {name: n for n, name in enumerate(self.classes)}, Bans(settings.warm_up_ms))
         self.shares = {kind.name: FuzzyShare(kind.aim_ms * (1 - ANSWER_PART), 1 / len(settings.classes))
                        for kind in settings.classes}
         self.waits: dict[str, list[float]] = {kind.name: [] for kind in settings.classes}
@@ -909,6 +908,9 @@
                 self.on_heard(event)
             case Order():
                 self.on_order(event)
+            case Reconfigure():
+                wrong = reconfigure.apply(self, self.now, event.settings)
+                self.actions.append(Said(event.number, wrong))
             case Leave():
                 self.actions.append(Estate(estate.leave(self)))
             case Inherit():
@@ -1049,6 +1051,7 @@
         """Forget what is over: customers, servers that went, and what the agenda holds for requests that have
         ended."""
         self.quota.forget(self.now, self.requests.values())
+        reconfigure.forget(self)
         zones = {backend.entry.zone for backend in self.servers.known.values()}
         self.late = {view: late for view, late in self.late.items() if len(view) == 1 or (
             view[2] in self.servers.known if len(view) == 3 else view[1] in zones)}
@@ -1187,7 +1190,8 @@
         self.servers.bans.sent(backend.entry.id)
         self.actions.append(Send(number, backend.entry.id, max(1.0, request.arrival.due_ms - self.now),
                                  self.repeat_left(request) if request.uncertain else math.inf))
-        self.attempts[number, request.attempts] = Attempt(backend, request.kind.name, self.now)
+        self.attempts[number, request.attempts] = Attempt(
+            backend, request.kind.name, self.now, request.kind.aim_ms)
         request.out[request.attempts] = backend
         request.tried.append(backend)
         if not request.uncertain:
@@ -1261,9 +1265,9 @@
         if event.load:
             self.servers.report(self.now, backend, event.load)
         if event.result is Result.OK:
-            self.window.answered_ms += self.classes[class_name].aim_ms
+            self.window.answered_ms += attempt.aim_ms
             self.window.well += 1
-            timely = event.took_ms <= self.classes[class_name].aim_ms
+            timely = event.took_ms <= attempt.aim_ms
             self.timely[class_name] += (timely - self.timely[class_name]) * USUAL_GAIN
             ratio = event.took_ms / usual
             self.usual[class_name] += (event.took_ms - usual) * USUAL_GAIN * (not self.stalled)
--- a/anisefront/estate.py
+++ b/anisefront/estate.py
@@ -19,9 +19,11 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
+from anisefront.interface import Plan
 from anisefront.messages import Item, Kind, tag_of
+from anisefront.reconfigure import refigure, renew
 from anisefront.state import Account, Ask, Backend, Store
-from anisefront.stores import renamed
+from anisefront.stores import moved, renamed
 
 if TYPE_CHECKING:
     from anisefront.control import Controller
@@ -30,6 +32,7 @@
 _OLD_PLANS = 16  # places of plans in a store's name of form 1
 _ACCOUNT = ("tag", "spread", "home", "at_ms", "own", "ceiling", "asked", "total", "total_ms")
 _STORE = ("level", "at_ms", "ceiling", "asked", "kept", "born_ms", "before", "begun")
+_FIGURES = ("rate_per_s", "burst", "max_out", "ceiling_per_s", "ceiling_burst")
 _WINDOW = ("peak", "cut", "room", "fleet_room", "well", "full", "ended", "mean_out")
 _SERVER = ("slow", "seen_ms", "others", "report_ms")
 
@@ -54,17 +57,21 @@
         setattr(record, name, int(value) if isinstance(before, int) else float(value))
 
 
+def _alike(one: Plan, other: Plan) -> bool:
+    return all(getattr(one, name) == getattr(other, name) for name in _FIGURES)
+
+
 def _ask_row(ask: Ask) -> list[Any]:
     return [list(ask.key), list(ask.item), ask.worth, ask.came_ms, ask.until_ms]
 
 
-def _ask(row: list[Any], places: Mapping[int, int]) -> Ask | None:
-    """`places`: of the classes that there are still, by their places before."""
-    kind, tag, serial, units, asked_per_s, class_index, plan_index, spread = row[1]
+def _ask(row: list[Any], places: Mapping[int, int], plan_place: int) -> Ask | None:
+    """`places`: of the classes that there are still, by their places before. Its plan is its store's."""
+    kind, tag, serial, units, asked_per_s, class_index, _, spread = row[1]
     if class_index not in places:
         return None
     item = Item(Kind(kind), int(tag), int(serial), float(units), float(asked_per_s), places[class_index],
-                int(plan_index), int(spread))
+                plan_place, int(spread))
     return Ask(_key(row[0]), item, float(row[2]), float(row[3]), float(row[4]))
 
 
@@ -77,21 +84,30 @@
     """The state, as it is now; from here on this process has an heir."""
     quota, servers = control.quota, control.servers
     quota.heir = quota.kin = True
-    plans = control.settings.plans
+    for (_, plan, _, first), account in quota.accounts.items():
+        if account.plan is not control.plans.get(plan):  # for what was before its plan changed nothing fills
+            account.at_ms = max(account.at_ms, quota.changed_ms)
+            renew(quota, account.at_ms, account, first, 0.0)
+    # Of plans that were dropped some stores may not be full yet.
+    plans = [*control.plans.values(),
+             *{store.plan.name: store.plan for store in quota.parted.values()}.values()]
+    at = {plan.name: place for place, plan in enumerate(plans)}
+    stores = [*quota.stores.items(), *((key[0], store) for key, store in quota.parted.items())]
     banned, back = servers.bans.state()
     return {
         "form": FORM, "number": control.settings.number, "gateways": control.settings.gateways,
-        "classes": list(control.classes), "plans": [plan.name for plan in plans],
+        "classes": list(control.classes), "plans": list(at),
+        "figures": {plan.name: _row(plan, _FIGURES) for plan in plans},
         "bans": list(banned), "back": [list(row) for row in back],
         "draining": control.draining.since_ms,
         "accounts": [[list(name), _row(account, _ACCOUNT)] for name, account in quota.accounts.items()],
-        "stores": [[name, plans.index(store.plan), _row(store, _STORE), list(store.members),
+        "stores": [[name, at[store.plan.name], _row(store, _STORE), list(store.members),
                     [[who, ms] for who, ms in store.askers.items()],
                     [[list(key), ms] for key, ms in store.done.items()],
                     [list(key) for key in store.backs], [list(key) for key in store.spent],
                     [[list(key), ms] for key, ms in store.leases.items()],
                     [_ask_row(ask) for ask in store.queue]]
-                   for name, store in quota.stores.items()],
+                   for name, store in stores],
         "last_ms": [[other, ms] for other, ms in quota.last_ms.items()],
         "heard_ms": [[other, ms] for other, ms in quota.heard_ms.items()],
         "told_ms": [[other, ms] for other, ms in quota.told_ms.items()],
@@ -114,7 +130,9 @@
         raise ValueError("the state of another gatekeeper")
     plans = {plan.name: plan for plan in settings.plans}
     try:
-        accounts, stores, backends = {}, {}, {}
+        accounts, stores, parted, backends = {}, {}, {}, {}
+        figures = {name: Plan(name, **dict(zip(_FIGURES, row, strict=True)))
+                   for name, row in left.get("figures", {}).items()}
         old = left["form"] == OLD_FORM
         now_at = {kind.name: place for place, kind in enumerate(settings.classes)}
         places = {place: now_at[name] for place, name in enumerate(() if old else left["classes"])
@@ -126,18 +144,32 @@
                 _fill(account, _ACCOUNT, row)
                 account.tag = tag_of(customer)
                 account.slice = quota.slice(account, int(first))
+                before = figures.get(plan, plans[plan])
+                if not _alike(before, plans[plan]):  # its figures are others now
+                    account.at_ms, account.ceiling = now, account.ceiling if before.ceiling_per_s else 0.0
         for name, place, row, members, askers, done, backs, spent, leases, queue in left["stores"]:
-            # Its name holds the plan's place, so a plan that has moved is another store.
-            if place < len(settings.plans) and settings.plans[place].name == left["plans"][place]:
-                number = renamed(*divmod(int(name), _OLD_PLANS)) if old else int(name)
-                store = stores[number] = Store(settings.plans[place], 0.0, now)
+            # Its name holds the plan's place, which may be another here.
+            plan = left["plans"][place]
+            number = renamed(*divmod(int(name), _OLD_PLANS)) if old else int(name)
+            plan_place = quota.plan_index.get(plan, 0)
+            if plan in plans or plan in figures:
+                store = Store(figures.get(plan) or plans[plan], 0.0, now)
                 _fill(store, _STORE, row)
                 store.members = tuple(int(who) for who in members)
                 store.askers = {int(who): float(ms) for who, ms in askers}
                 store.done = {_key(key): float(ms) for key, ms in done}
                 store.backs, store.spent = {_key(key) for key in backs}, {_key(key) for key in spent}
                 store.leases = {_key(key): float(ms) for key, ms in leases}
-                store.queue = [ask for ask in (_ask(row, places) for row in queue) if ask is not None]
+                if plan not in plans:
+                    parted[moved(number, 0), plan] = store
+                    continue
+                stores[moved(number, plan_place)] = store
+                asks = (_ask(row, places, plan_place) for row in queue)
+                store.queue = [ask for ask in asks if ask is not None]
+                if _alike(store.plan, plans[plan]):
+                    store.plan = plans[plan]
+                else:
+                    refigure(quota, store, plans[plan], now)
         for name, started_ms, row, seen, bad, cold_ms in left["servers"]:
             known = servers.known.get(name)
             if known is not None and known.entry.started_ms == started_ms:  # what restarted has no past
@@ -164,8 +196,8 @@
     except (KeyError, TypeError, AttributeError, IndexError) as problem:
         raise ValueError(f"a state that cannot be read: {problem!r}") from problem
     quota.kin = True
-    quota.accounts, quota.stores = accounts, stores
-    quota.accounts_left, quota.stores_left = [], []
+    quota.accounts, quota.stores, quota.parted = accounts, stores, parted
+    quota.accounts_left, quota.stores_left, quota.parted_left = [], [], []
     quota.last_ms.update(numbers["last_ms"])
     quota.heard_ms, quota.told_ms = numbers["heard_ms"], numbers["told_ms"]
     quota.silent, quota.rtt_ms = silent, rtt_ms
--- a/anisefront/interface.py
+++ b/anisefront/interface.py
@@ -270,6 +270,14 @@
     server: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Reconfigure:
+    """Other settings from now on; `number` names this in the answer, a `Said`: refused, nothing changes."""
+
+    number: int
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Leave:
     """Another process of this gatekeeper takes over: its state is due, as an `Estate`."""
@@ -287,8 +295,8 @@
     """The process that took over has died; this one goes on."""
 
 
-Event = (Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted | Order | Leave
-         | Inherit | Resume)
+Event = (Fleet | Arrival | Started | Outcome | ClientGone | Woken | Heard | Probed | Counted | Order
+         | Reconfigure | Leave | Inherit | Resume)
 
 
 # ---- actions ------------------------------------------------------------------------------------
@@ -360,7 +368,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Said:
-    """The answer to an order: what is wrong with it, or nothing where it is in force."""
+    """The answer to an order, or to other settings: what is wrong, or nothing where they are in force."""
 
     number: int
     wrong: str = ""
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -91,6 +91,7 @@
     backend: Backend
     class_name: str
     sent_ms: float
+    aim_ms: float = 0.0  # of its class, as it was when its request came
     overdue_ms: float = 0.0  # the wait that made it overdue; 0: it is not
     lost: float = 0.0  # the part of it that the window does not count
     chance: float = 1.0  # that it still answers, when it was last looked at
@@ -173,8 +174,12 @@
     plan_index: dict[str, int] = field(default_factory=dict)
     accounts: dict[tuple[str, str, int, int], Account] = field(default_factory=dict)
     stores: dict[int, Store] = field(default_factory=dict)  # of which this gateway is the home, by store_name
+    # Of plans that were dropped, by their store_name without the plan's place, and the plan's name.
+    parted: dict[tuple[int, str], Store] = field(default_factory=dict)
+    changed_ms: float = -math.inf  # when a plan's figures changed last, or one came or went
     accounts_left: list[tuple[str, str, int, int]] = field(default_factory=list)  # not tidied in this round
     stores_left: list[int] = field(default_factory=list)
+    parted_left: list[tuple[int, str]] = field(default_factory=list)
     asking: dict[int, Request] = field(default_factory=dict)  # by serial
     outbox: dict[int, list[Item]] = field(default_factory=dict)  # by gateway
     heard_ms: dict[int, float] = field(default_factory=dict)  # when other gateways last told us anything
@@ -197,7 +202,7 @@
 
     settings: Settings
     rng: random.Random
-    names: list[str]  # of the classes
+    names: dict[str, int]  # of the classes, and their places in the settings
     bans: Bans
     known: dict[str, Backend] = field(default_factory=dict)
     by_tag: dict[int, Backend] = field(default_factory=dict)
--- a/anisefront/stores.py
+++ b/anisefront/stores.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from anisefront.messages import Item
 from anisefront.state import Ask, Store
 
@@ -26,6 +28,23 @@
     return -1 - (old_tag << _PLAN_BITS | plan_index)
 
 
+def moved(name: int, place: int) -> int:
+    """The name of the same customer's store of the plan at another place; either kind of name."""
+    if name < 0:
+        return -1 - ((-1 - name) >> _PLAN_BITS << _PLAN_BITS | place)
+    return name >> _PLAN_BITS << _PLAN_BITS | place
+
+
+def is_full(store: Store, now: float, ceiling_part: float) -> bool:
+    """Whether nothing waits there, no slot is taken and it is full again by now: made anew it would hold no
+    less. `ceiling_part`: the home's, of a ceiling."""
+    plan, gone_s = store.plan, (now - store.at_ms) / 1000
+    return (not store.queue and (not plan.rate_per_s or store.level + plan.rate_per_s * gone_s >= plan.burst)
+            and (not plan.ceiling_per_s or store.ceiling + plan.ceiling_per_s * ceiling_part * gone_s
+                 >= plan.ceiling_burst * ceiling_part)
+            and all(until <= now for until in store.leases.values()) and store.wake_ms == math.inf)
+
+
 def begin_with(store: Store, asked_per_s: float) -> None:
     """A new store's first word from one more gateway, which asked for so many units a second before it.
 
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -299,7 +299,7 @@
     log.info("gatekeeper %s is up", config.name)
 
     await stop.wait()
-    serve_s, end_s, gone_s = ending_of(kind.deadline_ms / 1000 for kind in config.settings.classes)
+    serve_s, end_s, gone_s = ending_of(ms / 1000 for ms in gatekeeper.deadlines_ms())
     gatekeeper.leave((stop.at_s + end_s - loop.time()) * 1000)
     if part is not None:
         part.leave()
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from anisefront.draining import Door
-from anisefront.interface import RequestClass
+from anisefront.interface import RequestClass, Settings
 from plumpick.clock import Timers, Clock
 
 SWEEP_MS = 100.0  # how often fronts close what has had its time
@@ -111,6 +111,9 @@
     def limit(self, sockets: int) -> None:
         """How many descriptors the process may hold from now on."""
 
+    def reconfigure(self, settings: Settings) -> None:
+        """What is read from now on goes by these; of what is open nothing changes."""
+
 
 class Core(Protocol):
     """What a front asks of the core."""
--- a/plumpick/fronts/http/front.py
+++ b/plumpick/fronts/http/front.py
@@ -103,6 +103,9 @@
     def limit(self, sockets: int) -> None:
         self.admission.limit(sockets)
 
+    def reconfigure(self, settings: Settings) -> None:
+        self.forms = Forms(settings)
+
     def give_idle(self, take: Callable[[Any], None]) -> None:
         """Give the connections on which nothing is open to another process. `take` gets each one's transport
         and keeps its own copy of the descriptor.
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -16,7 +16,8 @@
 from anisefront.draining import LATE_FOR_MS, Door
 from anisefront.interface import (
     Action, Arrival, Call, Cancel, ClientGone, Doors, Estate, Event, Fail, Fleet, Heard, Inherit, Leave,
-    Order, Outcome, Probe, Refuse, Result, Resume, Said, Send, Started, State, Subscribe, Tell, Wake, Woken,
+    Order, Outcome, Probe, Reconfigure, Refuse, Result, Resume, Said, Send, Started, State, Subscribe, Tell,
+    Wake, Woken,
 )
 from anisefront.standing import Standing
 from plumpick.clock import Timer, Timers
@@ -39,6 +40,8 @@
 LEASES = b"\xd5"  # the first byte of words about leases (anisefront/ownership/words.py)
 SERVED, REFUSED, FAILED = 0, 1, 2  # as anisefront/usage.py has them
 LOG_EVERY_MS = 10_000.0  # a fault of the module is logged at most so often
+# What of the configuration is none of its settings; the workers' list is discovery's to change.
+SERVICE = ("name", "listen", "sockets", "peer_listen", "peers", "peers_all", "memory_mb", "management")
 REMEMBER_MS = 2000.0  # for once to twice as long an id stays known after its request has ended
 
 log = logging.getLogger(__name__)
@@ -197,6 +200,38 @@
         self._turn()
         return self._said.pop(number, "the order failed; see the log")
 
+    def reconfigure(self, config: Config) -> str:
+        """Go on by other settings, from the next turn on; what is wrong, in one line that names its key, and
+        then nothing has changed. `config`: the present one but for what its settings say.
+
+        What is open keeps the class and plan under which it came, and no connection closes."""
+        for name in SERVICE:
+            if getattr(config, name) != getattr(self.config, name):
+                return f"{name}: it cannot change before a restart"
+        for key, value in (("dialTimeoutMs", config.dial_timeout_ms), ("connIdleMs", config.idle_ms)):
+            if not 0 < value < math.inf:
+                return f"settings.limits.{key}: {value!r} is not above 0"
+        self._serial += 1
+        number = self._serial
+        self.notice(Reconfigure(number, config.settings))
+        self._turn()
+        wrong = self._said.pop(number, "the module failed on them; see the log")
+        if wrong:
+            return wrong
+        self.config, self.settings = config, config.settings
+        self.workers.reconfigure(config.idle_ms, config.dial_timeout_ms, config.settings.report_fields)
+        for front in self._fronts:
+            front.reconfigure(config.settings)
+        return ""
+
+    def deadlines_ms(self) -> list[float]:
+        """For how long requests may be open: of each class in force, and what is left to those that are open,
+        which may be of older ones."""
+        now = self.clock.now()
+        left = [request.due_ms - now if request.due_ms < math.inf else request.wait_ms
+                for request in self.open.values()]
+        return [kind.deadline_ms for kind in self.settings.classes] + left
+
     def _say(self, action: Said) -> None:
         self._said[action.number] = action.wrong
 
--- a/plumpick/upstream/workers.py
+++ b/plumpick/upstream/workers.py
@@ -395,13 +395,17 @@
                  is_quiet: Callable[[Any], bool], budget: Budget,
                  was_reset: Callable[[Any], bool] = lambda _transport: False) -> None:
         self._loop, self._clock, self._timers, self.looks_quiet = loop, clock, timers, is_quiet
-        self._idle_ms, self._dial_ms = idle_ms * IDLE_PART, dial_timeout_ms
-        self._max, self._fields, self.was_reset = max_connections, report_fields, was_reset
+        self._max, self.was_reset = max_connections, was_reset
+        self.reconfigure(idle_ms, dial_timeout_ms, report_fields)
         self._known: dict[str, Worker] = {}
         self._connections = 0
         self.budget = budget
         timers.at(clock.now() + SWEEP_MS, self._sweep)
 
+    def reconfigure(self, idle_ms: float, dial_timeout_ms: float, report_fields: tuple[str, ...]) -> None:
+        """From now on go by these; a dial that has begun keeps its time."""
+        self._idle_ms, self._dial_ms, self._fields = idle_ms * IDLE_PART, dial_timeout_ms, report_fields
+
     def connections(self) -> int:
         """How many there are, or are being made."""
         return self._connections
--- /dev/null
+++ b/tests/test_reconfigure.py
@@ -0,0 +1,647 @@
+"""Other settings in service, the module alone: what is open keeps its own, nothing is granted twice, no table
+grows, and what cannot be taken changes nothing."""
+
+import copy
+import itertools
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from quota_rig import TICK_MS, Rig
+from test_handover import left_by
+from test_module import ask, gateway, of, outcome
+from test_rules import Checker, Town, settings
+
+from anisefront import reconfigure
+from anisefront.control import FORGET_MS, OWN_PART, Controller
+from anisefront.interface import (
+    Arrival, Cancel, Fail, Fleet, Heard, Inherit, Leave, Plan, Reconfigure, Refuse, Repeat, RequestClass,
+    Result, Resume, Said, Scope, Send, Server, State, Subscribe, Tell, Wake,
+)
+from anisefront.messages import Codec, Item, Kind, tag_of
+from anisefront.settings import MAX_PLANS
+
+NAMES = itertools.count(1)
+
+
+def change(control, now, new, *before):
+    """Take over these settings in a turn of its own; what is said to them."""
+    said = of(Said, control.handle(now, [*before, Reconfigure(next(NAMES), new)]))
+    assert not control.faults
+    return said[0].wrong
+
+
+def with_class(given, name, **figures):
+    return replace(given, classes=tuple(
+        replace(kind, **figures) if kind.name == name else kind for kind in given.classes))
+
+
+def with_plan(given, name, **figures):
+    return replace(given, plans=tuple(
+        replace(plan, **figures) if plan.name == name else plan for plan in given.plans))
+
+
+def without(given, name):
+    return replace(given, classes=tuple(kind for kind in given.classes if kind.name != name),
+                   plans=tuple(plan for plan in given.plans if plan.name != name))
+
+
+FLEET_6 = Fleet(tuple(Server(f"s{n}", f"z{n % 2}", n % 4, State.READY) for n in range(6)))
+
+
+# -- what cannot be taken
+
+
+@pytest.mark.parametrize("spoil, key", [
+    (lambda s: replace(s, gateways=4), "settings.balancers"),
+    (lambda s: replace(s, number=1), "settings.myNumber"),
+    (lambda s: replace(s, zone="elsewhere"), "settings.locality"),
+    (lambda s: replace(s, must_subscribe=True), "settings.discovery"),
+    (lambda s: replace(s, may_tell=False), "settings.limits.mayTell"),
+    (lambda s: replace(s, classes=(*s.classes, s.classes[1])), "settings.classes[6].name"),
+    (lambda s: replace(s, plans=(s.plans[0], *s.plans)), "settings.packages[1].name"),
+    (lambda s: replace(s, plans=tuple(Plan(f"p{n}") for n in range(MAX_PLANS + 1))), "settings.packages"),
+    (lambda _: None, "settings"), (lambda _: {"classes": []}, "settings")])
+def test_what_cannot_change_in_service_is_refused_whole_by_one_line_that_names_its_key(spoil, key):
+    control, other = gateway(), gateway()
+    events = [FLEET_6, ask(1), ask(2, "debit"), ask(3, plan="open")]
+    bad = spoil(with_class(with_plan(settings(), "rated", rate_per_s=99.0), "look", aim_ms=1.0))
+    actions = control.handle(1000.0, [*events, Reconfigure(7, bad)])
+    said = [action for action in actions if isinstance(action, Said)]
+    assert not control.faults and [one.number for one in said] == [7]
+    assert said[0].wrong.startswith(key) and "\n" not in said[0].wrong
+    assert [one for one in actions if not isinstance(one, Said)] == other.handle(1000.0, events)
+    assert control.settings == settings()
+    for step in range(1, 200):  # and nothing later either
+        more = [ask(100 + step, due=1000.0 + 20 * step + 900)]
+        assert control.handle(1000.0 + 20 * step, more) == other.handle(1000.0 + 20 * step, more)
+
+
+# -- the same settings
+
+
+class Often(Controller):
+    """Told the settings that it has, again and again, as objects of their own."""
+
+    def __init__(self, config, seed):
+        super().__init__(config, seed)
+        self.turns = 0
+
+    def handle(self, now_ms, events):
+        self.turns += 1
+        if self.turns % 3 == 0:
+            events = [*events, Reconfigure(self.turns, copy.deepcopy(self.settings))]
+        actions = super().handle(now_ms, events)
+        assert all(action.wrong == "" for action in of(Said, actions))
+        return [action for action in actions if not isinstance(action, Said)]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_the_same_settings_over_again_change_no_action(seed, monkeypatch):
+    plain = Town(seed, gateways=3)
+    plain.run(8000)
+    monkeypatch.setattr("test_rules.Controller", Often)
+    told = Town(seed, gateways=3)
+    told.run(8000)
+    assert all(isinstance(one, Often) for one in told.gateways.values())
+    assert len(plain.log) > 1000 and plain.log == told.log
+
+
+# -- what is open
+
+
+def test_a_request_keeps_its_class_to_its_end_also_where_that_is_dropped():
+    control = gateway()
+    first, second = of(Send, control.handle(1000.0, [FLEET_6, ask(1, "debit"), ask(2, "look")]))
+    new = without(with_class(settings(), "look", repeat=Repeat.UNSAFE), "debit")
+    assert change(control, 1010.0, new) == ""
+    actions = control.handle(1050.0, [outcome(first, Result.ERROR), outcome(second, Result.ERROR),
+                                      ask(3, "debit"), ask(4, "look")])
+    by_id = {send.id: send for send in of(Send, actions)}
+    assert of(Fail, actions) == [Fail(1)]  # one run of an unsafe one, as when it came
+    assert 2 in by_id  # a further attempt at what was safe when it came
+    assert of(Refuse, actions)[0].id == 3  # of a class that is not there
+    assert of(Fail, control.handle(1100.0, [outcome(by_id[4], Result.ERROR)])) == [Fail(4)]
+    assert not of(Fail, control.handle(1110.0, [outcome(by_id[2], Result.OK, 1)]))
+    assert not control.requests and not control.attempts
+
+
+def test_a_class_that_appears_is_served_at_once_and_learned_from_its_start():
+    control = gateway()
+    control.handle(1000.0, [FLEET_6])
+    new = RequestClass("new", 400, 1000, 5, Repeat.SAFE)
+    assert change(control, 1004.0, replace(settings(), classes=(new, *settings().classes))) == ""
+    send, = of(Send, control.handle(1008.0, [ask(1, "new", due=2000.0)]))
+    assert control.top_rank == 5 * 1.5
+    control.handle(1050.0, [outcome(send, Result.OK)])
+    fresh = Controller(control.settings, 1)
+    assert list(control.usual) != list(fresh.usual) and control.usual.keys() == fresh.usual.keys()
+    assert control.shares["new"].aim_s == fresh.shares["new"].aim_s
+
+
+def test_what_was_learned_of_a_class_stays_and_goes_with_it_once_nothing_of_it_is_open():
+    control = gateway()
+    sent = of(Send, control.handle(1000.0, [FLEET_6, ask(1, "look"), ask(2, "feed")]))
+    look, feed = sorted(sent, key=lambda send: send.id)
+    control.handle(1300.0, [outcome(look, Result.OK, took=300.0)])
+    usual = control.usual["look"]
+    assert change(control, 1310.0, without(settings(), "feed")) == ""
+    assert control.usual["look"] == usual != 150.0
+    for step in range(20):
+        control.handle(1400.0 + 100 * step, [])
+    assert "feed" in control.shares and control.late["feed",]
+    control.handle(3500.0, [outcome(feed, Result.OK)])
+    for step in range(10):
+        control.handle(3600.0 + 100 * step, [])
+    tables = control.shares, control.waits, control.usual, control.timely
+    assert not any("feed" in table for table in tables)
+    assert not any(view[0] == "feed" for view in control.late)
+    assert change(control, 5000.0, settings()) == "" and "feed" in control.usual
+
+
+def test_who_waits_for_a_quota_under_a_plan_that_goes_is_told_at_once_and_others_wait_on():
+    control = gateway(number=0)
+    # Its home is another gateway, which has not answered.
+    customer = next(f"c{n}" for n in itertools.count() if tag_of(f"c{n}") % 0x100000000 % 3 == 1)
+    control.handle(1000.0, [FLEET_6, ask(1, plan="rated", customer=customer),
+                            ask(2, plan="capped", customer=customer)])
+    assert sum(request.waiting for request in control.requests.values()) == 2
+    actions = control.handle(1004.0, [Reconfigure(1, without(settings(), "capped"))])
+    assert [one.id for one in of(Refuse, actions)] == [2] and list(control.requests) == [1]
+    assert not control.faults
+    # And of its own stores: who waits there under a class that goes is denied, the others stay.
+    own = Controller(with_plan(settings(), "rated", rate_per_s=40.0, over_worth=0.0), 1)
+    home = next(f"c{n}" for n in itertools.count() if tag_of(f"c{n}") % 0x100000000 % 3 == 0)
+    crowd = [ask(n, ("book", "seat")[n % 2], customer=home, due=4000.0) for n in range(60)]
+    own.handle(1000.0, [FLEET_6, *crowd])
+    store, = own.quota.stores.values()
+    before = [own.settings.classes[one.item.class_index].name for one in store.queue]
+    assert {"book", "seat"} == set(before)
+    actions = own.handle(1000.001, [Reconfigure(1, without(own.settings, "book"))])
+    left = [own.settings.classes[one.item.class_index].name for one in store.queue]
+    assert not own.faults and left == ["seat"] * before.count("seat")
+    assert len(of(Refuse, actions)) == before.count("book") and not of(Send, actions)
+
+
+def test_what_waits_to_be_told_is_renamed_and_what_cannot_be_goes_out_by_the_old_names():
+    control = gateway(number=0)
+    old = control.settings
+    control.handle(1000.0, [FLEET_6])
+    control.quota.outbox = {1: [
+        Item(Kind.SPENT, 7, 1, 1.0, 2.0, 0, 1, 3), Item(Kind.ASK, 7, 2, 1.0, 2.0, 0, 1, 3),
+        Item(Kind.BACK, 8, 3, 1.0, 2.0, 1, 0, 3), Item(Kind.ASK, 9, 4, 1.0, 2.0, 1, 2, 3)]}
+    control.quota.told_ms[1] = 1000.0
+    control.quota.unheard = {2: [(1000.0, Item(Kind.LATE, 7, 5, 1.0, 2.0, 3, 1, 3)),
+                                 (1000.0, Item(Kind.LATE, 7, 6, 1.0, 2.0, 3, 0, 3))]}
+    new = without(without(replace(old, classes=old.classes[::-1], plans=old.plans[::-1]), "look"), "rated")
+    actions = control.handle(1000.001, [Reconfigure(1, new)])
+    told = [item for tell in of(Tell, actions) for news in [Codec(old).decode(tell.data)] if news
+            for item in news.items]
+    assert [(item.kind, item.serial) for item in told] == [(Kind.BACK, 3)]  # of the plan that is gone
+    waits = control.quota.outbox.get(1, []) + [
+        item for tell in of(Tell, actions) for news in [Codec(new).decode(tell.data)] if news
+        for item in news.items]
+    assert [item.serial for item in waits] == [1, 4]  # no question for a class that is gone
+    assert [new.plans[item.plan_index].name for item in waits] == ["capped", "open"]
+    assert new.classes[waits[1].class_index].name == "book"
+    late, = control.quota.unheard[2]
+    assert late[1].serial == 5 and new.classes[late[1].class_index].name == "seat"
+
+
+def test_peers_of_other_names_are_not_heard_until_they_have_changed_too():
+    one, two = gateway(number=0), gateway(number=1)
+    new = with_plan(settings(), "rated", rate_per_s=5.0)
+    data = two.codec.encode(1, 1.0, [Item(Kind.ASK, 7, 1, 1.0, 2.0, 0, 0, 3)], [])
+    change(one, 1000.0, new)
+    one.handle(1004.0, [Heard(1, data)])
+    assert one.quota.stores  # other figures, the same names: it is heard
+    dropped = without(settings(), "feed")
+    change(one, 1008.0, dropped)
+    heard_ms = dict(one.quota.heard_ms)
+    one.handle(1012.0, [Heard(1, data)])
+    assert one.quota.heard_ms == heard_ms
+    change(two, 1016.0, replace(dropped, number=1))
+    one.handle(1020.0, [Heard(1, two.codec.encode(1, 1.0, [], []))])
+    assert one.quota.heard_ms[1] == 1020.0
+
+
+def test_slots_that_are_taken_stay_taken_over_a_change_and_come_back():
+    control = gateway()
+    home = next(f"c{n}" for n in itertools.count() if tag_of(f"c{n}") % 0x100000000 % 3 == 0)
+    sends = of(Send, control.handle(1000.0, [
+        FLEET_6, *(ask(n, plan="open", customer=home) for n in range(6))]))
+    assert len(sends) == 4  # as many as may be out at once
+    lower = with_plan(settings(), "open", max_out=2)
+    assert change(control, 1004.0, replace(lower, plans=lower.plans[::-1])) == ""
+    store, = control.quota.stores.values()
+    assert len(store.leases) == 4
+    assert not of(Send, control.handle(1008.0, [outcome(sends[0], Result.OK), outcome(sends[1], Result.OK)]))
+    assert len(of(Send, control.handle(1012.0, [outcome(sends[2], Result.OK)]))) == 1
+    assert change(control, 1016.0, without(settings(), "open")) == ""
+    parted, = control.quota.parted.values()
+    assert len(parted.leases) == 2 and not control.quota.stores
+    assert change(control, 1020.0, settings()) == ""
+    assert len(of(Send, control.handle(1024.0, [
+        ask(n, plan="open", customer=home) for n in range(20, 26)]))) == 2
+
+
+# -- quotas over a change
+
+
+class Books:
+    """A bucket by the figures in force. `gap_rate`: by which it fills while there is no such plan."""
+
+    def __init__(self, rate, burst):
+        self.level, self.at, self.rate, self.burst, self.worst = burst, 0.0, rate, burst, 0.0
+
+    def to(self, now):
+        self.level = min(max(self.level, self.burst), self.level + self.rate * (now - self.at) / 1000)
+        self.level, self.at = min(self.burst, self.level), now
+
+    def change(self, now, rate, burst):
+        self.to(now)
+        self.rate, self.burst, self.level = rate, burst, min(self.level, burst)
+
+    def take(self, now):
+        self.to(now)
+        self.level -= 1
+        self.worst = max(self.worst, -self.level)
+
+
+class Changing(Rig):
+    """The rig, whose firm's plan changes at all of its gateways, one after the other."""
+
+    def put(self, number, plan):
+        config = self.modules[number].settings
+        self.notice(number, self.life[number], Reconfigure(
+            1, replace(config, plans=(plan,) if plan else (Plan("other", 1.0, 1.0),))))
+
+    def change(self, at_ms, plan, gap_ms=0.0):
+        for number in range(self.gateways):
+            self.at(at_ms + gap_ms * number, self.put, number, plan)
+
+
+STEPS = [(8.0, 16.0), (16.0, 32.0), (2.0, 4.0), None, (8.0, 16.0), (8.0, 2.0), (20.0, 16.0), None, (4.0, 8.0)]
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("gateways, spread", [(1, 1), (4, 4)])
+def test_a_firm_at_full_speed_gets_no_more_than_the_figures_in_force_allow(gateways, spread, seed):
+    """Up, down, dropped and back. While a plan is away its stores fill by the lower of both figures."""
+    rng = random.Random(seed)
+    steps = [STEPS[0], *rng.choices(STEPS, k=8)]
+    rig = Changing(*steps[0], gateways=gateways, spread=spread, seed=seed)
+    books, at_ms, changes = Books(*steps[0]), 0.0, []
+    rig.crowd(range(gateways), 60.0, 0.0, 20_000.0)
+    last = steps[0]
+    for place, step in enumerate(steps[1:], 1):
+        at_ms += rng.uniform(100.0, 4000.0)
+        plan = step and replace(rig.plan, rate_per_s=step[0], burst=step[1])
+        rig.change(at_ms, plan)
+        if step is None:
+            later = next((one for one in steps[place:] if one), last)
+            changes.append((at_ms, min(last[0], later[0]), min(last[1], later[1])))
+        else:
+            changes.append((at_ms, *step))
+            last = step
+    rig.run(20_000.0)
+    for now, _ in rig.granted:
+        while changes and changes[0][0] <= now:
+            books.change(*changes.pop(0))
+        books.take(now)
+    most = spread * (OWN_PART * max(step[1] for step in steps if step) + 1)
+    assert len(rig.granted) > 30 and books.worst <= most + 20.0 * TICK_MS / 1000
+    assert not any(module.faults for module in rig.modules)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_ceiling_is_never_passed_over_changes(seed):
+    """Its parts at all gateways, of which some change a little later than others."""
+    rng = random.Random(seed)
+    rig = Changing(40.0, 40.0, gateways=4, spread=4, seed=seed, ceiling=0.5)
+    rig.crowd(range(4), 80.0, 0.0, 20_000.0)
+    steps = [(20.0, 20.0)] + [rng.choice([
+        (20.0, 20.0), (6.0, 6.0), (30.0, 8.0), (4.0, 30.0), (0.0, 0.0), None]) for _ in range(9)]
+    books, changes, at_ms = Books(*steps[0]), [], 0.0
+    for step in steps[1:]:
+        at_ms += rng.uniform(100.0, 3000.0)
+        rig.change(at_ms, step and replace(rig.plan, ceiling_per_s=step[0], ceiling_burst=step[1]))
+        changes.append((at_ms, step))
+    rig.run(20_000.0)
+    free, counted = False, 0
+    for now, _ in rig.granted:
+        while changes and changes[0][0] <= now:
+            when, step = changes.pop(0)
+            if step and step[0]:
+                books.change(when, *step)
+                if free:  # where there was no ceiling, one begins now
+                    books = Books(*step)
+                    books.at = when
+            free = bool(step) and not step[0] or free and step is None
+        if not free:
+            books.take(now)
+            counted += 1
+    assert counted > 30 and books.worst <= 4.0, books.worst  # a ceiling's slack in the module's tests
+
+
+def plain():
+    """A plan of which nothing goes beyond its quota besides."""
+    return replace(settings(), plans=(*settings().plans, Plan("plain", 4, 12)))
+
+
+def test_a_plan_that_is_dropped_and_comes_back_does_not_begin_full():
+    control = Controller(plain(), 1)
+    home = next(f"c{n}" for n in itertools.count() if tag_of(f"c{n}") % 0x100000000 % 3 == 0)
+
+    def burst(now):
+        return len(of(Send, control.handle(now, [
+            ask(next(NAMES), "look", "plain", customer=home, due=now + 1400) for _ in range(40)])))
+    control.handle(0.0, [FLEET_6])
+    assert burst(4.0) >= 5
+    assert change(control, 20.0, settings()) == ""
+    assert burst(40.0) == 0
+    assert change(control, 60.0, plain()) == "" and burst(64.0) <= 1
+    # Long enough that it is full again: it has been forgotten, and begins as at a start.
+    assert change(control, 100.0, settings()) == "" and control.quota.parted
+    for step in range(200):
+        control.handle(200.0 + 100 * step, [])
+    assert not control.quota.parted
+    assert change(control, 21_000.0, plain()) == "" and burst(21_004.0) >= 5
+
+
+def test_an_account_is_settled_by_what_was_in_force():
+    control = gateway()
+    control.handle(0.0, [FLEET_6])
+    arrival = Arrival(1, "c", "look", "capped", 1400.0, 1, 0, 3)
+    plan = control.plans["capped"]
+    account = control.quota.account(0.0, arrival, plan)
+    control.quota.account(1000.0, arrival, plan)
+    level = account.ceiling
+    assert level > 0
+    new = with_plan(settings(), "capped", ceiling_per_s=160.0, ceiling_burst=320.0)
+    assert change(control, 3000.0, new) == ""
+    plan = control.plans["capped"]
+    control.quota.account(3000.0, arrival, plan)
+    assert account.plan is plan and account.ceiling <= level
+    control.quota.account(3010.0, arrival, plan)
+    assert account.ceiling <= level + 160.0 * 0.010
+
+
+class Unseen(dict):
+    """A table at which nobody may look as a whole."""
+
+    def __iter__(self):
+        raise AssertionError("looked at all")
+
+    keys = values = items = __iter__
+
+
+def test_a_change_looks_at_no_account():
+    control = gateway()
+    control.handle(0.0, [FLEET_6, *(ask(n, customer=f"c{n}") for n in range(200))])
+    control.quota.accounts = Unseen(control.quota.accounts)
+    new = with_plan(without(settings(), "open"), "rated", rate_per_s=5.0)
+    assert reconfigure.apply(control, 1.0, new) == ""
+    assert reconfigure.apply(control, 2.0, settings()) == ""
+
+
+# -- any sequence
+
+
+def drawn(rng, base):
+    """Legal settings, near the others that are drawn: the same few names, other figures, any order."""
+    kinds, plans = [], []
+    for name in rng.sample([f"k{n}" for n in range(7)], rng.choice((1, 3, 5, 7))):
+        deadline_ms = rng.choice((300.0, 900.0, 2500.0))
+        kinds.append(RequestClass(
+            name, deadline_ms * rng.uniform(0.2, 0.9), deadline_ms, rng.choice((0.0, 1.0, 4.0)),
+            rng.choice(list(Repeat)), scope=rng.choice(list(Scope)),
+            window_ms=rng.choice((0.0, 200.0, 1200.0)), late_worth=rng.choice((0.0, 0.5)),
+            streamed=rng.random() < 0.1))
+    for name in rng.sample([f"p{n}" for n in range(5)], rng.choice((1, 2, 4, 5))):
+        rate, ceiling = rng.choice((0.0, 2.0, 6.0, 20.0)), rng.choice((0.0, 0.0, 2.0))
+        plans.append(Plan(
+            name, rate, rate * rng.choice((1, 3)), rng.choice((0, 0, 3)), rng.uniform(0.5, 2),
+            rng.choice((0.0, 0.9)), 0.6, ceiling * rate, ceiling * rate * 2, 4.0))
+    return replace(base, classes=tuple(kinds), plans=tuple(plans), max_attempts=rng.choice((1, 3, 5)),
+                   second_copies=rng.random() < 0.5, may_cancel=rng.random() < 0.7,
+                   warm_up_ms=rng.choice((0.0, 3000.0, 17_000.0)), cold_from=rng.choice((0.1, 0.4)),
+                   fall_multiple=rng.choice((2.0, 3.0)), max_retry_after_ms=rng.choice((0.0, 1000.0)),
+                   report_fields=rng.choice((("util",), ("util", "inflight"), ())))
+
+
+class OwnKinds(Checker):
+    """Each request by the class under which it came."""
+
+    def __init__(self, config):
+        super().__init__(config)
+        self.kind_of = {}
+
+    def of(self, number):
+        """From here on it is this request that is looked at."""
+        if number in self.kind_of:
+            kind = self.kind_of[number]
+            self.kinds = {kind.name: kind}
+
+    def arrival(self, gateway, arrival):
+        super().arrival(gateway, arrival)
+        self.plans[arrival.plan_name] = Plan(arrival.plan_name)  # ceilings are looked at elsewhere
+
+
+class Street(Town):
+    """Gateways whose settings change at any time, each for itself, also to and fro; lists, messages, copies,
+    deaths and handovers go on meanwhile."""
+
+    def __init__(self, seed, **more):
+        self.chance = random.Random(f"settings {seed}")
+        base = settings(gateways=3)
+        self.pool = [drawn(self.chance, base) for _ in range(8)]
+        self.in_force = {n: self.pool[0] for n in range(3)}
+        self.changes = self.refused = 0
+        super().__init__(seed, gateways=3, settings_of=self.now_at, **more)
+        self.checker = OwnKinds(self.config)
+
+    def now_at(self, number=0, gateways=3):
+        return replace(self.in_force.get(number, self.pool[0]), number=number)
+
+    def change(self, n):
+        new = self.chance.choice(self.pool)
+        if self.chance.random() < 0.1:
+            new = replace(new, zone="elsewhere")
+        control, events = self.gateways[n], self.inbox[n]
+        self.inbox[n], before = [], control.settings
+        actions = control.handle(self.now, [*events, Reconfigure(1, replace(new, number=n))])
+        said, = of(Said, actions)
+        if new.zone == "elsewhere":
+            assert "locality" in said.wrong and control.settings is before
+            self.refused += 1
+        else:
+            assert said.wrong == "" and control.settings == replace(new, number=n)
+            self.in_force[n] = new
+            self.changes += 1
+        self.check(control)
+        for action in actions:
+            self.act(n, action)
+
+    def check(self, control):
+        assert not control.faults, control.faults
+        quota = control.quota
+        for name, store in quota.stores.items():
+            assert store.plan is control.plans[store.plan.name]
+            assert name & 0xFFFF == quota.plan_index[store.plan.name]
+            assert store.level <= store.plan.burst and not (
+                store.plan.ceiling_per_s and store.ceiling > store.plan.ceiling_burst)
+            for one in store.queue:
+                assert one.item.plan_index == name & 0xFFFF
+                assert one.item.class_index < len(control.classes)
+        for items in quota.outbox.values():
+            assert all(item.plan_index < len(control.plans) and item.class_index < len(control.classes)
+                       for item in items)
+        assert not any(store.plan.name in control.plans for store in quota.parted.values())
+        assert control.shares.keys() == control.waits.keys() == control.usual.keys() == control.timely.keys()
+
+    def arrive(self):
+        # Of what one gateway has in force, at any: another may know no such class, and has to refuse it.
+        self.config = self.gateways[self.rng.randrange(len(self.gateways))].settings
+        number = self.serial + 1
+        super().arrive()
+        gateway, arrival = self.checker.open[number]
+        known = {kind.name: kind for kind in self.gateways[gateway].settings.classes}
+        self.checker.kind_of[number] = known.get(arrival.class_name) or RequestClass(
+            arrival.class_name, 1, 1, 1, Repeat.UNSAFE)
+
+    def act(self, n, action):
+        assert isinstance(action, (Send, Refuse, Fail, Cancel, Wake, Tell, Subscribe, Said))
+        if isinstance(action, Said):
+            return
+        if isinstance(action, Wake):
+            assert 0 <= action.after_ms < 60_000
+        if isinstance(action, (Send, Refuse, Fail, Cancel)):
+            assert isinstance(action, Cancel) or action.id in self.checker.open, "more than one answer"
+            self.checker.of(action.id)
+        if isinstance(action, Send):
+            assert 0 < action.allow_ms < 60_000
+        super().act(n, action)
+
+    def deliver(self, gateway, event):
+        if isinstance(event, tuple):
+            self.checker.of(event[0])
+        super().deliver(gateway, event)
+        if self.chance.random() < 0.06:
+            self.change(gateway)
+        elif self.chance.random() < 0.001:
+            self.hand_over(gateway)
+
+    def hand_over(self, n):
+        """To itself: what it has left is read by a process of other settings."""
+        control = self.gateways[n]
+        events, self.inbox[n] = self.inbox[n], []
+        for action in control.handle(self.now, events):
+            self.act(n, action)
+        state = left_by(control, self.now)
+        self.in_force[n] = self.chance.choice(self.pool)
+        new = Controller(self.now_at(n), self.chance.randrange(1 << 30))
+        new.handle(self.now, [Fleet(tuple(self.fleet)), Inherit(state)])
+        self.check(new)
+        for action in control.handle(self.now, [Resume()]):  # the heir dies, and the old one goes on
+            self.act(n, action)
+        self.in_force[n] = control.settings
+        self.check(control)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_any_sequence_of_events_and_settings_keeps_the_rules(seed):
+    street = Street(seed, loss=(0.1, 0.5)[seed % 2], kill=0.0003)
+    street.run(8000)
+    for control in street.gateways.values():
+        street.check(control)
+    assert street.changes > 50 and street.refused > 3 and len(street.checker.done) > 500
+    assert not street.checker.open
+
+
+def test_no_table_grows_over_two_hundred_changes_to_ever_new_names():
+    base = settings(gateways=1)
+    control, now = Controller(base, 1), 0.0
+    control.handle(now, [FLEET_6])
+    numbers, sizes, waits, sent = itertools.count(1), [], [], Counter()
+
+    def turn(now, events=()):
+        """Every attempt ends by the next turn, some by an error."""
+        events, waits[:] = [*events, *waits], []
+        for send in of(Send, control.handle(now, events)):
+            waits.append(outcome(send, Result.ERROR if send.id % 5 == 0 else Result.OK, sent[send.id]))
+            sent[send.id] += 1
+        assert not control.faults
+
+    for step in range(200):
+        kinds = tuple(replace(kind, name=f"{kind.name}-{step}") for kind in base.classes)
+        plans = tuple(replace(plan, name=f"{plan.name}-{step}") for plan in base.plans)
+        assert change(control, now, replace(base, classes=kinds, plans=plans)) == ""
+        for _ in range(12):
+            now += 100.0
+            arrivals = [Arrival(next(numbers), f"c{kind.name}", kind.name, plan.name, now + 900.0, 1, 0, 1)
+                        for kind in kinds for plan in plans]
+            turn(now, arrivals)
+            turn(now + 40)
+        quota, servers = control.quota, control.servers
+        sizes.append(max(
+            len(control.shares), len(control.late), len(quota.accounts), len(quota.stores), len(quota.parted),
+            len(servers.sightings), len(control.held), len(control.attempts) // 10, len(control.agenda) // 20,
+            len(quota.asking), len(quota.outbox), *(len(one.seen) for one in servers.known.values())))
+    # What is of the last changes: an idle account is forgotten after FORGET_MS and a round of the tidying.
+    assert max(sizes[100:]) <= max(sizes[10:100]) * 1.1 and max(sizes) < 18 * (FORGET_MS / 1200 + 6)
+    for _ in range(400):
+        now += 100.0
+        turn(now)
+    assert len(control.shares) == 6 and not control.quota.parted and not control.attempts
+
+
+# -- handover between processes of different settings
+
+
+def test_a_successor_of_other_settings_takes_over_by_names():
+    """Plans at other places and of other figures, one that it does not have, one that is new."""
+    old = Controller(plain(), 1)
+    home = next(f"c{n}" for n in itertools.count() if tag_of(f"c{n}") % 0x100000000 % 3 == 0)
+    old.handle(0.0, [FLEET_6])
+
+    def burst(control, now):
+        return len(of(Send, control.handle(now, [
+            ask(next(NAMES), "look", "plain", customer=home, due=now + 1400) for _ in range(40)])))
+    assert burst(old, 4.0) >= 5
+    level = next(iter(old.quota.stores.values())).level
+    given = with_plan(plain(), "plain", rate_per_s=40.0, burst=120.0)
+    moved = replace(given, plans=(Plan("first", 1, 1), *given.plans[::-1]))
+    state = left_by(old, 8.0)
+    new = Controller(moved, 2)
+    new.handle(8.0, [FLEET_6, Inherit(state)])
+    assert not new.faults
+    (name, store), = new.quota.stores.items()
+    assert name & 0xFFFF == 1 and store.plan is new.plans["plain"] and store.level <= level + 0.1
+    assert burst(new, 12.0) <= 1
+    # One that lacks the plan keeps its stores for when it comes back, and passes them on.
+    lacks = Controller(settings(), 3)
+    lacks.handle(8.0, [FLEET_6, Inherit(state)])
+    assert not lacks.faults and not lacks.quota.stores and len(lacks.quota.parted) == 1
+    last = Controller(plain(), 4)
+    last.handle(12.0, [FLEET_6, Inherit(left_by(lacks, 12.0))])
+    assert not last.faults and burst(last, 16.0) <= 1
+    fresh = Controller(plain(), 1)
+    fresh.handle(0.0, [FLEET_6])
+    assert burst(fresh, 16.0) >= 5  # what a start without the state would have granted
+
+
+def test_a_process_with_an_heir_changes_its_settings_and_leaves_the_stores_to_it():
+    old = gateway()
+    home = next(f"c{n}" for n in itertools.count() if tag_of(f"c{n}") % 0x100000000 % 3 == 0)
+    crowd = [ask(n, ("book", "seat")[n % 2], customer=home, due=4000.0) for n in range(40)]
+    old.handle(0.0, [FLEET_6, *crowd])
+    old.handle(4.0, [Leave()])
+    assert change(old, 8.0, without(with_plan(settings(), "rated", rate_per_s=100.0), "book")) == ""
+    level = next(iter(old.quota.stores.values())).level
+    for step in range(20):
+        old.handle(100.0 + 100 * step, [])
+        assert not old.faults
+    old.handle(3000.0, [Resume()])
+    assert not old.faults and next(iter(old.quota.stores.values())).level <= max(0.0, level) + 1
