Settings that change in service, shown over loopback sockets

Need: what is open, half read, streaming or kept must go on over a change, and bad settings change nothing.

Change: tests/test_reconfigure_service.py: requests in flight, right behind a change, on both sides of one, bodies that go on while they come, fifty changes under load, a change after SIGTERM, and the deadlines that SIGTERM goes by.

--- /dev/null
+++ b/tests/test_reconfigure_service.py
@@ -0,0 +1,382 @@
+"""Other settings in service, over loopback sockets: what is open goes on, what comes is read by the new ones,
+no connection closes, and bad settings change nothing."""
+
+import asyncio
+import copy
+import os
+import signal
+
+import httptools
+import pytest
+from fakes import (
+    Client, FakeWorker, Gate, answer, config, entry, read_message, request, run, settings,
+)
+from test_ending import served
+from test_streams import Raw, head_of
+
+from anisefront.control import Controller
+from plumpick import daemon
+from plumpick.config import config_from
+from plumpick.upstream.body import WHOLE
+
+FRESH = {"name": "fresh", "aimMs": 5e3, "deadlineMs": 2e4, "worth": 1.0, "repeat": "retryable"}
+
+
+def given(gate, change):
+    """The configuration of a gatekeeper, of which `change` has changed the settings."""
+    own = gate.keeper.config
+    value = config(known=[], settings=settings())
+    change(value["settings"])
+    news = config_from(value, {})
+    return type(own)(**{name: getattr(own, name) for name in own.__dataclass_fields__} | {
+        "settings": news.settings, "idle_ms": news.idle_ms, "dial_timeout_ms": news.dial_timeout_ms})
+
+
+def put(gate, change):
+    return gate.keeper.reconfigure(given(gate, change))
+
+
+def drop(name):
+    def change(value):
+        value["classes"] = [row for row in value["classes"] if row["name"] != name]
+    return change
+
+
+def add(row):
+    return lambda value: value["classes"].insert(0, row)
+
+
+def figures(name, **more):
+    def change(value):
+        for row in value["classes"]:
+            if row["name"] == name:
+                row.update(more)
+    return change
+
+
+def one_worker(scenario):
+    """One worker, one gatekeeper with its module, one client."""
+    async def whole():
+        async with FakeWorker() as worker:
+            async with Gate(known=[entry("w1", worker.port)]) as gate:
+                await scenario(worker, gate, await gate.client())
+    run(whole())
+
+
+def test_a_request_in_flight_is_answered_under_its_class_though_that_is_dropped():
+    async def scenario(worker, gate, client):
+        client.send(request("00000000000000a1"))
+        asked, writer = await worker.asked()
+        assert asked.url == b"/look" and put(gate, drop("look")) == ""
+        other = (await gate.client()).send(request("00000000000000a2"))
+        assert (await other.answer())[0] == 404
+        writer.write(answer(body=b"kept"))
+        status, headers, body = await client.answer()
+        assert (status, body) == (200, b"kept") and "connection" not in headers
+        client.send(request("00000000000000a3"))  # on the same connection, which stays
+        assert (await client.answer())[0] == 404
+        client.send(request("00000000000000a4", "/debit", body=b"x"))
+        asked, writer = await worker.asked()
+        assert asked.url == b"/debit"
+        writer.write(answer())
+        assert (await client.answer())[0] == 200 and not gate.keeper.open
+    one_worker(scenario)
+
+
+def test_a_failed_attempt_after_the_change_is_judged_as_its_request_came():
+    """What may run twice when it came is tried again, and what may not is not."""
+    async def scenario(worker, gate, client):
+        client.send(request("00000000000000b1"))
+        _, first = await worker.asked()
+        assert put(gate, figures("look", repeat="fragile")) == ""
+        first.write(answer(500))
+        message, again = await worker.asked()
+        while message is None:
+            message, again = await worker.asked()
+        assert message.headers["x-request-id"] == "00000000000000b1"
+        again.write(answer(body=b"second"))
+        assert (await client.answer())[2] == b"second"
+        client.send(request("00000000000000b2"))
+        assert (await client.answer())[0] == 405  # from now on it is no GET
+    one_worker(scenario)
+
+
+def test_a_request_right_behind_a_change_is_read_by_the_new_settings():
+    """Half of it came before."""
+    async def scenario(worker, gate, client):
+        data = request("00000000000000c1", "/fresh")
+        client.send(data[:30])
+        while not any(one.begun for one in gate.front.admission.all):
+            await asyncio.sleep(0)
+        assert put(gate, add(FRESH)) == ""
+        client.send(data[30:])
+        asked, writer = await worker.asked()
+        assert asked.url == b"/fresh"
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+    one_worker(scenario)
+
+
+def test_requests_in_one_write_on_both_sides_of_a_change_have_an_answer_each_in_order():
+    async def scenario(worker, gate, client):
+        client.send(request("00000000000000d1") + request("00000000000000d2", "/fresh"))
+        _, writer = await worker.asked()
+        assert put(gate, add(FRESH)) == ""
+        writer.write(answer(body=b"one"))
+        assert (await client.answer())[2] == b"one"
+        asked, writer = await worker.asked()
+        assert asked.url == b"/fresh"  # it was not read before the first had its answer
+        writer.write(answer(body=b"two"))
+        assert (await client.answer())[2] == b"two"
+    one_worker(scenario)
+
+
+def test_a_plan_that_appears_is_served_and_one_that_goes_is_refused():
+    async def scenario(worker, gate, client):
+        gold = request("00000000000000e1").replace(b"X-Tier: basic", b"X-Tier: gold")
+        client.send(gold)
+        assert (await client.answer())[0] == 400
+        assert put(gate, lambda value: value.update(packages=[
+            {"name": "gold", "perSecond": 50.0, "storeSize": 100.0}])) == ""
+        client.send(gold.replace(b"e1", b"e2"))
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+        client.send(request("00000000000000e3"))
+        assert (await client.answer())[0] == 400
+    one_worker(scenario)
+
+
+def test_a_body_that_goes_on_while_it_comes_goes_on_over_a_change():
+    async def scenario():
+        async with Raw() as worker:
+            async with Gate(known=[entry("w1", worker.port)]) as gate:
+                client, size = await gate.client(), 4 * WHOLE
+                head = request("00000000000000f1", "/debit", body=b"-").replace(
+                    b"Content-Length: 1\r\n", b"Content-Length: %d\r\n" % size)[:-1]
+                client.send(head + b"a" * (size // 2))
+                reader, writer = await worker.came.get()
+                assert "POST /debit" in await head_of(reader)
+                assert put(gate, drop("debit")) == ""
+                assert put(gate, lambda _: None) == ""
+                assert put(gate, drop("debit")) == ""
+                client.send(b"b" * (size - size // 2))
+                body = await reader.readexactly(size)
+                assert body == b"a" * (size // 2) + b"b" * (size - size // 2)
+                # And the answer, which is large as well.
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"c" * (size // 2))
+                while not client.reader._buffer:
+                    await asyncio.sleep(0)
+                assert put(gate, add(FRESH)) == ""
+                writer.write(b"d" * (size - size // 2))
+                await client.reader.readuntil(b"\r\n\r\n")
+                assert await client.reader.readexactly(size) == b"c" * (size // 2) + b"d" * (size - size // 2)
+                while gate.keeper.open:
+                    await asyncio.sleep(0)
+    run(scenario())
+
+
+BAD = {
+    "another place": (lambda value: value.update(myNumber=1), "settings.myNumber"),
+    "another zone": (lambda value: value.update(locality="b"), "settings.locality"),
+    "another tier": (lambda value: value.update(balancers=4), "settings.balancers"),
+    "no words": (lambda value: value["limits"].update(mayTell=False), "settings.limits.mayTell"),
+    "no time to dial": (lambda value: value["limits"].update(dialTimeoutMs=0),
+                        "settings.limits.dialTimeoutMs"),
+    "no idle time": (lambda value: value["limits"].update(connIdleMs=-1), "settings.limits.connIdleMs"),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_settings_change_nothing(name):
+    spoil, key = BAD[name]
+
+    def change(value):
+        add(FRESH)(value)
+        value["report"]["fields"] = []
+        spoil(value)
+
+    async def scenario(worker, gate, client):
+        keeper = gate.keeper
+        before = (keeper.config, keeper.settings, keeper.controller.settings, gate.front.forms,
+                  keeper.workers._fields, keeper.workers._idle_ms, keeper.workers._dial_ms)
+        wrong = put(gate, change)
+        assert wrong.startswith(key) and "\n" not in wrong
+        after = (keeper.config, keeper.settings, keeper.controller.settings, gate.front.forms,
+                 keeper.workers._fields, keeper.workers._idle_ms, keeper.workers._dial_ms)
+        assert all(one is other for one, other in zip(before, after, strict=True))
+        client.send(request("00000000000000a1", "/fresh"))
+        assert (await client.answer())[0] == 404
+        client.send(request("00000000000000a2"))
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+    one_worker(scenario)
+
+
+def test_what_is_no_setting_of_the_module_cannot_change_either():
+    async def scenario(_worker, gate, _client):
+        own = copy.copy(gate.keeper.config)
+        object.__setattr__(own, "sockets", 7)
+        assert gate.keeper.reconfigure(own).startswith("sockets")
+        assert gate.keeper.config.sockets == 256
+    one_worker(scenario)
+
+
+def test_the_ways_to_workers_go_by_the_new_figures():
+    def change(value):
+        value["report"]["fields"] = ["inflight"]
+        value["limits"].update(dialTimeoutMs=77.0, connIdleMs=5000.0)
+        value["tickMs"] = 8.0
+
+    async def scenario(worker, gate, client):
+        workers = gate.keeper.workers
+        assert workers.load_from(b'{"util":0.5,"latency_ms":7}') == (0.5, 7.0)
+        assert put(gate, change) == ""
+        assert workers.load_from(b'{"inflight":3}') == (3.0,)
+        assert workers._dial_ms == 77.0 and workers._idle_ms == 3000.0
+        assert gate.keeper.settings.tick_ms == 8.0
+        client.send(request("00000000000000a1"))
+        _, writer = await worker.asked()
+        writer.write(answer(extra='X-Load: {"inflight":3}\r\n'))
+        assert (await client.answer())[0] == 200
+        while not gate.keeper.controller.servers.known["w1"].report_ms > 0:
+            await asyncio.sleep(0)
+        assert gate.keeper.controller.servers.known["w1"].others >= 2
+    one_worker(scenario)
+
+
+def test_fifty_changes_under_load_and_every_request_has_its_answer():
+    """Each changes classes and plans; connections are kept, and none is closed."""
+    def ample(value):  # so that no quota refuses
+        value["packages"][0].update(perSecond=1e4, storeSize=1e4)
+        return value
+
+    def changed(step):
+        new = {"name": f"p{step}", "perSecond": 1.0, "storeSize": 2.0}
+        what = (add(FRESH), drop("debit"), lambda value: value["packages"].insert(0, new))[step % 3]
+        return lambda value: what(ample(value))
+
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(known=[entry("w1", worker.port)], settings=ample(settings())) as gate:
+                over, told = asyncio.Event(), {}
+
+                async def work():
+                    while True:
+                        asked, writer = await worker.asked()
+                        if asked is not None:
+                            writer.write(answer(body=asked.headers["x-request-id"].encode()))
+
+                async def ask(number):
+                    client, count = await Client().open(gate.port), 0
+                    while not over.is_set():
+                        name, count = f"{number:08x}{count:08x}", count + 1
+                        path = "/look" if count % 10 else "/fresh"  # a 404 slows its connection down
+                        client.send(request(name, path))
+                        got = await client.answer()
+                        assert got is not None, "a connection was closed"
+                        status, headers, body = got
+                        assert status in (200, 404) and "connection" not in headers, status
+                        assert status != 200 or body == name.encode()
+                        told.setdefault(status, []).append(name)
+                        assert status == 200 or path == "/fresh"  # the other is always there
+                    client.close()
+                    return count
+
+                working = asyncio.create_task(work())
+                asking = [asyncio.create_task(ask(number)) for number in range(8)]
+                for step in range(50):
+                    seen = sum(map(len, told.values()))
+                    while sum(map(len, told.values())) < seen + 12:
+                        await asyncio.sleep(0.001)
+                        assert not any(one.done() for one in asking)
+                    assert put(gate, changed(step)) == ""
+                    assert not gate.keeper.controller.faults
+                over.set()
+                asked = sum(await asyncio.gather(*asking))
+                working.cancel()
+                names = [name for names in told.values() for name in names]
+                assert len(names) == asked == len(set(names)) and not gate.keeper.open
+                assert len(told[200]) > 500 and len(told[404]) > 10
+    run(scenario())
+
+
+def test_a_change_after_we_were_told_to_end_is_harmless():
+    async def scenario(worker, gate, client):
+        client.send(request("00000000000000a1"))
+        _, writer = await worker.asked()
+        gate.keeper.leave(5000.0)
+        assert put(gate, drop("look")) == "" and put(gate, add(FRESH)) == ""
+        open_request, = gate.keeper.open.values()
+        assert open_request.due_ms <= gate.keeper.clock.now() + 5000.0
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+        client.send(request("00000000000000a2", "/fresh"))
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+        gate.keeper.drain()
+        assert put(gate, lambda _: None) == "" and not gate.keeper.ready
+    one_worker(scenario)
+
+
+def test_what_sigterm_leaves_time_for_goes_by_the_classes_in_force_and_what_is_open():
+    def short(value):
+        for row in value["classes"]:
+            row.update(aimMs=200.0, deadlineMs=400.0)
+
+    async def scenario(worker, gate, client):
+        assert max(gate.keeper.deadlines_ms()) == 2e4
+        client.send(request("00000000000000a1", deadline=2500))
+        _, writer = await worker.asked()
+        assert put(gate, short) == ""
+        assert 1000 < max(gate.keeper.deadlines_ms()) <= 2500  # it came under an older class
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+        assert max(gate.keeper.deadlines_ms()) == 400.0
+        client.send(request("00000000000000a2", deadline=2500))
+        _, writer = await worker.asked()
+        assert max(gate.keeper.deadlines_ms()) <= 400.0
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+    one_worker(scenario)
+
+
+def test_sigterm_asks_the_gatekeeper_for_its_deadlines(monkeypatch):
+    """Not the configuration that it began with."""
+    asked = []
+
+    async def scenario(port, fake, worker, task):
+        monkeypatch.setattr(daemon, "ending_of", lambda deadlines_s: asked.append(list(deadlines_s)) or (
+            0.05, 0.1, 0.3))
+        monkeypatch.setattr("plumpick.gatekeeper.Gatekeeper.deadlines_ms", lambda _self: [1234.0])
+        monkeypatch.setattr(daemon, "FIRST_LIST_S", 0.01)
+        while True:
+            try:
+                client = await Client().open(port)
+                break
+            except OSError:
+                await asyncio.sleep(0.01)
+        client.send(b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+        message = await read_message(client.reader, httptools.HttpResponseParser)
+        assert message is not None
+        os.kill(os.getpid(), signal.SIGTERM)
+        await task
+    served(scenario, monkeypatch)
+    assert asked == [[1.234]]
+
+
+def test_nobody_elses_settings_are_touched():
+    """Two gatekeepers in one process, of which one changes."""
+    async def scenario():
+        async with FakeWorker() as worker:
+            async with Gate(known=[entry("w1", worker.port)]) as one, Gate(
+                    known=[entry("w1", worker.port)]) as two:
+                assert put(one, drop("look")) == ""
+                client = (await two.client()).send(request("00000000000000a1"))
+                _, writer = await worker.asked()
+                writer.write(answer())
+                assert (await client.answer())[0] == 200
+                assert isinstance(one.keeper.controller, Controller)
+    run(scenario())
