Settings by versions from a service: decisions, source, service and tool, off without [configuration]

Without the table nothing of it is imported.

`plumpick configuration serve | publish | back | status`; call CONFIGURATION. A successor begins with the version that its predecessor has in force.

--- a/plumpick/cli.py
+++ b/plumpick/cli.py
@@ -86,6 +86,7 @@
     budgets.add_argument("address", nargs="+", help="management addresses, host:port")
     budgets.add_argument("--json", action="store_true", help="print it as JSON")
     budgets.set_defaults(run="budgets")
+    _configuration(tools.add_parser("configuration", help="settings for running gatekeepers, by versions"))
     explore = tools.add_parser("explore", help="play ownership through every order of events")
     explore.add_argument("--voters", type=int, choices=(2, 3), default=3)
     explore.add_argument("--depth", type=int, default=7, help="moves (7)")
@@ -121,6 +122,22 @@
     return top
 
 
+def _configuration(tool: argparse.ArgumentParser) -> None:
+    steps = tool.add_subparsers(dest="step", required=True, parser_class=Parser)
+    serve = steps.add_parser("serve", help="a service of versions, until SIGTERM")
+    serve.add_argument("--listen", required=True, metavar="HOST:PORT")
+    publish = steps.add_parser("publish", help="a file's settings become the next version")
+    publish.add_argument("file", help="a gatekeeper's configuration, or its settings alone")
+    back = steps.add_parser("back", help="an older version's content becomes the next version")
+    back.add_argument("--version", type=int, default=0, help="which (the one before the newest)")
+    for step in (publish, back):
+        step.add_argument("--to", nargs="+", required=True, metavar="HOST:PORT", help="all services")
+        step.add_argument("--in-force-in", type=float, default=3.0, metavar="S", help="seconds from now (3)")
+    status = steps.add_parser("status", help="who has which version, and who lacks the newest")
+    status.add_argument("to", nargs="+", metavar="HOST:PORT", help="all services")
+    tool.set_defaults(run="configuration")
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run a tool; the answer is its exit code."""
     try:
@@ -147,6 +164,10 @@
         from plumpick.tools.duties import duties
 
         return duties(given)
+    if given.run == "configuration":
+        from plumpick.tools.configuration import configuration
+
+        return configuration(given)
     if given.run == "counts":
         from plumpick.tools.counts import counts
 
--- a/plumpick/daemon.py
+++ b/plumpick/daemon.py
@@ -145,6 +145,7 @@
         gatekeeper.sweeps.append(self._calls.sweep)
         self._context = HandoverContext(config.name, config.settings.number, gatekeeper, front)
         self._context.fleet = gatekeeper.fleet
+        self._context.versions = gatekeeper.versions
         self.leases: Any = None  # what the process before left of its part in the fleet's work
         self._predecessor = Predecessor(loop, self._context, self._changed)
         gatekeeper.sweeps.append(lambda _now: self._predecessor.tell_held())
@@ -182,7 +183,11 @@
             state = await successor.take()
             if state is not None:
                 self.leases = state.get("fleet")
-                self._gatekeeper.inherit({key: value for key, value in state.items() if key != "fleet"})
+                versions = self._context.versions
+                if versions is not None and state.get("configuration") is not None:
+                    await versions.inherit(state["configuration"])  # what it left is of these settings
+                self._gatekeeper.inherit({key: value for key, value in state.items()
+                                          if key not in ("fleet", "configuration")})
             self._gatekeeper.peers.listen()
             await context.listen(self._loop)
             successor.settle(context)
@@ -251,9 +256,16 @@
     return part
 
 
-async def serve(config: Config, system: System | None = None, fleet: Any = None) -> None:
+def versions_of(settings: Any, config: Config, gatekeeper: Gatekeeper) -> Any:
+    """The source of the gatekeeper's settings; imported only where the operator names one."""
+    from plumpick.configuration.source import source_of
+    return source_of(config, settings, gatekeeper)
+
+
+async def serve(config: Config, system: System | None = None, fleet: Any = None,
+                configuration: Any = None) -> None:
     """Run one gatekeeper until SIGTERM, then finish what it has taken. `fleet`: the operator's settings of
-    what is done for the whole tier."""
+    what is done for the whole tier; `configuration`: of where versions of the settings come from."""
     system = system or System()
     loop = asyncio.get_running_loop()
     stop = Stop(loop)
@@ -267,6 +279,8 @@
     gatekeeper.add(front)
     part = part_in(fleet, config, loop, system, gatekeeper) if fleet is not None else None
     gatekeeper.fleet = part
+    versions = versions_of(configuration, config, gatekeeper) if configuration is not None else None
+    gatekeeper.versions = versions
     gatekeeper.listed(config.known)
     plane = ManagementPlane(config, gatekeeper, front, loop) if config.management else None
     if plane is None:
@@ -280,6 +294,8 @@
                           gatekeeper.clock.now, config.known.index if known else None)
     tasks = [loop.create_task(discovery.run()),
              loop.create_task(reload(config, discovery, reload_asked, system, part))]
+    if versions is not None:
+        tasks.append(loop.create_task(versions.run()))
     server: Any = None
     plug: socket.socket | None = None
     if plane is None:
@@ -290,6 +306,8 @@
     wait_s = FIRST_LIST_S if known else NO_LIST_S
     if not (shared and known) and not await stop.within(discovery.listed, wait_s):
         log.warning("discovery is silent; starting with the known list")
+    if versions is not None and not await stop.within(versions.answered, versions.first_s):
+        log.warning("no service of settings answers; starting with the file's")
     system.settle()
     if plane is not None and not stop.is_asked():
         await plane.serve()
@@ -337,6 +355,15 @@
     return fleet
 
 
+def configuration_of(config: Config, path: str) -> Any:
+    """Where the operator's own file says that versions of the settings come from, or None; raises
+    ConfigError."""
+    if not path:
+        return None
+    from plumpick.operator import load as load_operator
+    return load_operator(path, config.settings.gateways).configuration
+
+
 def main(which: str = "") -> int:
     """The exit code. `which`: a line for the log on what decides."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
@@ -344,13 +371,14 @@
     try:
         config = load(os.environ)
         fleet = fleet_of(config, System().operator_file())
+        configuration = configuration_of(config, System().operator_file())
     except ConfigError as problem:
         print(f"plumpick: {problem}", file=sys.stderr)
         return 2
     if which:
         log.info(which)
     try:
-        uvloop.run(serve(config, fleet=fleet))
+        uvloop.run(serve(config, fleet=fleet, configuration=configuration))
     except OSError as problem:
         print(f"plumpick: {problem}", file=sys.stderr)
         return 1
--- a/plumpick/discovery.py
+++ b/plumpick/discovery.py
@@ -32,7 +32,7 @@
         self.waited = waited
 
 
-class _Answer:
+class Answer:
     """What the parser of an answer collects."""
 
     def __init__(self) -> None:
@@ -137,7 +137,7 @@
         assert self._reader is not None
         host = f"{self.address[0]}:{self.address[1]}"
         self._writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
-        answer = _Answer()
+        answer = Answer()
         size = 0
         while not answer.complete:
             data = await self._reader.read(64 * 1024)
--- a/plumpick/fronts/door.py
+++ b/plumpick/fronts/door.py
@@ -184,3 +184,10 @@
 
     def budgets(self, argument: str) -> tuple[bool, str]:
         """The answer to BUDGETS: whether it is refused, and what to say."""
+
+
+class Versioned(Protocol):
+    """What the core asks of the source of its settings (configuration/source.py)."""
+
+    def line(self) -> str:
+        """The answer to CONFIGURATION."""
--- a/plumpick/fronts/management.py
+++ b/plumpick/fronts/management.py
@@ -18,7 +18,7 @@
 ROOM_AFTER_MS = 5.0  # so long after one too many came, the oldest go
 # And how many arguments each takes, at least and at most.
 CALLS = {b"READY": (0, 0), b"DISABLE": (1, 1), b"ENABLE": (1, 1), b"DRAIN": (0, 1), b"UNDRAIN": (0, 0),
-         b"DUTIES": (0, 1), b"BUDGETS": (0, 1)}
+         b"DUTIES": (0, 1), b"BUDGETS": (0, 1), b"CONFIGURATION": (0, 0)}
 
 
 class Line:
--- a/plumpick/gatekeeper.py
+++ b/plumpick/gatekeeper.py
@@ -22,7 +22,9 @@
 from anisefront.standing import Standing
 from plumpick.clock import Timer, Timers
 from plumpick.config import Config, WorkerList
-from plumpick.fronts.door import STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse, Part, Sibling, Source
+from plumpick.fronts.door import (
+    STILL_MS, SWEEP_MS, Ask, Asker, Front, InUse, Part, Sibling, Source, Versioned,
+)
 from plumpick.peers import Peers
 from plumpick.system import System
 from plumpick.upstream.body import Body, Budget
@@ -95,6 +97,7 @@
         self.sibling: Sibling | None = None
         self.succeeded = False  # and that one takes the clients now
         self.fleet: Part | None = None  # in what is done for the whole tier, where the operator names it
+        self.versions: Versioned | None = None  # of the settings, where the operator names their service
         self._estate: Mapping[str, Any] | None = None
         self._said: dict[int, str] = {}  # answers to orders, until they are picked up in the same turn
         self._names: set[bytes] = set()  # ids of the open requests, and of those ended of late and before
@@ -167,6 +170,10 @@
             if self.ending or self.succeeded or not self.up:
                 return True, "not up yet" if not self.up else "ending" if self.ending else "handed over"
             return False, "draining" if self.door else "ready"
+        if name == "CONFIGURATION":
+            if self.versions is None:
+                return True, "settings are those of the file: the operator's names no [configuration]"
+            return False, self.versions.line()
         if name in ("DUTIES", "BUDGETS") or name == "DRAIN" and argument:
             return self._fleet_call(name, argument)
         if name == "UNDRAIN" and self.fleet is not None:
--- a/plumpick/handover/succession.py
+++ b/plumpick/handover/succession.py
@@ -34,6 +34,7 @@
     def __init__(self, name: str, number: int, gatekeeper: Any, front: Any) -> None:
         self.name, self.number, self.gatekeeper, self.front = name, number, gatekeeper, front
         self.fleet: Any = None  # this process's part in what is done for the tier (fleet/runner.py)
+        self.versions: Any = None  # the source of its settings (configuration/source.py)
         self.listener: socket.socket | None = None  # ours to keep: the server has a copy
         self.server: Any = None
 
@@ -181,6 +182,8 @@
             context.fleet.passed_on = lambda row: channel.tell("counted", row)
         try:
             state = {**keeper.hand_over(), "fleet": leases}
+            if context.versions is not None:
+                state["configuration"] = context.versions.estate()
             context.close()
             keeper.peers.mute()
             keeper.sibling = Kin(channel)
--- a/plumpick/operator.py
+++ b/plumpick/operator.py
@@ -14,10 +14,12 @@
 from anisefront.budgets.terms import Budget, BudgetError, Kind
 from anisefront.duties import Duty
 from anisefront.ownership.terms import Terms, TermsError
+from anisefront.settings import SettingsError
 from anisefront.usage import longest_ms
-from plumpick.config import Address, ConfigError
+from plumpick.config import Address, ConfigError, address_from
 
 MOST_DUTIES, MOST_BUDGETS = 2000, 2000
+MOST_SERVICES = 8
 SHARE_MOST_S = 60.0
 CALL, USE = "call", "use"
 REQUESTS, UNITS = "requests", "units"
@@ -57,11 +59,20 @@
     share_ms: float = 2000.0  # so long a share of a budget lasts
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationSettings:
+    """Where versions of the settings come from."""
+
+    addresses: tuple[Address, ...]
+    silent_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """All of the file."""
 
     fleet: FleetSettings | None = None
+    configuration: ConfigurationSettings | None = None
 
 
 class _Keys:
@@ -205,11 +216,28 @@
     return repr([(one.budget.name, one.budget.floor) for one in budgets])
 
 
+def _configuration(value: Any) -> ConfigurationSettings:
+    path = "configuration"
+    keys = _Keys(value, path, {"addresses", "silent_s"})
+    rows = keys.get("addresses", list)
+    if not 1 <= len(rows) <= MOST_SERVICES:
+        raise ConfigError(f"{path}.addresses: {len(rows)} of them; 1 to {MOST_SERVICES} can be named")
+    try:
+        addresses = tuple(address_from(row, f"{path}.addresses[{place}]") for place, row in enumerate(rows))
+    except SettingsError as problem:
+        raise ConfigError(str(problem)) from problem
+    for place, address in enumerate(addresses):
+        if address in addresses[:place]:
+            raise ConfigError(f"{path}.addresses[{place}]: {rows[place]!r} is named twice")
+    return ConfigurationSettings(addresses, keys.seconds("silent_s", 5.0, 86_400.0, 30.0))
+
+
 def operator_from(value: Any, gateways: int) -> Operator:
     """The settings in a table of TOML, for a tier of so many gatekeepers; raises ConfigError."""
-    keys = _Keys(value, "operator", {"fleet"})
-    fleet = keys.value.get("fleet")
-    return Operator(None if fleet is None else _fleet(fleet, gateways))
+    keys = _Keys(value, "operator", {"fleet", "configuration"})
+    fleet, configuration = keys.value.get("fleet"), keys.value.get("configuration")
+    return Operator(None if fleet is None else _fleet(fleet, gateways),
+                    None if configuration is None else _configuration(configuration))
 
 
 def load(path: str, gateways: int) -> Operator:
--- /dev/null
+++ b/tests/configuration/test_delta.py
@@ -0,0 +1,88 @@
+"""Deltas and digests: applied to its base a delta makes the very settings that were published."""
+
+import copy
+import hashlib
+import json
+
+import pytest
+from hypothesis import given, settings as effort, strategies as st
+from settings_rig import published
+
+from anisefront.configuration.versions import Content, Offer, Unusable, read
+from anisefront.configuration.delta import (
+    OWN, DeltaError, applied, canonical, changes_between, digest, shared,
+)
+
+SCALARS = st.one_of(st.integers(-9, 9), st.floats(-9, 9), st.booleans(), st.text(max_size=3), st.none())
+ROWS = st.lists(st.builds(lambda name, worth, more: {"name": name, "worth": worth, **more},
+                          st.sampled_from("abcdefgh"), SCALARS, st.dictionaries(st.text(max_size=2), SCALARS,
+                                                                                max_size=2)),
+                max_size=8)
+LISTS = st.one_of(ROWS, ROWS.map(lambda rows: list({row["name"]: row for row in rows}.values())))
+OBJECTS = st.fixed_dictionaries({}, optional={
+    "classes": LISTS, "packages": LISTS, "limits": st.dictionaries(st.text(max_size=2), SCALARS, max_size=3),
+    "myNumber": st.integers(0, 9), "locality": st.text(max_size=2), "azs": st.lists(SCALARS, max_size=3)})
+
+
+@effort(max_examples=300, deadline=None)
+@given(OBJECTS, OBJECTS)
+def test_a_delta_makes_of_its_base_what_was_published_order_and_kinds_of_numbers_too(before, after):
+    kept = copy.deepcopy(before)
+    made = applied(before, json.loads(json.dumps(changes_between(before, after))))
+    assert digest(made) == digest(after) and before == kept
+    assert canonical(made) == canonical(shared(after))
+
+
+@effort(max_examples=200, deadline=None)
+@given(OBJECTS)
+def test_the_digest_is_sha256_over_canonical_json_less_what_is_each_gatekeepers_own(value):
+    text = json.dumps({key: item for key, item in value.items() if key not in OWN}, sort_keys=True,
+                      separators=(",", ":"))
+    assert digest(value) == hashlib.sha256(text.encode()).hexdigest()
+    assert digest({**value, "myNumber": 7, "locality": "elsewhere"}) == digest(value)
+
+
+@effort(max_examples=300, deadline=None)
+@given(OBJECTS, OBJECTS, OBJECTS)
+def test_changes_said_to_be_of_another_base_make_what_was_published_or_nothing(base, other, after):
+    """Some make it by chance, where the two bases differ in what is changed anyway."""
+    held = Content(4, digest(other), 0.0, other)
+    offer = Offer(5, digest(after), 0.0, None, changes_between(base, after), 4, held.digest)
+    try:
+        made = read(offer, held)
+    except Unusable:
+        assert canonical(shared(base)) != canonical(shared(other))
+        return
+    assert canonical(made.settings) == canonical(shared(after))
+
+
+JSON = st.recursive(SCALARS, lambda inner: st.lists(inner, max_size=3) | st.dictionaries(
+    st.sampled_from(["drop", "set", "rows", "classes", "put", "new", "order", "name"]), inner, max_size=4))
+
+
+@effort(max_examples=300, deadline=None)
+@given(JSON)
+def test_whatever_comes_as_changes_raises_one_kind_of_error_and_leaves_the_base(changes):
+    base = published(1)
+    kept = copy.deepcopy(base)
+    try:
+        applied(base, changes)
+    except DeltaError:
+        pass
+    assert base == kept
+
+
+def test_one_class_in_the_midst_of_many_costs_its_row_and_no_more():
+    before = published(0, 1000)
+    after = copy.deepcopy(before)
+    after["classes"].insert(500, {**before["classes"][0], "name": "new"})
+    after["classes"][700]["worth"] = 9.0
+    changes = changes_between(before, after)
+    assert len(canonical(changes)) < 600 < len(canonical(after)) / 100
+    assert canonical(applied(before, changes)) == canonical(after)
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf"), {1, 2}])
+def test_what_has_no_canonical_json_has_no_digest(value):
+    with pytest.raises(DeltaError):
+        digest({"limits": value})
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -37,7 +37,7 @@
     node = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["node"]
     daemon = [*ROOT.glob("plumpick/*.py"), *ROOT.glob("plumpick/fronts/**/*.py"),
               *ROOT.glob("plumpick/upstream/**/*.py"), *ROOT.glob("plumpick/handover/**/*.py"),
-              *ROOT.glob("plumpick/fleet/**/*.py")]
+              *ROOT.glob("plumpick/fleet/**/*.py"), *ROOT.glob("plumpick/configuration/**/*.py")]
     assert sorted(node) == sorted(str(path.relative_to(ROOT)) for path in daemon if path.name != "cli.py")
     for name in node:
         text = (ROOT / name).read_text()
