Trials of settings by versions: real processes, faults between them, eight planted bugs

Gatekeepers, two services and a relay before each that drops, delays, doubles, alters and reorders answers; judged by what each process was given and when. The witness stands in for Gatekeeper.reconfigure where the program has none.

--- /dev/null
+++ b/benchmarks/configuration/witness.py
@@ -0,0 +1,71 @@
+"""The daemon with a record of which settings it has: `python -m benchmarks.configuration.witness`, in place
+of `-m plumpick`.
+
+One line of JSON for each thing, [kind, Unix ms, pid, ...], in $WITNESS_FILE: `asked` for each call of a
+service, `took` (version) when one is staged, `force` (version, mark) when one is in force; the mark is made
+of the settings that the gatekeeper was given, not of what it was told about them. $WITNESS_PLANT plants a
+bug (plants.py)."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import sys
+import time
+from dataclasses import replace
+from typing import Any
+
+
+def mark_of(config: Any) -> str:
+    """What tells the settings of a configuration from others, less what is a gatekeeper's own."""
+    text = repr((replace(config.settings, number=0, zone=""), config.dial_timeout_ms, config.idle_ms))
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def main() -> int:
+    """The exit code."""
+    from anisefront.configuration.versions import Versions
+    from plumpick import daemon
+    from plumpick.configuration.source import Source
+    from plumpick.gatekeeper import Gatekeeper
+
+    if os.environ.get("WITNESS_PLANT"):
+        from benchmarks.configuration.plants import plant
+        plant(os.environ["WITNESS_PLANT"])
+    file = os.open(os.environ["WITNESS_FILE"], os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+
+    def write(kind: str, *parts: Any) -> None:
+        os.write(file, (json.dumps([kind, time.time() * 1000, os.getpid(), *parts]) + "\n").encode())
+
+    given = [""]
+    # A program that cannot take settings over yet: it says yes, and goes on with those that it has.
+    inner = getattr(Gatekeeper, "reconfigure", lambda _self, _config: "")
+    take, put, ask = Versions.take, Versions.put, Source._call
+
+    def reconfigure(self: Any, config: Any) -> str:
+        given[0] = mark_of(config)
+        return str(inner(self, config))
+
+    def takes(self: Any, now: float, content: Any, problem: str) -> str:
+        wrong = take(self, now, content, problem)
+        if not wrong:
+            write("took", content.version)
+        return wrong
+
+    def puts(self: Any, content: Any, problem: str) -> None:
+        put(self, content, problem)
+        if not problem:
+            write("force", content.version, given[0])
+
+    async def asks(self: Any, call: Any) -> bytes:
+        write("asked", call.address)
+        return await ask(self, call)
+    Gatekeeper.reconfigure = reconfigure  # type: ignore[attr-defined]
+    Versions.take, Versions.put = takes, puts  # type: ignore[method-assign]
+    Source._call = asks  # type: ignore[method-assign]
+    return daemon.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
