--- a/plumpick/tools/configuration.py
+++ b/plumpick/tools/configuration.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 from typing import Any
 
-from anisefront.configuration.delta import DeltaError, Settings, digest, shared
+from anisefront.configuration.delta import Settings, digest, shared
 from anisefront.configuration.shelf import summary
-from anisefront.settings import SettingsError, settings_from
+from anisefront.settings import settings_from
 from plumpick.tools.call import address_of
 from plumpick.tools.configuration_service import PATH, Service
 
@@ -57,7 +57,7 @@
     try:
         settings_from({**value, "myNumber": 0} if isinstance(value, dict) else value, "settings")
         digest(value)
-    except (SettingsError, DeltaError) as problem:
+    except (ValueError, TypeError) as problem:  # a SettingsError, a DeltaError, or of the types themselves
         raise Failed(f"{path}: {problem}") from problem
     return shared(value)
 
