--- a/anisefront/control.py
+++ b/anisefront/control.py
@@ -531,7 +531,7 @@
 
     def serve(self, now: float, name: int) -> None:
         """Lend to those that wait, the worthiest first, of equal worth the newest."""
-        store, top = self.stores[name], max(kind.worth for kind in self.settings.classes) or 1.0
+        store, top = self.stores[name], self.top_worth
         gone_s, plan = (now - store.at_ms) / 1000, store.plan
         store.at_ms = now
         store.asked *= math.exp(-gone_s * 1000 / DEMAND_MEMORY_MS)
--- a/anisefront/reconfigure.py
+++ b/anisefront/reconfigure.py
@@ -49,11 +49,11 @@
     for name, key in FIXED:
         if getattr(new, name) != getattr(old, name):
             return f"settings.{key}: {getattr(new, name)!r}; it is {getattr(old, name)!r} until a restart"
-    return (_names("classes", [kind.name for kind in new.classes], MAX_CLASSES)
-            or _names("packages", [plan.name for plan in new.plans], MAX_PLANS))
+    return (_wrong_names("classes", [kind.name for kind in new.classes], MAX_CLASSES)
+            or _wrong_names("packages", [plan.name for plan in new.plans], MAX_PLANS))
 
 
-def _names(key: str, names: list[str], most: int) -> str:
+def _wrong_names(key: str, names: list[str], most: int) -> str:
     """What is wrong with these names, or nothing."""
     if len(names) > most:
         return f"settings.{key}: {len(names)} are more than {most}"
@@ -89,14 +89,14 @@
         quota.changed_ms = now
     if not same_names:
         _rename(control, settings)
+    _learn_classes(control, classes, same_names)
     control.settings = quota.settings = control.servers.settings = settings
     control.codec, control.classes, control.plans = codec, classes, plans
-    control.top_rank = (max(kind.worth for kind in settings.classes)
-                        * max(plan.value for plan in settings.plans) or 1.0)
     index(quota)
+    control.top_rank = (max([kind.worth for kind in settings.classes])
+                        * max([plan.value for plan in settings.plans]) or 1.0)
     control.servers.names = quota.class_index
     _move_stores(control, now, plans)
-    _learn_classes(control)
     if any(getattr(settings, name) != getattr(old, name) for name in WARMTH):
         control.servers.bans.warm_up_ms = settings.warm_up_ms
         control.servers.sort(now)
@@ -109,6 +109,7 @@
     from anisefront.control import HOLD_PINGS  # that file imports this one
     quota.class_index = {kind.name: place for place, kind in enumerate(quota.settings.classes)}
     quota.plan_index = {plan.name: place for place, plan in enumerate(quota.settings.plans)}
+    quota.top_worth = max([kind.worth for kind in quota.settings.classes]) or 1.0
     quota.hold_ms = HOLD_PINGS * ping_ms(quota.settings)
 
 
@@ -175,7 +176,13 @@
 
 def _move_stores(control: Controller, now: float, plans: dict[str, Plan]) -> None:
     """Stores go by their plan's new place and figures; those of plans that went are kept apart."""
-    quota, stores, renamed = control.quota, dict[int, Store](), dict[int, int]()
+    quota = control.quota
+    at = quota.plan_index
+    if not quota.parted and all(
+            plans.get(store.plan.name) is store.plan and name == moved(name, at[store.plan.name])
+            for name, store in quota.stores.items()):
+        return
+    stores, renamed = dict[int, Store](), dict[int, int]()
     changed: list[int] = []
     for name, store in quota.stores.items():
         plan = plans.get(store.plan.name)
@@ -183,7 +190,7 @@
             store.wake_ms = math.inf
             quota.parted[moved(name, 0), store.plan.name] = store
             continue
-        new_name = renamed[name] = moved(name, quota.plan_index[plan.name])
+        new_name = renamed[name] = moved(name, at[plan.name])
         stores[new_name] = store
         if store.plan is not plan:
             refigure(quota, store, plan, now)
@@ -191,7 +198,7 @@
     for key in [key for key in quota.parted if key[1] in plans]:
         store = quota.parted.pop(key)
         refigure(quota, store, plans[key[1]], now)
-        stores[moved(key[0], quota.plan_index[key[1]])] = store
+        stores[moved(key[0], at[key[1]])] = store
     if changed or list(stores) != list(quota.stores):
         again = set(changed)
         agenda = []
@@ -248,11 +255,14 @@
 # -- what is learned of classes
 
 
-def _learn_classes(control: Controller) -> None:
+def _learn_classes(control: Controller, classes: dict[str, RequestClass], same_names: bool) -> None:
     """What is known of a class stays; of a new one it begins as at a start."""
     from anisefront.control import ANSWER_PART, USUAL_START_MS, FuzzyShare, Late  # that file imports this one
-    part = 1 / len(control.classes)
-    for name, kind in control.classes.items():
+    part, changed = 1 / len(classes), classes
+    if same_names:
+        pairs = zip(classes.values(), control.classes.values(), strict=True)
+        changed = {kind.name: kind for kind, before in pairs if kind.aim_ms != before.aim_ms}
+    for name, kind in changed.items():
         wait_ms, share = kind.aim_ms * (1 - ANSWER_PART), control.shares.get(name)
         if share is None:
             control.shares[name] = FuzzyShare(wait_ms, part)
--- a/anisefront/state.py
+++ b/anisefront/state.py
@@ -172,6 +172,7 @@
     serial: int = 0
     class_index: dict[str, int] = field(default_factory=dict)  # places in the settings, by name
     plan_index: dict[str, int] = field(default_factory=dict)
+    top_worth: float = 1.0  # the most that a class is worth
     accounts: dict[tuple[str, str, int, int], Account] = field(default_factory=dict)
     stores: dict[int, Store] = field(default_factory=dict)  # of which this gateway is the home, by store_name
     # Of plans that were dropped, by their store_name without the plan's place, and the plan's name.
--- a/anisefront/stores.py
+++ b/anisefront/stores.py
@@ -54,7 +54,8 @@
     rate, burst = store.plan.rate_per_s, store.plan.burst
     if rate:
         store.before += max(0.0, asked_per_s)
-        part = max(0.0, min(1.0, (rate - store.before) / (NEW_PART * rate)))
+        # Never more than it was taken to have: its rate may have gone up since.
+        part = max(0.0, min(store.begun, (rate - store.before) / (NEW_PART * rate)))
         store.level = max(-burst, store.level - (store.begun - part) * burst)
         store.begun = part
 
