--- a/tests/test_reconfigure_service.py
+++ b/tests/test_reconfigure_service.py
@@ -223,6 +223,25 @@
     one_worker(scenario)
 
 
+def test_where_the_module_fails_on_them_nobody_else_goes_by_them(monkeypatch, caplog):
+    def fails(*_):
+        raise RuntimeError("planted")
+
+    async def scenario(worker, gate, client):
+        before, forms = gate.keeper.config, gate.front.forms
+        with monkeypatch.context() as planted:
+            planted.setattr("anisefront.reconfigure.apply", fails)
+            assert "failed" in put(gate, add(FRESH))
+        assert gate.keeper.config is before and gate.front.forms is forms
+        assert "planted" in caplog.text
+        client.send(request("00000000000000a1"))
+        _, writer = await worker.asked()
+        writer.write(answer())
+        assert (await client.answer())[0] == 200
+        assert put(gate, add(FRESH)) == ""
+    one_worker(scenario)
+
+
 def test_the_ways_to_workers_go_by_the_new_figures():
     def change(value):
         value["report"]["fields"] = ["inflight"]
