Capacity: docs/CAPACITY.md, the slopes measured behind it, and plumpick size FILE

Need: within two years the tier is to be 550 gatekeepers before 5,900 workers; nobody could say which part of the program passes its limit there, by how much, and which mechanism is missing first.

Change: benchmarks.slopes measures 42 slopes at four sizes or more (points, curve, residual, rounds apart, command, date, machine) into plumpick/capacity/slopes.json; a folded tier (a few real modules stand for a ring of 550, each told and answered) gives words and bytes. Rows are formulas over slopes, the form's sizes and the program's own constants, each with limit, ratio and the mechanism that carries it, in one place. `plumpick size FILE` prints them for any form; the page holds the same between marks, and tests work every figure out again. Bad forms: one line that names the key, exit 2.

A fleet's file without share_s is refused at over 480 gatekeepers; not mended here.

--- /dev/null
+++ b/benchmarks/slopes/__main__.py
@@ -0,0 +1,237 @@
+"""`python -m benchmarks.slopes`: measures what each part of plumpick costs by its size, at four sizes or
+more, and writes curve, points and residual to plumpick/capacity/slopes.json.
+
+    python -m benchmarks.slopes [--only NAME ...] [--compiled FOLDER] [--out FILE] [--list]
+
+With `--compiled FOLDER` (made by `python -m plumpick.tools.compile FOLDER`) the decisions are compiled, as
+the deploy file builds them, and only slopes of CPU are measured: counts and bytes are the same. Slopes that
+are not measured this time stay as they are in the file."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import platform
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from plumpick import compiled
+from plumpick.capacity.slopes import COMPILED, EITHER, FILE, FORMS, LINEAR, PLAIN, best_fit
+
+ROUNDS, LONG_ROUNDS = 9, 5  # of a slope of CPU, whose points are their medians; of one whose rounds are long
+ROUND_S = 600.0  # none takes so long
+REFERENCE_MS = 1.04  # CPU is told as at the speed at which the reference loop takes so long
+WORKERS = (10, 200, 1000, 2950, 5900)
+FIRMS = (20, 73, 218, 1000, 4000)
+CLASSES = (3, 230, 1000, 4000, 11_000)
+RATES = (70, 150, 273, 600, 1000)
+SETS = (2, 3, 5, 8, 11, 20, 40)
+GATEKEEPERS = (40, 100, 200, 550)
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """A slope to be measured."""
+
+    name: str
+    what: str
+    x: str
+    unit: str
+    sizes: tuple[int, ...]
+    where: str  # module of this package
+    cpu: bool = False  # depends on whether the decisions are compiled
+    forms: tuple[str, ...] = FORMS  # of the curve; that which is off least is taken
+
+    is_long: bool = False
+
+    @property
+    def is_of_cpu(self) -> bool:
+        return "CPU" in self.unit
+
+
+TASKS = (
+    Task("idle_by_workers", "module with nothing to do", "workers", "ms CPU/s", WORKERS, "decisions", True),
+    Task("idle_by_classes", "module with nothing to do, 60 workers", "classes", "ms CPU/s", CLASSES,
+         "decisions", True, (LINEAR,)),
+    Task("idle_by_firms", "module with nothing to do, 200 workers, right after so many firms came", "firms",
+         "ms CPU/s", FIRMS, "decisions", True, (LINEAR,)),
+    Task("changed_entry", "one changed entry taken in, one call", "workers", "ms CPU", WORKERS, "decisions",
+         True),
+    Task("changed_together", "entries changed in one answer, 5,900 workers, one call", "entries", "ms CPU",
+         (1, 10, 100, 590, 1180), "decisions", True),
+    Task("whole_list", "the whole list taken in, one call", "workers", "ms CPU", WORKERS, "decisions", True),
+    Task("list_parse", "the whole list read from JSON", "workers", "ms CPU", WORKERS, "decisions"),
+    Task("list_bytes", "the whole list as JSON", "workers", "bytes", WORKERS, "decisions"),
+    Task("request_by_workers", "decisions of a request at 273 a second, sets of 3", "workers", "us CPU",
+         (500, 1000, 2000, 2950, 5900), "decisions", True, is_long=True),
+    Task("serving_by_rate", "decisions of requests, 1,000 workers, sets of 3", "requests a second",
+         "ms CPU/s", RATES, "decisions", True, is_long=True),
+    Task("heard_by_set", "a word taken in, 273 requests a second", "gatekeepers of a set", "us CPU",
+         (2, 3, 5, 8, 11, 20), "decisions", True, is_long=True),
+    Task("words_by_rate_3", "words told, sets of 3", "requests a second", "words/s", RATES, "decisions"),
+    Task("words_by_rate_20", "words told, sets of 20", "requests a second", "words/s", RATES, "decisions"),
+    Task("words_by_set", "words told at 273 requests a second", "gatekeepers of a set", "words/s", SETS,
+         "decisions"),
+    Task("words_by_firms", "words told, sets of 3, 273 requests a second", "firms at a home",
+         "words/s", (2, 7, 22, 73, 218), "decisions"),
+    Task("bytes_by_rate_3", "bytes told, sets of 3", "requests a second", "bytes/s", RATES, "decisions"),
+    Task("bytes_by_rate_20", "bytes told, sets of 20", "requests a second", "bytes/s", RATES, "decisions"),
+    Task("bytes_by_set", "bytes told at 273 requests a second", "gatekeepers of a set", "bytes/s", SETS,
+         "decisions"),
+    Task("settings_parse_by_classes", "a configuration read", "classes", "ms CPU", CLASSES, "decisions"),
+    Task("settings_parse_by_plans", "a configuration read", "plans", "ms CPU", (2, 100, 1000, 4000),
+         "decisions"),
+    Task("settings_bytes", "a configuration as JSON", "classes", "bytes", CLASSES, "decisions"),
+    Task("memory_by_workers", "entries of the module and of the list", "workers", "bytes", WORKERS,
+         "decisions", forms=(LINEAR,)),
+    Task("memory_by_firms", "an account and a store of each firm", "firms", "bytes", FIRMS, "decisions",
+         forms=(LINEAR,)),
+    Task("memory_by_classes", "the module", "classes", "bytes", CLASSES, "decisions",
+         forms=(LINEAR,)),
+    Task("memory_by_requests", "open requests", "requests", "bytes", (10, 50, 200, 800, 3200), "decisions",
+         forms=(LINEAR,)),
+    Task("memory_by_peers", "peers that told something", "peers", "bytes", (10, 40, 200, 549), "decisions",
+         forms=(LINEAR,)),
+    Task("estate_bytes", "what a process leaves to the next, as JSON", "firms", "bytes", FIRMS, "decisions"),
+    Task("estate_ms", "that left, written, read and taken over", "firms", "ms CPU", FIRMS, "decisions", True),
+    Task("start_by_workers", "a process from its start to its first 200 at /up", "workers", "s", WORKERS,
+         "processes"),
+    Task("resident_by_workers", "its resident memory then", "workers", "MB", WORKERS, "processes"),
+    Task("descriptors_by_workers", "its descriptors then", "workers", "descriptors", WORKERS, "processes"),
+    Task("start_by_classes", "a process from its start to its first 200 at /up, 10 workers", "classes", "s",
+         CLASSES, "processes"),
+    Task("resident_by_classes", "its resident memory then, 10 workers", "classes", "MB", CLASSES,
+         "processes", forms=(LINEAR,)),
+    Task("calls_s", "runs of `plumpick call`, one after another", "calls", "s", (10, 40, 150, 550),
+         "processes"),
+    Task("voter_taken", "words of leases taken in by the busiest voter, 3 voters, 12 slots, 6 s terms",
+         "gatekeepers", "words/s", GATEKEEPERS, "processes"),
+    Task("voter_sent", "the same sent by a voter", "gatekeepers", "words/s", GATEKEEPERS, "processes"),
+    Task("voter_bytes", "the same in bytes", "gatekeepers", "bytes/s", GATEKEEPERS, "processes"),
+    Task("voter_cpu", "decisions of a voter", "gatekeepers", "ms CPU/s", GATEKEEPERS, "processes"),
+    Task("owner_taken", "words taken in by an owner of a slot, 10 duties", "gatekeepers", "words/s",
+         GATEKEEPERS, "processes"),
+    Task("owner_sent", "the same sent", "gatekeepers", "words/s", GATEKEEPERS, "processes"),
+    Task("owner_bytes", "the same in bytes", "gatekeepers", "bytes/s", GATEKEEPERS, "processes"),
+    Task("owner_cpu", "decisions of an owner, 10 duties", "gatekeepers", "ms CPU/s", GATEKEEPERS,
+         "processes"),
+)
+
+
+def machine() -> str:
+    return f"{os.cpu_count()} cores {platform.machine()}, {platform.python_implementation()} " \
+           f"{platform.python_version()}, {platform.system()}"
+
+
+def one_round(task: Task) -> list[float]:
+    """A value for each size, measured in this process."""
+    from benchmarks.slopes import decisions as modelled
+    from benchmarks.slopes import processes
+
+    point: Callable[[float], float] = getattr(modelled if task.where == "decisions" else processes, task.name)
+    if not task.is_of_cpu:
+        return [float(point(size)) for size in task.sizes]
+    values = []
+    for size in task.sizes:
+        before = reference_ms()
+        value = float(point(size))
+        values.append(value * REFERENCE_MS * 2 / (before + reference_ms()))
+    return values
+
+
+def reference_ms() -> float:
+    """CPU of a fixed loop, which tells how fast the machine is just now.
+
+    Danger: a machine may have several speeds. Seen: a module with nothing to do took 4.4 or 8.4 ms a second,
+    and this loop 0.61 or 1.04 ms with it, for minutes at a time and then the other."""
+    def once() -> float:
+        begin, total = time.process_time_ns(), 0
+        rows = [(number, number * 3) for number in range(3000)]
+        for _ in range(5):
+            for first, second in rows:
+                total += first if second % 7 else 1
+        return (time.process_time_ns() - begin) / 1e6
+    return median(once() for _ in range(5))
+
+
+def rounds_of(task: Task, folder: Path | None) -> list[list[float]]:
+    """Of CPU several rounds, each over all sizes in a process of its own."""
+    if not task.is_of_cpu:
+        return [one_round(task)]
+    words = [sys.executable, "-m", "benchmarks.slopes", "--round", task.name]
+    words += ["--compiled", str(folder)] if folder else []
+    return [json.loads(subprocess.run(words, check=True, stdout=subprocess.PIPE, timeout=ROUND_S).stdout)
+            for _ in range(LONG_ROUNDS if task.is_long else ROUNDS)]
+
+
+def measure(task: Task, decisions: str, folder: Path | None) -> dict[str, Any]:
+    """All points of one slope, as the file keeps it."""
+    columns = list(zip(*rounds_of(task, folder), strict=True))
+    points = [[size, median(column)] for size, column in zip(task.sizes, columns, strict=True)]
+    scatter = max((max(column) / min(column) for column in columns if min(column) > 0), default=1.0)
+    form, a, b, off = best_fit([(float(x), float(y)) for x, y in points], task.forms)
+    command = f"python -m benchmarks.slopes --only {task.name}" + (
+        " --compiled FOLDER" if decisions == COMPILED else "")
+    return {"name": task.name, "what": task.what, "x": task.x, "unit": task.unit, "decisions": decisions,
+            "form": form, "a": a, "b": b, "points": points, "residual": off, "scatter": scatter,
+            "command": command,
+            "date": time.strftime("%Y-%m-%d", time.gmtime()), "machine": machine()}
+
+
+def write(path: Path, rows: list[dict[str, Any]]) -> None:
+    """The file, with these in place of those of the same name and decisions."""
+    kept = json.loads(path.read_text(encoding="utf-8"))["slopes"] if path.exists() else []
+    found = {(row["name"], row["decisions"]): row for row in [*kept, *rows]}
+    places = [task.name for task in TASKS]
+    order = sorted(found.values(), key=lambda row: (places.index(row["name"]), row["decisions"]))
+    lines = ",\n".join(json.dumps(row) for row in order)
+    path.write_text(f'{{"slopes": [\n{lines}\n]}}\n', encoding="utf-8")
+
+
+def main() -> int:
+    """0: measured and written; 2: a wrong call."""
+    flags = argparse.ArgumentParser(prog="python -m benchmarks.slopes", description=__doc__,
+                                    formatter_class=argparse.RawDescriptionHelpFormatter)
+    flags.add_argument("--only", nargs="+", metavar="NAME", default=[])
+    flags.add_argument("--compiled", type=Path, metavar="FOLDER")
+    flags.add_argument("--out", type=Path, default=FILE)
+    flags.add_argument("--list", action="store_true", help="names alone")
+    flags.add_argument("--round", help=argparse.SUPPRESS)
+    given = flags.parse_args()
+    names = {task.name for task in TASKS}
+    if given.list:
+        print("\n".join(task.name for task in TASKS))
+        return 0
+    if unknown := sorted({*given.only, *([given.round] if given.round else [])} - names):
+        print(f"benchmarks.slopes: no such slope: {', '.join(unknown)}", file=sys.stderr)
+        return 2
+    if given.compiled and "compiled (" not in (told := compiled.use(given.compiled)):
+        print(f"benchmarks.slopes: {told}; compile them into {given.compiled} first", file=sys.stderr)
+        return 2
+    if given.round:
+        print(json.dumps(one_round(next(task for task in TASKS if task.name == given.round))))
+        return 0
+    for task in TASKS:
+        if given.only and task.name not in given.only or given.compiled and not task.cpu:
+            continue
+        decisions = EITHER if not task.cpu else COMPILED if given.compiled else PLAIN
+        begin = time.monotonic()
+        row = measure(task, decisions, given.compiled)
+        write(given.out, [row])
+        told_points = ", ".join(f"{x:g}: {y:.4g}" for x, y in row["points"])
+        print(f"{task.name} ({decisions}, {task.unit}) {told_points}; {row['form']}, a {row['a']:.4g}, "
+              f"b {row['b']:.4g}, off {100 * row['residual']:.1f} %, "
+              f"rounds apart {row['scatter']:.2f} times [{time.monotonic() - begin:.0f} s]",
+              flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/plumpick/capacity/form.py
@@ -0,0 +1,98 @@
+"""The sizes of a tier, from the operator's form (TOML); deploy/target.toml explains each key.
+
+Each key is due and checked by name; what cannot be served is refused by one line."""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from anisefront.settings import MAX_CLASSES, MAX_PLANS
+
+
+class FormError(ValueError):
+    """A form that cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """What a key may be."""
+
+    least: float
+    most: float
+    whole: bool = True
+
+
+# A tier beyond these is none that this program could be asked for: a slip of the pen.
+KEYS: dict[str, dict[str, Key]] = {
+    "tier": {"gatekeepers": Key(1, 10_000), "workers": Key(1, 100_000), "services": Key(1, 10_000),
+             "regions": Key(1, 100), "zones": Key(1, 1000), "rack_workers": Key(0, 10_000)},
+    "load": {"requests_per_s": Key(1, 1e8, False), "busiest_per_s": Key(1, 1e6, False),
+             "tenants": Key(1, 1e8), "set": Key(1, 10_000), "classes": Key(1, MAX_CLASSES),
+             "routes": Key(1, MAX_CLASSES), "plans": Key(1, MAX_PLANS), "answer_ms": Key(0, 60_000, False)},
+    "changes": {"configuration_per_day": Key(0, 1e6, False), "replaced_per_day": Key(0, 1e6, False),
+                "entries_a_replacement": Key(1, 10), "cut_off_s": Key(0, 86_400, False),
+                "restart_parts": Key(1, 1000)},
+    "limits": {"cpu_part": Key(1e-6, 1, False), "memory_mb": Key(1, 1e6, False),
+               "bytes_per_s": Key(1, 1e10, False), "words_taken_in_per_s": Key(1, 1e6, False),
+               "told_s": Key(0.001, 86_400, False), "added_ms": Key(0.001, 60_000, False),
+               "added_part": Key(1e-6, 1, False), "machines": Key(1, 1000),
+               "restarts_per_day": Key(1, 1e8, False), "descriptors": Key(16, 1e7)},
+}
+
+
+def form_from(value: Mapping[str, Any]) -> dict[str, float]:
+    """The sizes by key; raises FormError."""
+    for part in value:
+        if part not in KEYS:
+            raise FormError(f"{part}: no such table; there are {', '.join(KEYS)}")
+    sizes: dict[str, float] = {}
+    for part, keys in KEYS.items():
+        table = value.get(part)
+        if not isinstance(table, Mapping):
+            raise FormError(f"{part}: is missing" if table is None else f"{part}: is no table")
+        for key in table:
+            if key not in keys:
+                raise FormError(f"{part}.{key}: no such key; there are {', '.join(keys)}")
+        for key, kind in keys.items():
+            sizes[key] = _number(table.get(key), f"{part}.{key}", kind)
+    if sizes["set"] > sizes["gatekeepers"]:
+        raise FormError(f"load.set: {sizes['set']:g} is more than tier.gatekeepers, {sizes['gatekeepers']:g}")
+    if sizes["zones"] > sizes["workers"]:
+        raise FormError(f"tier.zones: {sizes['zones']:g} is more than tier.workers, {sizes['workers']:g}")
+    if sizes["rack_workers"] > sizes["workers"]:
+        raise FormError(f"tier.rack_workers: {sizes['rack_workers']:g} is more than tier.workers")
+    if sizes["busiest_per_s"] * sizes["gatekeepers"] < sizes["requests_per_s"]:
+        raise FormError(f"load.busiest_per_s: {sizes['busiest_per_s']:g} is under the mean of all")
+    if sizes["restart_parts"] > sizes["gatekeepers"]:
+        raise FormError(f"changes.restart_parts: {sizes['restart_parts']:g} is more than tier.gatekeepers")
+    return sizes
+
+
+def _number(value: Any, path: str, kind: Key) -> float:
+    if value is None:
+        raise FormError(f"{path}: is missing")
+    if type(value) not in (int, float) or type(value) is float and not math.isfinite(value):
+        raise FormError(f"{path}: {value!r} is no number")
+    if not kind.least <= value <= kind.most:  # before all else: TOML's whole numbers have any length
+        told = f"{value!r}" if abs(value) < 1e18 else "a number of more than 18 digits"
+        raise FormError(f"{path}: {told} is not from {kind.least:g} to {kind.most:g}")
+    if kind.whole and value != int(value):
+        raise FormError(f"{path}: {value!r} is no whole number")
+    return float(value)
+
+
+def load(path: str) -> dict[str, float]:
+    """Read the file; raises FormError with one line."""
+    try:
+        return form_from(tomllib.loads(Path(path).read_text(encoding="utf-8")))
+    except OSError as problem:
+        raise FormError(f"cannot read {path}: {problem.strerror}") from problem
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise FormError(f"{path}: no TOML: {problem}") from problem
+    except FormError as problem:
+        raise FormError(f"{path}: {problem}") from problem
--- /dev/null
+++ b/plumpick/capacity/model.py
@@ -0,0 +1,189 @@
+"""Rows worked out: formulas over the sizes of a form, measured slopes and the program's own constants.
+
+A formula is arithmetic: a slope is called with a size; `growth(slope, x)` is what x of them add to
+what there is without them; `words(rate)` and `word_bytes(rate)` are what a gatekeeper
+tells at that rate with the form's sets."""
+
+from __future__ import annotations
+
+import ast
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from anisefront import aperture, usage, watching
+from anisefront.budgets.book import INBOX_PER_S
+from anisefront.control import HOLD_PINGS, ping_ms
+from anisefront.interface import Plan, Repeat, RequestClass, Settings
+from anisefront.settings import MAX_CLASSES
+from plumpick.capacity.rows import MECHANISMS, NONE, ROWS, Row
+from plumpick.capacity.slopes import LINEAR, Slope
+from plumpick.daemon import ending_of
+from plumpick.gatekeeper import WORKER_PART
+from plumpick.operator import SHARE_MOST_S, operator_from
+
+MEASURED, FORMULA = "measured", "formula"
+SETS = (3, 20)  # of which words were measured at several rates
+SHARE_TIER = 240  # of which the operator's file has a default for share_s; it is in proportion to the tier
+
+
+class ModelError(ValueError):
+    """A formula that cannot be worked out; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One row worked out."""
+
+    row: Row
+    value: float
+    limit: float | None
+    mechanism: str
+    slopes: tuple[str, ...]
+    outside: tuple[str, ...]  # slopes read beyond what was measured
+    off: float  # largest residual of the slopes read
+    put_together: bool = False  # from slopes that were not measured together
+
+    @property
+    def ratio(self) -> float | None:
+        """Figure by limit; None without a limit."""
+        return None if self.limit is None else self.value / self.limit
+
+    @property
+    def is_missing(self) -> bool:
+        return self.mechanism == NONE
+
+    @property
+    def range(self) -> str:
+        """How far what was measured carries it."""
+        if not self.slopes:
+            return FORMULA
+        if self.outside:
+            return f"outside: {', '.join(self.outside)}"
+        more = ", put together" if self.put_together else ""
+        return f"{MEASURED}, off {100 * self.off:.0f} % at most{more}"
+
+
+def constants(sizes: Mapping[str, float]) -> dict[str, float]:
+    """What the program's own text says at these sizes."""
+    gatekeepers = int(sizes["gatekeepers"])
+    any_class = RequestClass("any", 1.0, 1.0, 1.0, Repeat.SAFE)
+    tier = Settings(gateways=gatekeepers, number=0, zone="", classes=(any_class,), plans=(Plan("any"),),
+                    warm_up_ms=0.0, cold_from=0.0, fall_multiple=0.0, fall_window_ms=0.0, max_attempts=1,
+                    inbox_per_s=sizes["words_taken_in_per_s"])
+    default = operator_from({"fleet": {"voters": [0]}}, SHARE_TIER).fleet
+    if default is None:
+        raise ModelError("the operator's file names no fleet")
+    return {
+        "arc_workers": math.ceil(sizes["workers"] * aperture.share(sizes["workers"], gatekeepers)),
+        "worker_part": WORKER_PART, "classes_most": float(MAX_CLASSES),
+        "home_lost_s": HOLD_PINGS * ping_ms(tier) / 1000,
+        "gather_each_ms": usage.ASK_EACH_MS, "gather_longest_s": usage.longest_ms(gatekeepers) / 1000,
+        "askings_per_s": INBOX_PER_S, "share_least_s": 2 * gatekeepers / INBOX_PER_S,
+        "share_most_s": SHARE_MOST_S,
+        "share_default_s": max(2.0, default.share_ms / 1000 / SHARE_TIER * gatekeepers),
+        "agent_watch_ms": watching.WATCH_MS, "agent_worst_s": watching.worst_ms(False) / 1000,
+        "shared_watch_ms": watching.SHARED_WATCH_MS, "shared_round_ms": watching.ROUND_MS,
+        "shared_worst_s": watching.worst_ms(True) / 1000,
+        "ending_s": ending_of([math.inf])[2],  # of classes with long deadlines
+    }
+
+
+@dataclass(slots=True)
+class _Reading:
+    """One formula worked out; what it read is kept."""
+
+    sizes: Mapping[str, float]
+    named: Mapping[str, float]
+    slopes: Mapping[str, Slope]
+    read: dict[str, Slope] = field(default_factory=dict)
+    outside: dict[str, None] = field(default_factory=dict)
+    put_together: bool = False
+
+    def at(self, name: str, x: float) -> float:
+        slope = self.slopes.get(name)
+        if slope is None:
+            raise ModelError(f"{name}: no such slope was measured")
+        self.read[name] = slope
+        if not slope.holds(x):
+            self.outside[f"{name} at {x:,.4g}, measured {slope.least:,.4g} to {slope.most:,.4g}"] = None
+        return slope.at(x)
+
+    def growth(self, name: str, x: float) -> float:
+        """What x of them add, by a straight line."""
+        whole, slope = self.at(name, x), self.slopes[name]
+        if slope.form != LINEAR:
+            raise ModelError(f"{name}: no straight line")
+        return whole - slope.at(0.0)
+
+    def told(self, what: str, rate: float) -> float:
+        """Words or bytes told at a rate. For sets that were not measured at that rate: what sets of 3 or 20
+        have at it, in proportion to what the set has at the rate of the sets' slope."""
+        spread = self.sizes["set"]
+        near = SETS[0] if spread < math.sqrt(SETS[0] * SETS[1]) else SETS[1]
+        by_rate = self.at(f"{what}_by_rate_{near}", rate)
+        if spread == near:
+            return by_rate
+        self.put_together = True
+        return by_rate * self.at(f"{what}_by_set", spread) / self.at(f"{what}_by_set", near)
+
+    def value(self, formula: str) -> float:
+        try:
+            tree = ast.parse(formula, mode="eval")
+        except SyntaxError as problem:
+            raise ModelError(f"{formula}: {problem}") from problem
+        return self._of(tree.body)
+
+    def _of(self, node: ast.expr) -> float:
+        match node:
+            case ast.Constant(value=int() | float() as number):
+                return float(number)
+            case ast.Name(id=name) if name in self.named:
+                return self.named[name]
+            case ast.BinOp(left=left, op=op, right=right) if type(op) in _OPERATORS:
+                try:
+                    return _OPERATORS[type(op)](self._of(left), self._of(right))
+                except ZeroDivisionError as problem:
+                    raise ModelError(f"{ast.unparse(node)}: divided by 0") from problem
+            case ast.Call(func=ast.Name(id="growth"), args=[ast.Name(id=name), size], keywords=[]):
+                return self.growth(name, self._of(size))
+            case ast.Call(func=ast.Name(id="words"), args=[rate], keywords=[]):
+                return self.told("words", self._of(rate))
+            case ast.Call(func=ast.Name(id="word_bytes"), args=[rate], keywords=[]):
+                return self.told("bytes", self._of(rate))
+            case ast.Call(func=ast.Name(id=name), args=[size], keywords=[]):
+                return self.at(name, self._of(size))
+        raise ModelError(f"{ast.unparse(node)}: is no part of a formula")
+
+
+_OPERATORS: dict[Any, Callable[[float, float], float]] = {
+    ast.Add: lambda a, b: a + b, ast.Sub: lambda a, b: a - b, ast.Mult: lambda a, b: a * b,
+    ast.Div: lambda a, b: a / b}
+
+
+def line_of(row: Row, sizes: Mapping[str, float], slopes: Mapping[str, Slope],
+            mechanisms: Mapping[str, str] = MECHANISMS) -> Line:
+    """One row at these sizes. Raises ModelError."""
+    reading = _Reading(sizes, {**constants(sizes), **sizes}, slopes)
+    value = reading.value(row.formula)
+    limit = reading.value(row.limit) if row.limit else None
+    if limit is not None and limit <= 0:
+        raise ModelError(f"{row.who}, {row.what}: a limit of {limit:g}")
+    if row.mechanism not in mechanisms:
+        raise ModelError(f"{row.mechanism}: no such mechanism")
+    return Line(row, value, limit, mechanisms[row.mechanism], tuple(sorted(reading.read)),
+                tuple(reading.outside), max((one.residual for one in reading.read.values()), default=0.0),
+                reading.put_together)
+
+
+def lines_of(sizes: Mapping[str, float], slopes: Mapping[str, Slope],
+             rows: tuple[Row, ...] = ROWS) -> list[Line]:
+    """All rows, what passes its limit by most first; those without a limit last."""
+    lines = [line_of(row, sizes, slopes) for row in rows]
+    return sorted(lines, key=lambda line: -1.0 if line.ratio is None else line.ratio, reverse=True)
+
+
+def missing_of(lines: list[Line]) -> list[Line]:
+    """What passes its limit and is carried by no mechanism, by ratio."""
+    return [line for line in lines if line.is_missing and line.ratio is not None and line.ratio > 1]
--- /dev/null
+++ b/plumpick/capacity/page.py
@@ -0,0 +1,103 @@
+"""The tables of docs/CAPACITY.md, and of `plumpick size`."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from plumpick.capacity.model import Line, missing_of
+from plumpick.capacity.rows import EVENTS, FIGURES, ROLES, ROWS
+from plumpick.capacity.slopes import Slope
+
+BEGIN, END = "<!-- {}: from `plumpick size`, not by hand -->", "<!-- end of {} -->"
+ROWS_TABLE, SLOPES_TABLE, MISSING, GAPS = "rows", "slopes", "missing", "gaps"
+
+
+def number(value: float) -> str:
+    """Three figures, and all before the point."""
+    if value and abs(value) < 0.001:
+        return f"{value:.1e}"
+    return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
+
+
+def rows_table(lines: Sequence[Line]) -> str:
+    """All rows."""
+    head = ["| role or event | figure | at this size | limit | ratio | carried by | range | worked out as |",
+            "| --- | --- | --- | --- | --- | --- | --- | --- |"]
+    return "\n".join(head + [_row(line) for line in lines])
+
+
+def _row(line: Line) -> str:
+    row = line.row
+    limit = "none set" if line.limit is None else number(line.limit)
+    ratio = "" if line.ratio is None else number(line.ratio)
+    if line.ratio is not None and line.ratio > 1:
+        ratio = f"**{ratio}**"
+    carried = "**none**" if line.is_missing else f"`{line.mechanism}`"
+    return (f"| {row.who} | {row.figure}: {row.what} | {number(line.value)} {row.unit} | {limit} | {ratio} | "
+            f"{carried} | {line.range} | `{row.formula}` |")
+
+
+def slopes_table(slopes: Sequence[Slope]) -> str:
+    """What was measured."""
+    head = ["| slope | what | unit | by | points | curve | off | rounds apart | decisions | date |",
+            "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"]
+    return "\n".join(head + [
+        f"| `{one.name}` | {one.what} | {one.unit} | {one.x} | "
+        f"{'; '.join(f'{x:,.0f}: {number(y)}' for x, y in one.points)} | "
+        f"{one.form}: a {one.a:.4g}, b {one.b:.4g} | {100 * one.residual:.1f} % | "
+        f"{'one round' if one.scatter == 1 else f'{one.scatter:.2f} times'} | {one.decisions} | "
+        f"{one.date} |"
+        for one in slopes])
+
+
+def missing_text(lines: list[Line]) -> str:
+    """What is missing first, and which come next."""
+    rows = missing_of(lines)
+    if not rows:
+        return "Nothing that passes its limit lacks a mechanism."
+    return "\n".join(
+        f"{place}. **{line.row.who}**, {line.row.what}: {number(line.value)} {line.row.unit} of "
+        f"{number(line.limit or 0)}, {number(line.ratio or 0)} times"
+        for place, line in enumerate(rows, 1))
+
+
+def gaps_table() -> str:
+    """Which figures of which role or event have a row."""
+    head = [f"| | {' | '.join(FIGURES)} |", "| --- |" + " --- |" * len(FIGURES)]
+    body = []
+    for who in (*ROLES, *EVENTS):
+        counts = [sum(row.who == who and row.figure == figure for row in ROWS) for figure in FIGURES]
+        body.append(f"| {who} | {' | '.join(str(count) if count else 'none' for count in counts)} |")
+    return "\n".join(head + body)
+
+
+def parts(lines: list[Line], slopes: Sequence[Slope]) -> dict[str, str]:
+    """All generated parts of the page."""
+    return {ROWS_TABLE: rows_table(lines), SLOPES_TABLE: slopes_table(slopes), MISSING: missing_text(lines),
+            GAPS: gaps_table()}
+
+
+def between(text: str, name: str) -> str:
+    """What stands between a part's marks. Raises ValueError where they are not there once each, in order."""
+    begin, end = BEGIN.format(name), END.format(name)
+    if text.count(begin) != 1 or text.count(end) != 1 or text.index(begin) > text.index(end):
+        raise ValueError(f"the marks of {name} do not stand once each, in order")
+    return text[text.index(begin) + len(begin):text.index(end)].strip("\n")
+
+
+def with_parts(text: str, news: Mapping[str, str]) -> str:
+    """The page with these parts in place of its own."""
+    for name, part in news.items():
+        old = between(text, name)
+        begin, end = BEGIN.format(name), END.format(name)
+        text = text.replace(f"{begin}\n{old}\n{end}" if old else f"{begin}\n{end}", f"{begin}\n{part}\n{end}")
+    return text
+
+
+def as_dict(line: Line) -> dict[str, Any]:
+    """A row for --json."""
+    row = line.row
+    return {"who": row.who, "figure": row.figure, "what": row.what, "unit": row.unit, "value": line.value,
+            "limit": line.limit, "ratio": line.ratio, "mechanism": line.mechanism, "range": line.range,
+            "slopes": list(line.slopes), "formula": row.formula, "limit_formula": row.limit}
--- /dev/null
+++ b/plumpick/capacity/slopes.py
@@ -0,0 +1,164 @@
+"""Measured slopes: a curve through points, with how far it is off, kept as data in slopes.json.
+
+`python -m benchmarks.slopes` measures and writes them; nothing else does."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+FILE = Path(__file__).with_name("slopes.json")
+LINEAR, SORTED, POWER, SATURATING = "a + b x", "a + b x ln x", "a x^b", "a x / (b + x)"
+FORMS = (LINEAR, SORTED, POWER, SATURATING)
+LEAST_POINTS = 4
+COMPILED, PLAIN, EITHER = "compiled", "plain", "either"  # decisions under which a slope was measured
+KEYS = {"name", "what", "x", "unit", "decisions", "form", "a", "b", "points", "residual", "scatter",
+        "command", "date", "machine"}
+
+Point = tuple[float, float]
+
+
+class SlopesError(ValueError):
+    """Slopes that cannot be used; the text says why."""
+
+
+def value(form: str, a: float, b: float, x: float) -> float:
+    """The curve at x."""
+    if form == LINEAR:
+        return a + b * x
+    if form == SORTED:
+        return a + (b * x * math.log(x) if x > 0 else 0.0)
+    if form == POWER:
+        return a * x ** b if x > 0 else 0.0
+    return a * x / (b + x) if b + x else 0.0
+
+
+def _line(rows: Sequence[tuple[float, float, float]]) -> tuple[float, float]:
+    """Least squares of v = a + b u, with weights."""
+    whole = sum(weight for _, _, weight in rows)
+    mean_u = sum(u * weight for u, _, weight in rows) / whole
+    mean_v = sum(v * weight for _, v, weight in rows) / whole
+    spread = sum(weight * (u - mean_u) ** 2 for u, _, weight in rows)
+    b = sum(weight * (u - mean_u) * (v - mean_v) for u, v, weight in rows) / spread if spread else 0.0
+    return mean_v - b * mean_u, b
+
+
+def fit(form: str, points: Sequence[Point]) -> tuple[float, float]:
+    """a and b by least squares of the relative deviation. Raises SlopesError where the form cannot hold."""
+    if any(y <= 0 for _, y in points):
+        if form != LINEAR:
+            raise SlopesError(f"{form}: needs values above 0")
+        return _line([(x, y, 1.0) for x, y in points])
+    if form == LINEAR:
+        return _line([(x, y, 1 / y ** 2) for x, y in points])
+    if any(x <= 0 for x, _ in points):
+        raise SlopesError(f"{form}: needs sizes above 0")
+    if form == SORTED:
+        return _line([(x * math.log(x), y, 1 / y ** 2) for x, y in points])
+    if form == POWER:
+        log_a, b = _line([(math.log(x), math.log(y), 1.0) for x, y in points])
+        return math.exp(log_a), b
+    if form == SATURATING:  # x / y = b / a + x / a
+        c, d = _line([(x, x / y, (y / x) ** 2) for x, y in points])
+        if d <= 0 or c < 0:
+            raise SlopesError(f"{form}: does not bend so")
+        return 1 / d, c / d
+    raise SlopesError(f"{form!r} is none of {', '.join(FORMS)}")
+
+
+def residual(form: str, a: float, b: float, points: Sequence[Point]) -> float:
+    """The largest deviation of the curve from a point, as a share of the point's value."""
+    return max(abs(value(form, a, b, x) - y) / abs(y) if y else abs(value(form, a, b, x)) for x, y in points)
+
+
+def best_fit(points: Sequence[Point], forms: Sequence[str] = FORMS) -> tuple[str, float, float, float]:
+    """Form, a, b and residual of whichever form is off least."""
+    found = []
+    for form in forms:
+        try:
+            a, b = fit(form, points)
+        except SlopesError:
+            continue
+        found.append((residual(form, a, b, points), FORMS.index(form), a, b))
+    least, place, a, b = min(found)
+    return FORMS[place], a, b, least
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """One measured slope."""
+
+    name: str
+    what: str
+    x: str
+    unit: str
+    decisions: str
+    form: str
+    a: float
+    b: float
+    points: tuple[Point, ...]
+    residual: float
+    scatter: float  # largest by smallest of the rounds at one size, where it is worst; 1 with one round
+    command: str
+    date: str
+    machine: str
+
+    def at(self, x: float) -> float:
+        return value(self.form, self.a, self.b, x)
+
+    @property
+    def least(self) -> float:
+        return min(x for x, _ in self.points)
+
+    @property
+    def most(self) -> float:
+        return max(x for x, _ in self.points)
+
+    def holds(self, x: float) -> bool:
+        """Whether x lies in the measured range."""
+        return self.least <= x <= self.most
+
+    def check(self) -> None:
+        """Raises SlopesError where curve, points and residual are not of one another."""
+        if len(self.points) < LEAST_POINTS or len({x for x, _ in self.points}) != len(self.points):
+            raise SlopesError(f"{self.name}: {LEAST_POINTS} points at different sizes are due")
+        a, b = fit(self.form, self.points)
+        if not all(math.isclose(mine, told, rel_tol=1e-6, abs_tol=1e-12)
+                   for mine, told in ((a, self.a), (b, self.b))):
+            raise SlopesError(f"{self.name}: a and b are not those of its points")
+        off = residual(self.form, a, b, self.points)
+        if not math.isclose(off, self.residual, rel_tol=1e-6, abs_tol=1e-9):
+            raise SlopesError(f"{self.name}: its residual is not that of its points")
+
+
+def slope_from(row: Any) -> Slope:
+    """A slope of the file. Raises SlopesError."""
+    if not isinstance(row, dict) or set(row) != KEYS:
+        raise SlopesError(f"a slope has the keys {', '.join(sorted(KEYS))}")
+    try:
+        slope = Slope(**{**row, "points": tuple((float(x), float(y)) for x, y in row["points"])})
+        slope.check()
+    except (TypeError, OverflowError, ZeroDivisionError) as problem:
+        raise SlopesError(f"{row['name']}: {problem}") from problem
+    return slope
+
+
+def read(path: Path = FILE) -> tuple[Slope, ...]:
+    """All slopes of the file, each looked at. Raises OSError or SlopesError."""
+    try:
+        rows = list(json.loads(path.read_text(encoding="utf-8"))["slopes"])
+    except (ValueError, KeyError, TypeError) as problem:
+        raise SlopesError(f"{path.name}: cannot be read: {problem}") from problem
+    return tuple(slope_from(row) for row in rows)
+
+
+def chosen(slopes: Sequence[Slope]) -> dict[str, Slope]:
+    """By name; measured on compiled decisions, as the deploy file builds them, where there are such."""
+    found: dict[str, Slope] = {}
+    for slope in sorted(slopes, key=lambda one: one.decisions == COMPILED):
+        found[slope.name] = slope
+    return found
--- a/plumpick/cli.py
+++ b/plumpick/cli.py
@@ -69,6 +69,11 @@
     bounds.add_argument("--loss", type=float, default=0.08, help="share of messages lost (0.08)")
     bounds.add_argument("--restarts", type=int, default=1, help="of a home within a window (1)")
     bounds.set_defaults(run="bounds")
+    size = tools.add_parser("size", help="what a tier of the sizes in a form takes, against its limits")
+    size.add_argument("file", help="the form, TOML (deploy/target.toml explains each key)")
+    size.add_argument("--json", action="store_true", help="print it as JSON")
+    size.add_argument("--page", metavar="FILE", help="write the tables into this page (docs/CAPACITY.md)")
+    size.set_defaults(run="size")
     counts = tools.add_parser("counts", help="add up what a whole tier did, from its gatekeepers' records")
     counts.add_argument("folder", help="with a NAME.log of each gatekeeper (plumpick.tools.traced)")
     counts.add_argument("--span", type=float, default=1000.0, metavar="MS", help="a row for so long (1000)")
@@ -152,6 +157,10 @@
         from plumpick.tools.bounds import bounds
 
         return bounds(given)
+    if given.run == "size":
+        from plumpick.tools.size import size
+
+        return size(given)
     if given.run == "call":
         from plumpick.tools.call import call
 
--- /dev/null
+++ b/plumpick/tools/size.py
@@ -0,0 +1,31 @@
+"""`plumpick size FILE`: what a tier of the sizes in an operator's form takes, row by row, against limits."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from pathlib import Path
+
+from plumpick.capacity.form import FormError, load
+from plumpick.capacity.model import ModelError, lines_of
+from plumpick.capacity.page import as_dict, parts, rows_table, with_parts
+from plumpick.capacity.slopes import SlopesError, chosen, read
+from plumpick.cli import EXIT_HELD, EXIT_USAGE
+
+
+def size(given: argparse.Namespace) -> int:
+    """0: printed, also where limits are passed; 2: a form, or slopes, that cannot be used."""
+    try:
+        sizes, slopes = load(given.file), read()
+        lines = lines_of(sizes, chosen(slopes))
+        if given.page:
+            page = Path(given.page)
+            text = with_parts(page.read_text(encoding="utf-8"), parts(lines, slopes))
+            page.write_text(text, encoding="utf-8")
+            return EXIT_HELD
+    except (FormError, ModelError, SlopesError, OSError, ValueError) as problem:
+        print(f"plumpick size: {problem}", file=sys.stderr)
+        return EXIT_USAGE
+    print(json.dumps([as_dict(line) for line in lines], indent=1) if given.json else rows_table(lines))
+    return EXIT_HELD
--- /dev/null
+++ b/tests/capacity/test_size.py
@@ -0,0 +1,273 @@
+"""The sizes of a tier: form, slopes, rows, page and command."""
+
+import ast
+import json
+import pathlib
+import tomllib
+from dataclasses import replace
+
+import pytest
+
+from plumpick.capacity import form, model, page, rows, slopes
+from plumpick.cli import main
+
+ROOT = pathlib.Path(__file__).parents[2]
+TARGET, PAGE = ROOT / "deploy/target.toml", ROOT / "docs/CAPACITY.md"
+ALL = slopes.read()
+CHOSEN = slopes.chosen(ALL)
+
+
+def target():
+    return form.load(str(TARGET))
+
+
+def lines():
+    return model.lines_of(target(), CHOSEN)
+
+
+def printed(capsys, *words):
+    code = main(["size", *words])
+    told = capsys.readouterr()
+    return code, told.out, told.err
+
+
+def test_the_page_holds_what_the_command_prints_between_its_marks(capsys):
+    code, out, err = printed(capsys, str(TARGET))
+    assert (code, err) == (0, "")
+    text = PAGE.read_text()
+    assert page.between(text, page.ROWS_TABLE) == out.strip()
+    for name, part in page.parts(lines(), ALL).items():
+        assert page.between(text, name) == part, name
+
+
+def test_a_changed_slope_or_a_row_taken_out_shows_on_the_page():
+    text = PAGE.read_text()
+    table = page.between(text, page.ROWS_TABLE)
+    for name in {name for line in lines() for name in line.slopes}:
+        dearer = replace(CHOSEN[name], a=CHOSEN[name].a * 1.1 + 0.1, b=CHOSEN[name].b * 1.1)
+        assert page.rows_table(model.lines_of(target(), {**CHOSEN, name: dearer})) != table, name
+    for place, row in enumerate(rows.ROWS):
+        without = rows.ROWS[:place] + rows.ROWS[place + 1:]
+        assert page.rows_table(model.lines_of(target(), CHOSEN, without)) != table, row.what
+
+
+@pytest.mark.parametrize("slope", ALL, ids=lambda slope: f"{slope.name}-{slope.decisions}")
+def test_a_slope_is_that_of_its_points(slope):
+    slope.check()
+    assert len(slope.points) >= 4 and slope.command and slope.machine
+    for wrong in (replace(slope, b=slope.b * 1.01 + 1e-6), replace(slope, a=slope.a * 1.01 + 1e-6),
+                  replace(slope, residual=slope.residual + 0.01), replace(slope, points=slope.points[:3])):
+        with pytest.raises(slopes.SlopesError, match=slope.name):
+            wrong.check()
+
+
+def test_every_slope_says_how_it_was_measured_and_every_row_what_carries_it():
+    for slope in ALL:
+        assert slope.command.startswith(f"python -m benchmarks.slopes --only {slope.name}")
+        assert ("--compiled" in slope.command) == (slope.decisions == slopes.COMPILED)
+    for row in rows.ROWS:
+        assert row.who in rows.ROLES + rows.EVENTS and row.figure in rows.FIGURES
+        mechanism = rows.MECHANISMS[row.mechanism]
+        if mechanism == rows.NONE:
+            continue
+        file, _, function = mechanism.partition(", ")
+        text = (ROOT / file).read_text()
+        for name in function.replace(" and ", ".").split(".") if function else ():
+            assert f"def {name}" in text or f"class {name}" in text, mechanism
+
+
+def test_no_figure_is_written_into_a_formula():
+    """But changes of unit, and 1."""
+    for row in rows.ROWS:
+        for formula in filter(None, (row.formula, row.limit)):
+            numbers = {node.value for node in ast.walk(ast.parse(formula)) if isinstance(node, ast.Constant)}
+            assert numbers <= {1, 10, 100, 1000, 10_000, 1_000_000, 86_400}, row.what
+
+
+def by_hand(formula, sizes):
+    """The same arithmetic by Python itself, with curves drawn from the points anew."""
+    def told(what, rate):
+        near = 3 if sizes["set"] < 60 ** 0.5 else 20
+        value = curve(f"{what}_by_rate_{near}")(rate)
+        if sizes["set"] != near:
+            value *= curve(f"{what}_by_set")(sizes["set"]) / curve(f"{what}_by_set")(near)
+        return value
+
+    def curve(name):
+        slope = CHOSEN[name]
+        a, b = slopes.fit(slope.form, slope.points)
+        return lambda x: slopes.value(slope.form, a, b, x)
+
+    names = {name: curve(name) for name in CHOSEN}
+    names |= {"words": lambda rate: told("words", rate), "word_bytes": lambda rate: told("bytes", rate),
+              "growth": lambda slope, x: slope(x) - slope(0.0)}
+    return eval(formula, {"__builtins__": {}}, {**names, **model.constants(sizes), **sizes})
+
+
+@pytest.mark.parametrize("more", [{}, {"set": 20.0}, {"set": 7.0, "gatekeepers": 40.0, "workers": 200.0}])
+def test_every_figure_and_ratio_is_that_of_its_formula(more):
+    sizes = {**target(), **more}
+    for line in model.lines_of(sizes, CHOSEN):
+        value = by_hand(line.row.formula, sizes)
+        assert line.value == pytest.approx(value), line.row.what
+        if line.row.limit:
+            assert line.ratio == pytest.approx(value / by_hand(line.row.limit, sizes)), line.row.what
+        else:
+            assert line.ratio is None
+
+
+def test_the_table_begins_with_what_passes_its_limit_most():
+    ratios = [line.ratio for line in lines()]
+    told = [ratio for ratio in ratios if ratio is not None]
+    assert ratios == sorted(told, reverse=True) + [None] * (len(ratios) - len(told))
+    missing = model.missing_of(lines())
+    assert missing and all(line.is_missing and line.ratio > 1 for line in missing)
+
+
+def test_a_mechanism_that_is_built_takes_its_rows_out_of_what_is_missing():
+    sizes = target()
+    built = {**rows.MECHANISMS, "configuration": "plumpick/some.py, thing"}
+    before = [line for line in map(lambda row: model.line_of(row, sizes, CHOSEN), rows.ROWS)]
+    after = [model.line_of(row, sizes, CHOSEN, built) for row in rows.ROWS]
+    assert sum(line.is_missing for line in after) < sum(line.is_missing for line in before)
+
+
+def test_a_figure_beyond_what_was_measured_says_so():
+    sizes = target()
+    row = next(row for row in rows.ROWS if row.formula == "changed_entry(workers)")
+    most = CHOSEN["changed_entry"].most
+    assert model.line_of(row, {**sizes, "workers": most}, CHOSEN).range.startswith("measured, off ")
+    beyond = model.line_of(row, {**sizes, "workers": most + 1}, CHOSEN).range
+    assert beyond.startswith("outside: changed_entry at ")
+    plain = next(row for row in rows.ROWS if row.formula == "configuration_per_day * gatekeepers")
+    assert model.line_of(plain, sizes, CHOSEN).range == "formula"
+
+
+def test_compiled_decisions_come_before_plain_ones():
+    one = ALL[0]
+    plain, made = replace(one, decisions=slopes.PLAIN), replace(one, decisions=slopes.COMPILED)
+    assert slopes.chosen([plain, made]) == slopes.chosen([made, plain]) == {one.name: made}
+
+
+@pytest.mark.parametrize("formula", [
+    "nothing(workers)", "workers +", "nobody", "workers / 0", "growth(workers, 1)", "workers ** 2",
+    "__import__('os')", "workers.real", "words()", "idle_by_workers(workers, 1)", "'text'", "1 and workers",
+])
+def test_what_is_no_formula_is_refused(formula):
+    row = replace(rows.ROWS[0], formula=formula)
+    with pytest.raises(model.ModelError):
+        model.line_of(row, target(), CHOSEN)
+
+
+FORMS = [(curve, points) for curve, points in (
+    ("a + b x", [(1, 12.0), (10, 30.0), (100, 210.0), (1000, 2010.0)]),
+    ("a x^b", [(1, 3.0), (4, 6.0), (100, 30.0), (10_000, 300.0)]),
+    ("a x / (b + x)", [(1, 5.0), (9, 25.0), (41, 41.0), (991, 49.55)]),
+)]
+
+
+@pytest.mark.parametrize(("curve", "points"), FORMS)
+def test_the_curve_that_was_drawn_is_found_again(curve, points):
+    found, a, b, off = slopes.best_fit(points)
+    assert found == curve and off < 1e-9
+    a_again, b_again = {"a + b x": (10, 2), "a x^b": (3, 0.5), "a x / (b + x)": (50, 9)}[curve]
+    assert (a, b) == (pytest.approx(a_again), pytest.approx(b_again))
+
+
+def test_the_residual_is_the_largest_deviation():
+    points = [(1, 10.0), (2, 20.0), (3, 30.0), (4, 60.0)]
+    assert slopes.residual("a + b x", 0.0, 10.0, points) == pytest.approx(1 / 3)
+
+
+def changed(part, key, value):
+    whole = tomllib.loads(TARGET.read_text())
+    if value is None:
+        del whole[part][key]
+    else:
+        whole[part][key] = value
+    return whole
+
+
+def as_toml(whole):
+    return "\n".join(f"[{part}]\n" + "\n".join(f"{key} = {value}" for key, value in table.items())
+                     for part, table in whole.items())
+
+
+BAD = [
+    ("tier", "workers", 0), ("tier", "workers", -5), ("tier", "gatekeepers", 0),
+    ("load", "routes", 1_000_000),
+    ("load", "tenants", "inf"), ("load", "requests_per_s", "nan"), ("load", "requests_per_s", "inf"),
+    ("load", "tenants", 10 ** 400), ("load", "set", 551), ("tier", "services", "true"),
+    ("tier", "workers", '"many"'), ("tier", "workers", 10.5), ("limits", "told_s", 0),
+    ("limits", "cpu_part", 1.2), ("tier", "zones", 5901), ("tier", "rack_workers", 5901),
+    ("load", "busiest_per_s", 200), ("changes", "restart_parts", 551), ("tier", "halls", 3),
+    ("limits", "memory_mb", "[256]"), ("load", "plans", 0), ("changes", "configuration_per_day", -1),
+]
+
+
+@pytest.mark.parametrize(("part", "key", "value"), BAD)
+def test_a_form_that_cannot_be_served_is_refused_by_one_line_that_names_the_key(
+        part, key, value, tmp_path, capsys):
+    path = tmp_path / "form.toml"
+    path.write_text(as_toml(changed(part, key, value)))
+    code, out, err = printed(capsys, str(path))
+    assert (code, out) == (2, "") and err.count("\n") == 1
+    assert f"{part}.{key}: " in err and len(err) < 600
+
+
+@pytest.mark.parametrize(("part", "key"), [(part, key) for part, keys in form.KEYS.items() for key in keys])
+def test_a_key_that_is_missing_is_named(part, key, tmp_path, capsys):
+    path = tmp_path / "form.toml"
+    path.write_text(as_toml(changed(part, key, None)))
+    code, out, err = printed(capsys, str(path))
+    assert (code, out) == (2, "") and err == f"plumpick size: {path}: {part}.{key}: is missing\n"
+
+
+@pytest.mark.parametrize("text", ["", "[tier]", "tier = 3", "[tier", "[halls]\nx = 1", "\udcff"])
+def test_a_file_that_is_no_form_is_refused_by_one_line(text, tmp_path, capsys):
+    path = tmp_path / "form.toml"
+    path.write_bytes(text.encode(errors="surrogateescape"))
+    code, out, err = printed(capsys, str(path))
+    assert (code, out) == (2, "") and err.count("\n") == 1
+    assert printed(capsys, str(tmp_path / "nowhere.toml"))[0] == 2
+
+
+def test_json_has_the_same_rows(capsys):
+    code, out, _ = printed(capsys, str(TARGET), "--json")
+    told = json.loads(out)
+    assert code == 0 and [row["what"] for row in told] == [line.row.what for line in lines()]
+    assert [row["ratio"] for row in told] == [line.ratio for line in lines()]
+
+
+def test_other_sizes_give_other_rows_from_the_same_slopes(tmp_path, capsys):
+    path = tmp_path / "form.toml"
+    path.write_text(as_toml(changed("tier", "workers", 1000)))
+    _, smaller, _ = printed(capsys, str(path), "--json")
+    _, larger, _ = printed(capsys, str(TARGET), "--json")
+
+    def entry(text):
+        return next(row["value"] for row in json.loads(text) if row["formula"] == "changed_entry(workers)")
+    assert entry(smaller) < entry(larger) / 3
+
+
+@pytest.mark.parametrize("text", ["", "{}", '{"slopes": [{}]}', '{"slopes": 3}', "[]"])
+def test_slopes_that_cannot_be_read_are_told(text, tmp_path):
+    path = tmp_path / "slopes.json"
+    path.write_text(text)
+    with pytest.raises(slopes.SlopesError):
+        slopes.read(path)
+
+
+def test_the_daemon_knows_nothing_of_it():
+    node = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["node"]
+    assert not [name for name in node if "capacity" in name]
+    for name in [*node, *map(str, (ROOT / "anisefront").rglob("*.py"))]:
+        assert "plumpick.capacity" not in (ROOT / name).read_text(), name
+
+
+def test_a_page_without_its_marks_is_refused(tmp_path, capsys):
+    path = tmp_path / "page.md"
+    path.write_text("nothing")
+    code, out, err = printed(capsys, str(TARGET), "--page", str(path))
+    assert (code, out) == (2, "") and err.count("\n") == 1
+    assert path.read_text() == "nothing"
--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -28,7 +28,7 @@
     wheel, = (tmp_path / "dist").glob("*.whl")
     held = set(zipfile.ZipFile(wheel).namelist())
     sources = {str(path.relative_to(ROOT)) for folder in ("anisefront", "plumpick")
-               for path in (ROOT / folder).rglob("*") if path.suffix in (".py", ".toml")}
+               for path in (ROOT / folder).rglob("*") if path.suffix in (".py", ".toml", ".json")}
     assert sources <= held
     venv.create(tmp_path / "fresh", with_pip=True)
     programs = tmp_path / "fresh" / "bin"
