--- a/benchmarks/slopes/decisions.py
+++ b/benchmarks/slopes/decisions.py
@@ -15,6 +15,9 @@
 from statistics import median
 from typing import Any
 
+from anisefront.budgets.book import INBOX_PER_S
+from anisefront.budgets.divider import Divider
+from anisefront.budgets.terms import Budget, Kind
 from anisefront.control import Controller
 from anisefront.interface import (
     Arrival, Event, Fleet, Heard, Inherit, Leave, Outcome, Result, Send, Settings, State, Tell, Wake,
@@ -275,6 +278,35 @@
     return held_bytes(build)
 
 
+SHARE_MS, DRIFT = 60_000.0, 0.01
+
+
+def _divider(gateways: int) -> Divider:
+    """Of one budget, which all ask for more than their floor; so often as they may together."""
+    budget = Budget("any", Kind.RATE, 2.0 * gateways, 4.0 * gateways)
+    divider = Divider(budget, gateways, 0.0, 1, SHARE_MS, DRIFT, 0.0)
+    for serial in (1, 2):
+        for number in range(gateways):
+            _ask(divider, gateways, number, serial)
+    return divider
+
+
+def _ask(divider: Divider, gateways: int, number: int, serial: int) -> object:
+    now_ms = ((serial - 1) * gateways + number) * 1000 / INBOX_PER_S
+    demand = 1.0 + number % 5  # more than there is, in all
+    return divider.ask(now_ms, number, 1, serial, demand, demand / 2, serial - 1, 1.0)
+
+
+def divider_asking(gateways: float) -> float:
+    """us of one asking."""
+    divider, count = _divider(int(gateways)), min(int(gateways), 100)
+    return median(cpu_ms(_ask, divider, int(gateways), number, 3) for number in range(count)) * 1000
+
+
+def memory_by_askers(gateways: float) -> float:
+    return held_bytes(lambda: _divider(int(gateways)))
+
+
 def _estate(firms: int) -> Any:
     control = _with_firms(firms)
     actions = control.handle(BEGIN_MS + 10_000, [Leave()])
--- a/plumpick/capacity/model.py
+++ b/plumpick/capacity/model.py
@@ -14,6 +14,8 @@
 
 from anisefront import aperture, usage, watching
 from anisefront.budgets.book import INBOX_PER_S
+from anisefront.budgets.holder import Share
+from anisefront.budgets.words import sharing
 from anisefront.control import HOLD_PINGS, ping_ms
 from anisefront.interface import Plan, Repeat, RequestClass, Settings
 from anisefront.settings import MAX_CLASSES
@@ -82,6 +84,8 @@
         "gather_each_ms": usage.ASK_EACH_MS, "gather_longest_s": usage.longest_ms(gatekeepers) / 1000,
         "askings_per_s": INBOX_PER_S, "share_least_s": 2 * gatekeepers / INBOX_PER_S,
         "share_most_s": SHARE_MOST_S,
+        "share_bytes": float(len(sharing(0, 0, [(0, Share(0, 0, 0, 0, 0), 0)])[0])),
+        "slots": float(default.terms.slots), "term_s": default.terms.term_ms / 1000,
         "share_default_s": max(2.0, default.share_ms / 1000 / SHARE_TIER * gatekeepers),
         "agent_watch_ms": watching.WATCH_MS, "agent_worst_s": watching.worst_ms(False) / 1000,
         "shared_watch_ms": watching.SHARED_WATCH_MS, "shared_round_ms": watching.ROUND_MS,
