Settings in force from publishing to serving, shown with a real gatekeeper, service and worker

The record of a trial's processes marks what the module goes by, no longer what it was given, now that a gatekeeper takes settings over. New: a class that is published, whole or as changes, is served on a kept connection with no restart; one that is dropped while a request of it is out answers that request, and is then unknown.

--- a/benchmarks/configuration/witness.py
+++ b/benchmarks/configuration/witness.py
@@ -3,8 +3,8 @@
 
 One line of JSON for each thing, [kind, Unix ms, pid, ...], in $WITNESS_FILE: `asked` for each call of a
 service, `took` (version) when one is staged, `force` (version, mark) when one is in force; the mark is made
-of the settings that the gatekeeper was given, not of what it was told about them. $WITNESS_PLANT plants a
-bug (plants.py)."""
+of the settings that the module goes by, not of what it was told about them. $WITNESS_PLANT plants a bug
+(plants.py)."""
 
 from __future__ import annotations
 
@@ -39,13 +39,12 @@
         os.write(file, (json.dumps([kind, time.time() * 1000, os.getpid(), *parts]) + "\n").encode())
 
     given = [""]
-    # A program that cannot take settings over yet: it says yes, and goes on with those that it has.
-    inner = getattr(Gatekeeper, "reconfigure", lambda _self, _config: "")
-    take, put, ask = Versions.take, Versions.put, Source._call
+    inner, take, put, ask = Gatekeeper.reconfigure, Versions.take, Versions.put, Source._call
 
     def reconfigure(self: Any, config: Any) -> str:
-        given[0] = mark_of(config)
-        return str(inner(self, config))
+        wrong = inner(self, config)
+        given[0] = mark_of(replace(self.config, settings=self.controller.settings))
+        return wrong
 
     def takes(self: Any, now: float, content: Any, problem: str) -> str:
         wrong = take(self, now, content, problem)
@@ -61,7 +60,7 @@
     async def asks(self: Any, call: Any) -> bytes:
         write("asked", call.address)
         return await ask(self, call)
-    Gatekeeper.reconfigure = reconfigure  # type: ignore[attr-defined]
+    Gatekeeper.reconfigure = reconfigure  # type: ignore[method-assign]
     Versions.take, Versions.put = takes, puts  # type: ignore[method-assign]
     Source._call = asks  # type: ignore[method-assign]
     return daemon.main()
--- /dev/null
+++ b/tests/configuration/test_in_force.py
@@ -0,0 +1,76 @@
+"""From publishing to serving: a real gatekeeper, a service and a worker, and no restart between."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import pytest
+from fakes import Client, FakeWorker, answer, config, entry, request, run
+from settings_rig import published
+from test_gatekeepers import Machine
+from test_process import ROOT, until_up
+
+
+class Serving(Machine):
+    """A machine whose gatekeeper has a worker and clients."""
+
+    async def serve(self, worker):
+        (self.folder / "config.json").write_text(json.dumps(config(
+            9, self.port, known=[entry("w", worker.port)])))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "benchmarks.configuration.witness", cwd=ROOT,
+            stderr=asyncio.subprocess.DEVNULL,
+            env={**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json"),
+                 "PLUMPICK_OPERATOR": str(self.folder / "operator.toml"), "TMPDIR": str(self.folder),
+                 "WITNESS_FILE": str(self.folder / "witness")})
+        self.processes.append(process)
+        await until_up(self.port)
+        return process
+
+
+def homed(path):
+    """Of a customer whose home is this gatekeeper: it asks no peer."""
+    return request(path=path).replace(b"spread=2", b"spread=1")
+
+
+async def asks(client, worker, path):
+    """The status of a request; a worker answers it, if it gets it."""
+    client.send(homed(path))
+    answered = asyncio.ensure_future(client.answer())
+    came = asyncio.ensure_future(worker.asked())
+    await asyncio.wait((answered, came), return_when=asyncio.FIRST_COMPLETED)
+    if answered.done():
+        came.cancel()
+        return answered.result()[0]
+    came.result()[1].write(answer())
+    return (await answered)[0]
+
+
+@pytest.mark.parametrize("by", ["whole", "delta"])
+def test_a_class_that_is_published_is_served_and_one_that_is_dropped_is_not_with_no_restart(tmp_path, by):
+    async def scenario():
+        async with FakeWorker() as worker, Serving(tmp_path) as machine:
+            if by == "delta":
+                await machine.put(1, published(1, classes=2))
+            process = await machine.serve(worker)
+            client = await Client().open(machine.port)
+            name = "/c0" if by == "delta" else "/look"
+            assert await asks(client, worker, name) == 200
+            assert await asks(client, worker, "/c7") == 404
+            await machine.put(2, published(2, classes=8))
+            await machine.has(process, 2)
+            assert await asks(client, worker, "/c7") == 200  # on the same connection
+            client.send(homed("/c7"))
+            _, writer = await worker.asked()
+            await machine.put(3, published(3, classes=3))  # its class goes while it is out
+            await machine.has(process, 3)
+            writer.write(answer(body=b"late"))
+            status, _, body = await client.answer()
+            assert (status, body) == (200, b"late")
+            assert await asks(client, worker, "/c7") == 404 and await asks(client, worker, "/c2") == 200
+            assert process.returncode is None
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+    run(scenario())
