--- a/benchmarks/configuration/relay.py
+++ b/benchmarks/configuration/relay.py
@@ -40,11 +40,12 @@
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def close(self) -> None:
+    async def close(self) -> None:
         if self._server is not None:
             self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def cut_off(self, names: set[str]) -> None:
         """Of these nothing comes through any more; an empty set heals all."""
@@ -55,6 +56,9 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers[writer] = ""
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
         upstream: asyncio.StreamWriter | None = None
         try:
             answers, upstream = await asyncio.open_connection(HOST, self._to)
@@ -67,10 +71,11 @@
                 upstream.write(asked)
                 if not await self._answer(answers, writer):
                     return
-        except (OSError, asyncio.IncompleteReadError):
-            pass  # either side has gone
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # either side has gone, or the trial is over
         finally:
             self._writers.pop(writer, None)
+            self._tasks.discard(task)
             writer.transport.abort()
             if upstream is not None:
                 upstream.transport.abort()
--- a/benchmarks/configuration/size.py
+++ b/benchmarks/configuration/size.py
@@ -22,7 +22,7 @@
 
 from anisefront.configuration.delta import canonical, changes_between, digest
 from anisefront.configuration.versions import Content, Versions, offer_from
-from benchmarks.configuration.trial import Trial, settings_of, unix_ms
+from benchmarks.configuration.trial import ROOT, Trial, settings_of, unix_ms
 from benchmarks.trials import quantile
 from plumpick.clock import Clock, Timers
 from plumpick.config import config_from
@@ -149,9 +149,25 @@
     wire.send(asyncio.run(all_of_them()))
 
 
+class Counted(Service):
+    """A service that counts what it reads, too."""
+
+    bytes_in = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        inner = reader.read
+
+        async def read(most: int = -1) -> bytes:
+            data = await inner(most)
+            self.bytes_in += len(data)
+            return data
+        reader.read = read  # type: ignore[method-assign]
+        await super()._serve(reader, writer)
+
+
 async def crowd(count: int, value: dict[str, Any], later_ms: float) -> dict[str, Any]:
     """One service, so many watchers, the whole first, then one change."""
-    service = Service()
+    service = Counted()
     await service.open(HOST, 0)
     wires, processes = [], []
     context = multiprocessing.get_context("spawn")
@@ -171,10 +187,11 @@
     listening = sum(one.in_force == 1 for one in service.shelf.watchers.values())
     whole_bytes = service.bytes_out
     await asyncio.sleep(5.0)
-    calls, sent, cpu = service.calls, service.bytes_out, time.process_time()
+    calls, sent, got, cpu = service.calls, service.bytes_out, service.bytes_in, time.process_time()
     await asyncio.sleep(10.0)
     rest = {"calls_a_second": round((service.calls - calls) / 10, 1),
-            "bytes_a_second": round((service.bytes_out - sent) / 10),
+            "bytes_out_a_second": round((service.bytes_out - sent) / 10),
+            "bytes_in_a_second": round((service.bytes_in - got) / 10),
             "cpu_share": round((time.process_time() - cpu) / 10, 4)}
     after = changed(value, "one figure")
     sent, cpu, t = service.bytes_out, time.process_time(), unix_ms()
@@ -205,13 +222,16 @@
             await trial.put(trial.make(trial._next(), 0.0))
             await trial.until(lambda: sum(row[0] == "force" for row in trial.rows()) == gatekeepers, 20,
                               "the first version")
+            plain = await _plain(trial)
+            await asyncio.sleep(2.0)  # its start is over
+            ticks, plain_s = [_cpu_s(gate.pid) for gate in trial.gates], _cpu_s(plain.pid)
             begin = unix_ms()
-            sent = [(await asyncio.to_thread(ask, (HOST, port), "GET", f"{PATH}/status"))[1]
-                    for port in trial.ports]
-            ticks = [_cpu_s(gate.pid) for gate in trial.gates]
+            sent = await _status(trial)
             await asyncio.sleep(REST_S)
-            after = [(await asyncio.to_thread(ask, (HOST, port), "GET", f"{PATH}/status"))[1]
-                     for port in trial.ports]
+            plain_s = _cpu_s(plain.pid) - plain_s
+            plain.kill()
+            await plain.wait()
+            after = await _status(trial)
             cpu = [_cpu_s(gate.pid) - before for gate, before in zip(trial.gates, ticks, strict=True)]
             calls = sum(row[0] == "asked" and row[1] > begin for row in trial.rows())
             answered = sum(new["bytes_out"] - old["bytes_out"] for new, old in zip(after, sent, strict=True))
@@ -227,12 +247,26 @@
             return {"gatekeepers": gatekeepers, "calls_a_second_each": round(calls / REST_S / gatekeepers, 2),
                     "answer_bytes_a_second_each": round(answered / REST_S / gatekeepers, 1),
                     "cpu_share_each": round(sum(cpu) / REST_S / gatekeepers, 5),
+                    "cpu_share_without": round(plain_s / REST_S, 5),
                     "publish_to_in_force_ms": {"p50": round(quantile(times, 0.5), 1),
                                                "max": round(max(times), 1), "count": len(times)}}
         finally:
             await trial.close()
 
 
+async def _status(trial: Trial) -> list[dict[str, Any]]:
+    return [(await asyncio.to_thread(ask, (HOST, port), "GET", f"{PATH}/status"))[1] for port in trial.ports]
+
+
+async def _plain(trial: Trial) -> asyncio.subprocess.Process:
+    """The program as `run` starts it, with no [configuration], beside the others."""
+    path = trial.folder / "plain.json"
+    path.write_text(json.dumps(trial._config(0)))
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "plumpick", cwd=ROOT, stderr=asyncio.subprocess.DEVNULL,
+        env={**os.environ, "BALANCER_CONFIG": str(path), "PLUMPICK_OPERATOR": ""})
+
+
 def _cpu_s(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/benchmarks/configuration/trial.py
+++ b/benchmarks/configuration/trial.py
@@ -35,7 +35,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 STEPS, STEP_S = 12, (0.3, 0.6)  # changes or faults, and so long after the one before
 START_S = 30.0
-PLANT_ROUNDS = 6  # a planted bug shows by chance: its trial goes on so often, or until it is found
+PLANT_ROUNDS = 12  # a planted bug shows by chance: its trial goes on so often, or until it is found
 EARLY_MS = 5.0  # two readings of the machine's clock
 MOST_ASKED = 20  # calls of one process in a second
 CASES = ("late", "altered", "bad", "staged", "dead", "kill", "stand", "cut", "one-service", "crossed")
@@ -204,7 +204,7 @@
                 process.kill()
                 await process.wait()
         for relay in self.relays:
-            relay.close()
+            await relay.close()
 
     def rows(self) -> list[list[Any]]:
         """All records, each process's in its order."""
