The planted bug of late connections starts attempts as the program does; trials tell their logs' ends

A broken trial of settings by versions prints what was done and the ends of its gatekeepers' logs. The digest of compiled files leaves the capacity tool out.

--- a/benchmarks/configuration/__main__.py
+++ b/benchmarks/configuration/__main__.py
@@ -46,6 +46,8 @@
                 file.write(json.dumps(asdict(one)) + "\n")
         for line in one.broken[:3]:
             print(f"seed {one.seed}, {one.gatekeepers} gatekeepers: {line}", file=sys.stderr, flush=True)
+        for line in one.events if not given.plant else ():
+            print(f"    {line}", file=sys.stderr, flush=True)
     whole = summary(played)
     lines = [f"{key:>20}  {value}" for key, value in whole.items()]
     print(json.dumps(whole) if given.json else "\n".join(lines))
--- a/benchmarks/configuration/trial.py
+++ b/benchmarks/configuration/trial.py
@@ -35,6 +35,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 STEPS, STEP_S = 12, (0.3, 0.6)  # changes or faults, and so long after the one before
 START_S = 30.0
+LOG_LINES = 4  # of each gatekeeper, that are kept of a broken trial
 PLANT_ROUNDS = 12  # a planted bug shows by chance: its trial goes on so often, or until it is found
 EARLY_MS = 5.0  # two readings of the machine's clock
 MOST_ASKED = 20  # calls of one process in a second
@@ -216,6 +217,11 @@
                 found.append([kind, t, pid, name, *parts])
         return found
 
+    def ends(self) -> list[str]:
+        """The last lines of each gatekeeper's log."""
+        return [f"{name}: {line}" for name in self.names
+                for line in (self.folder / f"{name}.log").read_text(errors="replace").splitlines()[-LOG_LINES:]]
+
     async def until(self, true: Any, limit_s: float, what: str) -> bool:
         end = time.monotonic() + limit_s
         while not true():
@@ -421,14 +427,14 @@
             trial.events.append(f"end: {end}")
         finally:
             await trial.close()
-        rows = trial.rows()
+        rows, ends = trial.rows(), trial.ends()
         outcome.broken = judge(rows, trial.published) + late
         outcome.versions, outcome.last_ms = trial.number, [round(value) for value in times]
         outcome.bad = sum(not one.mark for one in trial.published.values())
         outcome.forced = sum(row[0] == "force" for row in rows)
         outcome.asked = most_asked(rows)
         if outcome.broken:
-            outcome.events = trial.events
+            outcome.events = trial.events + ends
         return outcome
 
 
--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -159,8 +159,8 @@
                 attempt.dial_timer.cancel()
             connection.carry(attempt)
 
-    def start(self: Workers, attempt: Attempt, allow_ms: float) -> None:
-        right(self, attempt, allow_ms)
+    def start(self: Workers, attempt: Attempt) -> None:
+        right(self, attempt)
         if attempt.dial is not None:  # a dial is never called off
             dial, attempt.dial = attempt.dial, None
             self.__dict__.setdefault("kept", []).append(dial)
--- a/plumpick/compiled.py
+++ b/plumpick/compiled.py
@@ -24,7 +24,7 @@
        "plumpick/upstream/workers.py")
 FILES = DECISIONS + HOT
 PACKAGES = ("fronts", "fronts.http", "upstream")  # of plumpick, that hold some of them
-TOOLS = {"rehearsal", "simulation", "tools"}  # of plumpick, that the daemon does not import
+TOOLS = {"capacity", "rehearsal", "simulation", "tools"}  # of plumpick, that the daemon does not import
 COMPILER = "mypy==2.4.1"  # holds mypyc; it is needed to compile, not to run
 
 
