Capacity: a zone's entries by the size of the tier; any legal form gives all rows

Need: the rows of a rack and a zone read a slope that was measured at 5,900 workers, so a tier of 200 was told 22 ms for what takes it 0.6.

--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -65,7 +65,7 @@
     Task("changed_entry", "one changed entry taken in, one call", "workers", "ms CPU", WORKERS, "decisions",
          True),
     Task("changed_together", "entries changed in one answer, 5,900 workers, one call", "entries", "ms CPU",
-         (1, 10, 100, 590, 1180), "decisions", True),
+         (1, 10, 100, 590, 1180), "decisions", True, (LINEAR,)),
     Task("whole_list", "the whole list taken in, one call", "workers", "ms CPU", WORKERS, "decisions", True),
     Task("list_parse", "the whole list read from JSON", "workers", "ms CPU", WORKERS, "decisions"),
     Task("list_bytes", "the whole list as JSON", "workers", "bytes", WORKERS, "decisions"),
--- a/plumpick/capacity/rows.py
+++ b/plumpick/capacity/rows.py
@@ -15,7 +15,8 @@
           "changes of configuration")
 FIGURES = ("state", "messages", "bytes", "CPU", "memory", "descriptors", "recovery", "delay", "reach")
 
-# What carries a row: file and function, or "none". Whoever builds what is missing changes it here alone.
+# What carries a row: file and function, or "none". Whoever builds what is missing names it here, and gives
+# its rows the formulas of what it takes.
 MECHANISMS = {
     "period": "anisefront/control.py, Servers.step",
     "shares": "anisefront/control.py, Controller.step_shares",
@@ -225,12 +226,12 @@
         f"{CHANGED} * changed_entry(workers) / 1000 / 86400", "added_part", "list"),
     Row("replacements", "messages", "changes told to each gatekeeper", "a second", f"{CHANGED} / 86400", "",
         "watching"),
-    Row("a rack", "delay", "its workers' entries taken in together", "ms", "changed_together(rack_workers)",
-        "added_ms", "list"),
+    Row("a rack", "delay", "its workers' entries taken in together", "ms",
+        "changed_entry(workers) + growth(changed_together, rack_workers)", "added_ms", "list"),
     Row("a rack", "reach", "told everywhere, two calls of each agent lost", "s", "agent_worst_s", "told_s",
         "watching"),
     Row("a zone", "delay", "its workers' entries taken in together", "ms",
-        "changed_together(workers / zones)", "added_ms", "list"),
+        "changed_entry(workers) + growth(changed_together, workers / zones)", "added_ms", "list"),
     Row("a zone", "reach", "its workers' entries taken in one by one", "s",
         "workers / zones * changed_entry(workers) / 1000", "told_s", "list"),
     Row("a zone", "state", "firms without their home", "entries", "tenants / zones", "", "home lost"),
--- a/tests/capacity/test_size.py
+++ b/tests/capacity/test_size.py
@@ -2,11 +2,14 @@
 
 import ast
 import json
+import math
 import pathlib
 import tomllib
 from dataclasses import replace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from plumpick.capacity import form, model, page, rows, slopes
 from plumpick.cli import main
@@ -232,6 +235,32 @@
     assert printed(capsys, str(tmp_path / "nowhere.toml"))[0] == 2
 
 
+def any_number(key):
+    low, high = key.least, key.most
+    return st.integers(math.ceil(low), int(high)) if key.whole else st.floats(low, high)
+
+
+ANY_FORM = st.fixed_dictionaries({
+    part: st.fixed_dictionaries({name: any_number(key) for name, key in keys.items()})
+    for part, keys in form.KEYS.items()})
+
+
+@given(ANY_FORM)
+@settings(max_examples=150, deadline=None)
+def test_every_legal_form_gives_all_rows(value):
+    tier, load = value["tier"], value["load"]
+    load["set"] = min(load["set"], tier["gatekeepers"])
+    for key in ("zones", "rack_workers"):
+        tier[key] = min(tier[key], tier["workers"])
+    value["changes"]["restart_parts"] = min(value["changes"]["restart_parts"], tier["gatekeepers"])
+    load["requests_per_s"] = min(load["requests_per_s"], load["busiest_per_s"] * tier["gatekeepers"])
+    sizes = form.form_from(value)
+    found = model.lines_of(sizes, CHOSEN)
+    assert len(found) == len(rows.ROWS)
+    assert all(math.isfinite(line.value) and line.value >= 0 for line in found), [
+        (line.row.what, line.value) for line in found if not line.value >= 0]
+
+
 def test_json_has_the_same_rows(capsys):
     code, out, _ = printed(capsys, str(TARGET), "--json")
     told = json.loads(out)
