--- a/benchmarks/configuration/trial.py
+++ b/benchmarks/configuration/trial.py
@@ -219,8 +219,8 @@
 
     def ends(self) -> list[str]:
         """The last lines of each gatekeeper's log."""
-        return [f"{name}: {line}" for name in self.names
-                for line in (self.folder / f"{name}.log").read_text(errors="replace").splitlines()[-LOG_LINES:]]
+        logs = {name: (self.folder / f"{name}.log").read_text(errors="replace") for name in self.names}
+        return [f"{name}: {line}" for name, text in logs.items() for line in text.splitlines()[-LOG_LINES:]]
 
     async def until(self, true: Any, limit_s: float, what: str) -> bool:
         end = time.monotonic() + limit_s
