A test's stand-in for the paths of Python's headers takes what the standard library asks it

test_where_it_cannot_be_compiled[headers] failed where it runs without what imports zoneinfo before: the standard library then asks sysconfig.get_paths with three arguments, and the stand-in took none. It tells the real paths but for the headers now, and asks the same of the build.

--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -88,7 +88,9 @@
     if missing == "compiler":
         monkeypatch.setattr(sysconfig, "get_config_var", lambda _name: "no-such-compiler")
     elif missing == "headers":
-        monkeypatch.setattr(sysconfig, "get_paths", lambda: {"include": str(tmp_path)})
+        paths = sysconfig.get_paths
+        monkeypatch.setattr(sysconfig, "get_paths",
+                            lambda *given, **more: {**paths(*given, **more), "include": str(tmp_path)})
     else:
         monkeypatch.setattr(tool, "COMPILER", "plumpick-has-no-such-package==1")
         monkeypatch.setenv("PIP_NO_INDEX", "1")
