--- a/anisefront/messages.py
+++ b/anisefront/messages.py
@@ -26,7 +26,7 @@
 
 MAX_BYTES = 256
 VERSION = 4
-_HEAD = "<BHHHB"  # version, digest of names, boot number, room of the sender x 64, items
+_HEAD = "<BIHHB"  # version, digest of names, boot number, room of the sender x 64, items
 _ITEM = "<BIHHHH"  # kind and set, tag (low, high), serial, units x 16, asked a second x 16; then both indexes
 _SIGHTING = "<I"  # server tag; then class and grade
 MAX_SIGHTINGS, MAX_SPREAD = 4, 15
@@ -130,7 +130,7 @@
     def __init__(self, settings: Settings) -> None:
         self.classes, self.plans = len(settings.classes), len(settings.plans)
         names = ascii(([kind.name for kind in settings.classes], [plan.name for plan in settings.plans]))
-        digest = hashlib.blake2b(names.encode(), digest_size=2).digest()
+        digest = hashlib.blake2b(names.encode(), digest_size=4).digest()
         self.version, self.digest = VERSION, int.from_bytes(digest, "little")
         self._head = struct.Struct(_HEAD)
         self._item = struct.Struct(_ITEM + _width(self.classes * self.plans))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -67,7 +67,7 @@
 def test_hostile_bytes_never_raise_and_never_give_an_index_out_of_range(classes, plans, data, draw):
     one = codec(classes, plans)
     if draw.draw(st.booleans()):  # past the head
-        head = bytes([one.version]) + one.digest.to_bytes(2, "little")
+        head = bytes([one.version]) + one.digest.to_bytes(4, "little")
         data = (head + bytes(4) + bytes([draw.draw(st.integers(0, 20))]) + data)[:256]
     heard = one.decode(data)
     assert heard is None or (
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -207,7 +207,7 @@
            *(good[:-1] + bytes([index]) for index in (18, 0xF0, 255)),  # of six classes and three plans
            *(told[:-1] + bytes([index]) for index in (6 << 4 | 15, 255))]
     bad_kind, other_names = bytearray(good), bytearray(good)
-    bad_kind[8], other_names[1] = 0xF3, good[1] ^ 1
+    bad_kind[10], other_names[1] = 0xF3, good[1] ^ 1
     old = b"\x03" + good[1:]
     for data in (b"", b"\x00", good[:-1], b"\xff" + good[1:], old, bytes(300), bytes(bad_kind),
                  bytes(other_names), *odd):
