--- a/tests/configuration/test_gatekeepers.py
+++ b/tests/configuration/test_gatekeepers.py
@@ -14,6 +14,7 @@
 from settings_rig import document, published
 from test_process import ROOT, free_port, until_up
 
+from anisefront.configuration.shelf import summary
 from benchmarks.configuration.trial import Published, judge, play
 from plumpick.cli import main
 from plumpick.config import ConfigError
@@ -184,6 +185,31 @@
     on_a_machine(tmp_path, scenario)
 
 
+def test_half_a_tier_on_the_old_program_is_named_and_serves_by_its_file(tmp_path):
+    """Two of three numbers: one asks, one runs without [configuration], one is not there at all."""
+    async def scenario(machine):
+        await machine.put(3, published(3))
+        (machine.folder / "new").mkdir()
+        with_it = Machine(machine.folder / "new")
+        async with with_it:
+            with_it.service.close()
+            (with_it.folder / "operator.toml").write_text(
+                f'[configuration]\naddresses = ["{HOST}:{machine.service.port}"]\n')
+            (machine.folder / "operator.toml").write_text("")
+            new, _ = await with_it.start()
+            old, _ = await machine.start()
+            await with_it.has(new, 3)
+            while machine.service.shelf.watchers["n0"].in_force != 3:
+                await asyncio.sleep(0.01)
+            shelf = machine.service.shelf
+            lines, well = summary([shelf.status(shelf.kept[3].came_ms + 5900)])
+            assert well and lines[-1] == "1 of 3 have it"  # the term is not over
+            lines, well = summary([shelf.status(shelf.kept[3].came_ms + 6100)])
+            assert not well and "2 never heard, by number: 1, 2" in lines
+            assert machine.put_in_force(old.pid) == [] and await is_up(machine.port, 5.0)
+    on_a_machine(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("table, key", [
     ({}, "configuration.addresses"), ({"addresses": []}, "configuration.addresses"),
     ({"addresses": ["127.0.0.1:1"] * 9}, "configuration.addresses: 9 of them"),
