--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,6 @@
+import sys
+
+from benchmarks.scale.commands import main
+
+if __name__ == "__main__":
+    sys.exit(main())
