--- a/benchmarks/scale/tier.py
+++ b/benchmarks/scale/tier.py
@@ -212,7 +212,7 @@
             self.handle(gate, [], "period")
         lag_ms = self.handle(gate, [event], what)
         if told is not None:
-            told.late_ms.append(self.now - told.at_ms + lag_ms)
+            told.late_ms.append(self.now - told.at_ms)  # no CPU: the same on every machine
         return lag_ms
 
     def handle(self, gate: Gate, events: list[Event], what: str) -> float:
@@ -445,6 +445,14 @@
         """A worker has ended, and another process of it has begun, cold."""
         self.change([replace(self.list[name], started_ms=self.now)])
 
+    def lacking(self) -> int:
+        """How many entries of all gatekeepers that are up say otherwise than things are."""
+        return sum(
+            (known.entry.started_ms if (known := gate.control.servers.known.get(name)) else None)
+            != server.started_ms
+            for gate in self.gates.values() if not gate.down
+            for name, server in self.list.items() if name not in self.gone)
+
     def near(self, numbers: Iterable[int]) -> list[str]:
         """The workers of which all gatekeepers that send to them are among these."""
         chosen, ring = set(numbers), sorted(self.list.values(), key=lambda s: (aperture.place_of(s.id), s.id))
--- /dev/null
+++ b/tests/scale/test_commands.py
@@ -0,0 +1,57 @@
+"""`python -m benchmarks.scale`: bad calls, and what one small run writes."""
+
+import json
+
+import pytest
+
+from benchmarks.scale.commands import main
+
+
+@pytest.mark.parametrize("words, says", [
+    ("--workers 0", "--workers: 0 is not between"), ("--rate -1", "--rate: -1 is not between"),
+    ("--rate nan", "--rate: nan is not between"), ("--gatekeepers 40 --spread 50", "--spread: a set of 50"),
+    ("--axes rate,services", "--axes: there is no axis 'services'"), ("--jobs 0", "--jobs: 0 is not"),
+    ("--limit-s 1e9", "--limit-s: 1e+09 is not"), ("--fault-seeds 0", "--fault-seeds: 0 is not"),
+    ("--faults flood", "--faults: there is no fault 'flood'"), ("--real 3,x", "--real: 'x' is no size"),
+    ("--real 300", "--real: '300' is no size"), ("--out /dev/null/x", "--out: "), ("--nonsense", "--nonsense"),
+    ("--firms many", "--firms")])
+def test_a_bad_call_is_one_line_that_names_the_flag(capsys, words, says):
+    with pytest.raises(SystemExit) as ended:
+        main(words.split())
+    text = capsys.readouterr()
+    assert ended.value.code == 2 and says in text.err
+    assert text.err.count("\n") == 1 and not text.out
+
+
+def test_one_point_is_played_and_written(capsys, tmp_path):
+    assert main(["--gatekeepers", "3", "--workers", "10", "--firms", "50", "--rate", "20", "--spread", "3",
+                 "--out", str(tmp_path), "--seed", "5", "--jobs", "1"]) == 0
+    out = capsys.readouterr().out
+    assert out.startswith("seed 5\n") and "| one | 0 |" in out
+    result = json.loads((tmp_path / "result.json").read_text())
+    row, = result["points"]
+    assert row["point"]["workers"] == 10 and row["seed"] == result["seed"] == 5 and row["sampled"] == "all"
+    assert not row["cut"] and row["ratios"]["cold_sum"] <= 1 and row["counts"]["tries"] > 50
+    assert result["services"].startswith("no mechanism")
+
+
+def test_a_run_that_comes_too_late_is_told_as_not_run(capsys, monkeypatch, tmp_path):
+    monkeypatch.setattr("benchmarks.scale.commands.time.monotonic", lambda: -1e9)
+    assert main(["--axes", "", "--faults", "calm", "--fault-seeds", "1", "--real", "", "--jobs", "1"]) == 1
+    assert "not run: --limit-s was over" in capsys.readouterr().out
+
+
+def test_faults_are_played_and_the_chart_is_drawn(tmp_path):
+    from benchmarks.scale import chart
+    from benchmarks.scale.points import Point
+
+    rows = [{"axis": "rate", "value": value, "ratios": {"cold_sum": 0.2 * value, "told_ms": 0.0}}
+            for value in (70, 273)]
+    result = {"points": [*rows, {"axis": "firms", "value": 100, "failed": "x"}], "base": vars_of(Point()),
+              "seed": 1}
+    chart.draw(result, tmp_path / "chart.png")
+    assert (tmp_path / "chart.png").read_bytes().startswith(b"\x89PNG")
+
+
+def vars_of(point):
+    return {name: getattr(point, name) for name in point.__dataclass_fields__}
--- /dev/null
+++ b/tests/scale/test_hollow.py
@@ -0,0 +1,164 @@
+"""Hollow tiers: what is played of a large one, what is counted, and that faults are what they say."""
+
+import math
+
+import pytest
+
+from anisefront.interface import Server, State
+from benchmarks.scale import faults, told
+from benchmarks.scale.load import of_point
+from benchmarks.scale.points import LIMITS, Point, PointError, check, of_axis, passed_at
+from benchmarks.scale.real import Watch, scenario_of
+from benchmarks.scale.runs import part_of, play, quantile
+from benchmarks.scale.tier import BEGIN_MS, COUNTED, SETTLE, Tier, TierError
+from plumpick.rehearsal.records import Answered, Asked, Passed, Replied, Took
+
+SMALL = Point(3, 10, 100, 3, 70.0, 3)
+
+
+def test_of_a_large_tier_all_firms_of_those_counted_are_played():
+    point = Point(200, 200, 4000, 3, 10.0, 5)
+    part, load = part_of(point), of_point(point, 1)
+    tier = Tier(load, 1, part.played, part.judged)
+    assert len(part.judged) == 16 and len(part.played) == 16 + 2 * 4
+    played = {firm.name for firm in tier.firms}
+    for firm in load.firms:
+        members = {(firm.first + place) % 200 for place in range(firm.spread)}
+        assert not members & set(part.judged) or firm.name in played
+        assert (members <= set(part.played)) == (firm.name in played)
+    assert part_of(SMALL).judged == (0, 1, 2) and part_of(SMALL).how(3) == "all"
+
+
+def test_a_part_of_a_tier_shows_what_the_whole_one_does():
+    whole, one = (play(point, 1, settle_s=2.0, counted_s=4.0, changing_s=1.0)["figures"]
+                  for point in (Point(22, 100, 2200, 3, 40.0, 3), Point(40, 182, 4000, 3, 40.0, 3)))
+    assert part_of(Point(40, 182, 4000, 3, 40.0, 3)).how(40).startswith("16 of 40")
+    for name in ("words_come_per_s", "word_bytes", "words_per_try", "served_inside_part"):
+        assert one[name] == pytest.approx(whole[name], rel=0.15), name
+
+
+def test_workers_that_others_send_to_are_not_counted():
+    point = Point(100, 300, 100, 3, 10.0, 3)
+    tier = Tier(of_point(point, 1), 1, range(30), range(30))
+    near = tier.near(range(30))
+    assert 0 < len(near) < 300 * 0.3 and tier.near(range(100)) == sorted(tier.list)
+
+
+def test_the_load_of_a_point_is_its_rate():
+    point = Point(40, 200, 4000, 230, 70.0, 20)
+    load = of_point(point, 3)
+    assert sum(firm.asked_per_s for firm in load.firms) == pytest.approx(40 * 70.0)
+    assert len({kind.name for kind, _, _ in load.kinds}) == 230
+    assert load.settings_of(7).number == 7 and len(load.settings_of(7).classes) == 230
+
+
+def test_points_that_cannot_be_played_name_their_flag():
+    for point, flag in ((Point(workers=0), "--workers"), (Point(rate=-1.0), "--rate"),
+                        (Point(rate=math.nan), "--rate"), (Point(classes=1 << 20), "--classes"),
+                        (Point(3, spread=4), "--spread")):
+        with pytest.raises(PointError, match=f"^{flag}: "):
+            check(point)
+    with pytest.raises(PointError, match="no axis 'services'"):
+        of_axis("services", Point())
+    assert [point.spread for point in of_axis("gatekeepers", Point())] == [3, 20, 20, 20]
+
+
+def test_where_a_limit_is_first_passed():
+    def row(axis, value, words):
+        return {"axis": axis, "value": value, "figures": {"words_come_per_s": words}}
+    limit = LIMITS["words_come_per_s"]
+    assert passed_at([row("rate", 70, limit), row("rate", 273, limit + 1), row("rate", 1000, limit + 2),
+                      row("firms", 100, 1)]) == {"words_come_per_s": {"rate": 273}}
+
+
+def test_a_run_ends_by_the_wall_clock_and_by_what_is_open(monkeypatch):
+    load = of_point(Point(3, 10, 100, 3, 1000.0, 3), 1)
+    assert Tier(load, 1).run([(SETTLE, 60.0), (COUNTED, 1.0)], until=0.0)[SETTLE] < 60.0
+    monkeypatch.setattr("benchmarks.scale.tier.OPEN_MOST", 3)
+    with pytest.raises(TierError, match="open at once"):
+        Tier(load, 1).run([(SETTLE, 60.0)])
+
+
+def test_a_fault_does_what_it_says():
+    point = Point(10, 20, 100, 3, 5.0, 3)
+
+    def tier(name):
+        one = Tier(of_point(point, 1), 1)
+        faults.FAULTS[name].script(one)
+        one.run([(SETTLE, faults.SETTLE_S + 1.0 + faults.FOR_MS / 2000)])  # half way
+        return one
+    calm, zone, regions = tier("calm"), tier("zone"), tier("regions")
+    assert not calm.gone and all(gate.life == 1 for gate in calm.gates.values())
+    assert len(zone.gone) == 4 and sum(gate.down for gate in zone.gates.values()) == 2
+    zone.run([(COUNTED, 10.0)])  # goes on from what is on its agenda
+    assert not zone.gone and not any(gate.down for gate in zone.gates.values())
+    assert sum(server.started_ms > BEGIN_MS for server in zone.list.values()) == 4
+    assert regions.apart(0, 3) and not regions.apart(0, 1) and not regions.apart(3, 4)
+    tenths = tier("tenths")
+    tenths.run([(COUNTED, 14.0)])
+    assert all(gate.life == 3 for gate in tenths.gates.values())  # began, ended, began
+    killed = tier("kill")
+    killed.run([(COUNTED, 14.0)])
+    assert sorted(gate.life for gate in killed.gates.values()) == [1] * 9 + [3]
+    assert tier("lost").loss == faults.LOST and tier("late").late_ms == faults.LATE_MS
+    still = tier("stop")
+    still.run([(COUNTED, 14.0)])
+    assert sum(gate.still_ms > 0 for gate in still.gates.values()) == 1
+
+
+def test_words_are_lost_late_apart_and_crowded_out():
+    tier = Tier(of_point(SMALL, 1), 1)
+    tier.run([(SETTLE, 1.0), (COUNTED, 1.0)])
+    assert 0 < tier.counts["come"] <= tier.counts["told"] and not tier.counts["crowded"]
+    tier.counts.clear()
+    tier.loss = 1.0
+    tier.queue.clear()
+    before = [gate.inbox.clear() for gate in tier.gates.values()]
+    data = b"x"
+    for _ in range(100):  # an inbox takes 60 in a second
+        tier.hear(1, tier.gates[0], data)
+    assert len(before) == 3 and (tier.counts["taken"], tier.counts["crowded"]) == (60, 40)
+
+
+def test_list_entries_are_told_to_all_and_gone_ones_are_not_sent_to():
+    tier = Tier(of_point(SMALL, 1), 1)
+    one: Server = tier.list["w0"]
+    tier.at(BEGIN_MS + 500.0, tier.change, [Server(one.id, one.zone, one.cell, State.GONE)])
+    tier.at(BEGIN_MS + 800.0, tier.replaced, "w1")
+    tier.run([(SETTLE, 7.0), (COUNTED, 1.0)])
+    assert [len(told.late_ms) for told in tier.told] == [3, 3] and tier.lacking() == 0
+    assert all("w0" not in gate.control.servers.known for gate in tier.gates.values())
+
+
+def test_the_last_of_all_is_told_within_what_watching_states_where_nothing_is_silent(monkeypatch):
+    for shared in (False, True):
+        row = told.play(40, shared, 1)
+        assert not row["missed"] and row["calls_per_s"] > 10
+        monkeypatch.setattr(told, "SILENT", 0.0)
+        assert told.play(40, shared, 1)["last_told_most_ms"] < row["stated_worst_ms"]
+        monkeypatch.undo()
+
+
+def test_the_counts_of_a_real_tier():
+    watch = Watch(1000.0, 2000.0)
+    watch.inside = {"f"}
+
+    def asked(t, request, firm):
+        return Asked(t, request, 1, 0, firm, "p", "k", "n0", 500.0, 1.0, "")
+    for record in (
+            Passed(999.0, "n0", "n1", 50, "delivered"), Passed(1000.0, "n0", "n1", 40, "delivered"),
+            Passed(1100.0, "n0", "n1", 60, "lost"), Passed(1200.0, "n0", "n1", 20, "crowded out"),
+            asked(1300.0, "a", "f"), Took(1310.0, 7, "a", "w", 1, 1309.0, "k", 30.0),
+            Replied(1350.0, 7, 200, False, 30.0), Answered(1360.0, "a", 200, 7, "a", 0.0),
+            asked(1400.0, "b", "heavy"), Answered(1401.0, "b", 429, -1, "b", 0.0)):
+        watch.feed(record)
+    figures = watch.figures(1, 1.0)
+    assert [figures[f"words_{name}_per_s"] for name in ("told", "come", "taken")] == [3, 2, 1]
+    assert figures["word_bytes"] == 40 and figures["words_per_try"] == 1.5
+    assert figures["served_inside_part"] == 1 and figures["added_p50_ms"] == 20  # 60 ms, 40 of them at work
+
+
+def test_scenarios_of_real_tiers_and_quantiles():
+    for size in (3, 10, 40):
+        assert scenario_of(size, 100.0).fleet.gatekeepers == size
+    assert quantile([], 0.5) == 0.0 and quantile([3.0, 1.0, 2.0], 0.5) == 2.0
