--- a/benchmarks/scale/tier.py
+++ b/benchmarks/scale/tier.py
@@ -356,13 +356,15 @@
 
     def send(self, gate: Gate, send: Send, lag_ms: float) -> None:
         """An attempt goes to a worker."""
-        request = self.open[send.id]
+        self.counts["attempts"] += gate.judged and self.counting
+        request = self.open.get(send.id)
+        if request is None:  # for a request that has its answer: an attempt for nothing
+            return
         number, request.attempts = request.attempts, request.attempts + 1
         request.out.add(number)
         if not number:
             request.lag_ms = max(request.lag_ms, lag_ms)
             self.book(request.want.firm)
-        self.counts["attempts"] += gate.judged and self.counting
         entry, work_ms = self.list[send.server], request.want.work_ms
         share = self.warmth(entry)
         if share < 1:
