--- a/benchmarks/scale/commands.py
+++ b/benchmarks/scale/commands.py
@@ -24,6 +24,7 @@
 from plumpick.cli import EXIT_BROKEN, EXIT_HELD, Parser
 
 MOST_JOBS, MOST_LIMIT_S = 8, 3600.0
+REAL_FAULTS = ("calm", "kill", "stop", "tenths", "regions")  # of a real tier of ten
 REAL_MOST = 64  # gatekeepers: with their stand-ins far from 300 processes
 COLUMNS = ("words_come_per_s", "crowded_part", "control_bytes_per_s", "control_cpu_percent",
            "changing_cpu_percent", "serve_us_per_try", "list_change_ms", "core_p99_ms", "added_p50_ms",
@@ -31,6 +32,9 @@
 FAULT_COLUMNS = ("served_inside_part", "words_come_per_s", "crowded_part", "control_cpu_percent",
                  "added_p50_ms", "added_p99_ms", "told_ms", "cold_sum", "beyond_units", "beyond_part")
 
+REAL_COLUMNS = ("served_inside_part", "words_come_per_s", "added_p50_ms", "added_p99_ms", "told_ms",
+                "memory_mb", "stand_ins_lag_p99_ms")
+
 
 def names(text: str) -> list[str]:
     return [word for word in text.split(",") if word]
@@ -48,6 +52,7 @@
     flags.add_argument("--faults", default=",".join(faults.FAULTS), help="by comma; '' for none")
     flags.add_argument("--fault-seeds", type=int, default=2)
     flags.add_argument("--real", default="3,10,40", help="sizes of real tiers, by comma; '' for none")
+    flags.add_argument("--real-faults", default=",".join(REAL_FAULTS), help="by comma; '' for none")
     for field in fields(Point):
         flags.add_argument(f"--{field.name}", type=type(field.default),
                            help="play one point alone, all else as in the base line")
@@ -73,9 +78,11 @@
         if not low <= getattr(given, name) <= high:
             flags.error(f"--{name.replace('_', '-')}: {getattr(given, name):g} is not between {low} and "
                         f"{high:g}")
-    unknown = [name for name in names(given.faults) if name not in faults.FAULTS]
-    if unknown:
-        flags.error(f"--faults: there is no fault {unknown[0]!r}; there are: {', '.join(faults.FAULTS)}")
+    for flag, chosen, known in (("--faults", given.faults, tuple(faults.FAULTS)),
+                                ("--real-faults", given.real_faults, REAL_FAULTS)):
+        unknown = [name for name in names(chosen) if name not in known]
+        if unknown:
+            flags.error(f"{flag}: there is no fault {unknown[0]!r}; there are: {', '.join(known)}")
     sizes = names(given.real)
     wrong = [size for size in sizes if not size.isdecimal() or not 2 <= int(size) <= REAL_MOST]
     if wrong:
@@ -132,10 +139,11 @@
     """Everything that was asked for, and whether all of it was played."""
     until = time.monotonic() + given.limit_s
     work = Work(given.jobs, until)
-    dear = sorted({point for _, _, point in points}, key=lambda one: -one.workers * one.spread * one.rate)
+    dear = sorted({point for _, _, point in points}, key=lambda size: -size.workers * size.spread * size.rate)
     for point in dear:  # the longest first
         work.add(point, runs.play, point, given.seed, jobs=given.jobs)
-    wanted = names(given.faults) if points and points[0][0] != "one" or not points else []
+    one = bool(points) and points[0][0] == "one"  # a single point, and nothing else
+    wanted = [] if one else names(given.faults)
     for name in wanted:
         for seed in range(given.seed, given.seed + given.fault_seeds):
             work.add((name, seed), faults.play, name, seed)
@@ -165,8 +173,19 @@
             result["real"].append(real.compare(size, given.seed))
         except (StartFailed, OSError) as problem:
             result["real"].append({"gatekeepers": size, "failed": str(problem)})
+    result["real_faults"] = []
+    for name in [] if one else names(given.real_faults):
+        from benchmarks.scale import real
+        from plumpick.rehearsal.supervisor import StartFailed
+        if time.monotonic() > until:
+            result["real_faults"].append({"fault": name, "failed": "not run: --limit-s was over"})
+            continue
+        try:
+            result["real_faults"].append(real.fault(name, given.seed))
+        except (StartFailed, OSError) as problem:
+            result["real_faults"].append({"fault": name, "failed": str(problem)})
     result["wall_s"] = round(time.monotonic() - begin, 1)
-    whole = [row for part in ("points", "faults", "real") for row in result[part]]
+    whole = [row for part in ("points", "faults", "real", "real_faults") for row in result[part]]
     return result, not any(row.get("failed") or row.get("cut") for row in whole)
 
 
@@ -200,6 +219,10 @@
             for name, ratio in row["ratios"].items()]))
         print(", ".join(f"{name} {value:.4g}" for name, value in row["real"].items()
                         if name not in row["ratios"]))
+    if result["real_faults"]:
+        print("\n" + _table(["fault, real tier of ten", *REAL_COLUMNS], [
+            [row["fault"], *([row["failed"]] if row.get("failed") else _short(row["figures"], REAL_COLUMNS))]
+            for row in result["real_faults"]]))
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/benchmarks/scale/real.py
+++ b/benchmarks/scale/real.py
@@ -18,9 +18,10 @@
 from benchmarks.scale.runs import figures_of, quantile
 from benchmarks.scale.tier import COUNTED, SETTLE, Tier
 from plumpick.rehearsal.fleet import Fleet
-from plumpick.rehearsal.records import Answered, Asked, Passed, Record, Replied, Took
+from plumpick.rehearsal.records import Answered, Asked, Had, Passed, Record, Replied, Told, Took
 from plumpick.rehearsal.scenario import (
-    AnyEvent, ClassPart, ClientPart, FleetPart, LoadPart, PeerPart, Scenario, check,
+    AnyEvent, ClassPart, ClientPart, FleetPart, KillGatekeeper, LoadPart, PauseGatekeeper, PeerPart,
+    ReleaseServers, RestartGatekeeper, Scenario, SplitPeers, check,
 )
 from plumpick.rehearsal.surroundings import Surroundings
 
@@ -59,6 +60,8 @@
         self._asked: dict[str, Asked] = {}
         self._took: dict[int, float] = {}  # when an attempt came to its worker, ms
         self._worked: dict[int, float] = {}
+        self._had: dict[tuple[str, str, int, str], float] = {}  # when an agent had word of a worker
+        self.told_ms = 0.0  # the latest that a gatekeeper was told what its agent had
 
     def feed(self, record: Record) -> None:
         """The next record."""
@@ -68,6 +71,11 @@
             count["told_bytes"] += record.size
             count["come"] += record.fate in ("delivered", "crowded out")
             count["taken"] += record.fate == "delivered"
+        elif isinstance(record, Had):
+            self._had[record.gate, record.server, record.life, record.status] = record.t
+        elif isinstance(record, Told):
+            had = self._had.get((record.gate, record.server, record.life, record.status), record.t)
+            self.told_ms = max(self.told_ms, record.t - had)
         elif isinstance(record, Asked):
             self._asked[record.id] = record
             count["tries"] += counted
@@ -131,8 +139,10 @@
         await asyncio.shield(fleet.close())
     gatekeepers = scenario.fleet.gatekeepers
     found = watch.figures(gatekeepers, seconds)
-    found |= {"core_percent": round(100 * (costs[1][0] - costs[0][0]) / (seconds * gatekeepers), 3),
-              "memory_mb": round(costs[1][1], 2), "stand_ins_lag_p99_ms": lag}
+    found |= {"memory_mb": round(costs[1][1], 2), "stand_ins_lag_p99_ms": lag,
+              "told_ms": round(watch.told_ms, 2)}
+    if not scenario.events:  # a process that was begun anew has another past
+        found["core_percent"] = round(100 * (costs[1][0] - costs[0][0]) / (seconds * gatekeepers), 3)
     return {"figures": found, "failed": fleet.failed}
 
 
@@ -158,3 +168,24 @@
     return {"gatekeepers": gatekeepers, "seed": seed, "seconds": seconds,
             "scenario": msgspec.to_builtins(scenario), "real": real["figures"], "failed": real["failed"],
             "hollow": {name: hollow[name] for name in sorted(hollow)}, "ratios": ratios, "off": off}
+
+
+FAULTED = 10  # gatekeepers
+RELEASE = ReleaseServers(at_s=SETTLE_S + 0.5, share=0.25, within_s=4.0, linger_s=1.0)  # so that there is news
+
+
+def events_of(name: str) -> list[AnyEvent]:
+    """What goes wrong in a real tier of `FAULTED`; each beside the same day without it."""
+    begin = SETTLE_S + 1.0
+    return [RELEASE, *{
+        "calm": [], "kill": [KillGatekeeper(at_s=begin + 2.0 * n, gatekeeper=n) for n in range(2)],
+        "stop": [PauseGatekeeper(at_s=begin + n, gatekeeper=n, for_s=3.0) for n in range(2)],
+        "tenths": [RestartGatekeeper(at_s=begin + 0.8 * n, gatekeeper=n) for n in range(FAULTED)],
+        "regions": [SplitPeers(at_s=begin, for_s=5.0, side=[0, 1, 2, 3, 4])]}[name]]
+
+
+def fault(name: str, seed: int, seconds: float = SECONDS) -> dict[str, Any]:
+    """A real tier under a fault; its row. Raises StartFailed or OSError."""
+    scenario = scenario_of(FAULTED, RATES[FAULTED], seconds, tuple(events_of(name)))
+    row = uvloop.run(_real(scenario, seed, seconds))
+    return {"fault": name, "gatekeepers": FAULTED, "seed": seed, **row}
--- a/tests/scale/test_commands.py
+++ b/tests/scale/test_commands.py
@@ -16,7 +16,8 @@
     ("--rate nan", "--rate: nan is not between"), ("--gatekeepers 40 --spread 50", "--spread: a set of 50"),
     ("--axes rate,services", "--axes: there is no axis 'services'"), ("--jobs 0", "--jobs: 0 is not"),
     ("--limit-s 1e9", "--limit-s: 1e+09 is not"), ("--fault-seeds 0", "--fault-seeds: 0 is not"),
-    ("--faults flood", "--faults: there is no fault 'flood'"), ("--real 3,x", "--real: 'x' is no size"),
+    ("--faults flood", "--faults: there is no fault 'flood'"),
+    ("--real-faults flood", "--real-faults: there is no fault 'flood'"), ("--real 3,x", "--real: 'x' is no size"),
     ("--real 300", "--real: '300' is no size"), ("--out /dev/null/x", "--out: "),
     ("--nonsense", "--nonsense"),
     ("--firms many", "--firms")])
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -8,10 +8,11 @@
 from benchmarks.scale import faults, told
 from benchmarks.scale.load import of_point
 from benchmarks.scale.points import LIMITS, Point, PointError, check, of_axis, passed_at
-from benchmarks.scale.real import Watch, scenario_of
+from benchmarks.scale.commands import REAL_FAULTS
+from benchmarks.scale.real import FAULTED, RELEASE, Watch, events_of, scenario_of
 from benchmarks.scale.runs import part_of, play, quantile
 from benchmarks.scale.tier import BEGIN_MS, COUNTED, SETTLE, Tier, TierError
-from plumpick.rehearsal.records import Answered, Asked, Passed, Replied, Took
+from plumpick.rehearsal.records import Answered, Asked, Had, Passed, Replied, Told, Took
 
 SMALL = Point(3, 10, 100, 3, 70.0, 3)
 
@@ -151,10 +152,12 @@
             Passed(1100.0, "n0", "n1", 60, "lost"), Passed(1200.0, "n0", "n1", 20, "crowded out"),
             asked(1300.0, "a", "f"), Took(1310.0, 7, "a", "w", 1, 1309.0, "k", 30.0),
             Replied(1350.0, 7, 200, False, 30.0), Answered(1360.0, "a", 200, 7, "a", 0.0),
+            Had(1365.0, "n0", "w", 2, "ready"), Told(1372.5, "n0", "w", 2, "ready"),
             asked(1400.0, "b", "heavy"), Answered(1401.0, "b", 429, -1, "b", 0.0)):
         watch.feed(record)
     figures = watch.figures(1, 1.0)
     assert [figures[f"words_{name}_per_s"] for name in ("told", "come", "taken")] == [3, 2, 1]
+    assert watch.told_ms == 7.5
     assert figures["word_bytes"] == 40 and figures["words_per_try"] == 1.5
     assert figures["served_inside_part"] == 1 and figures["added_p50_ms"] == 20  # 60 ms, 40 of them at work
 
@@ -162,4 +165,6 @@
 def test_scenarios_of_real_tiers_and_quantiles():
     for size in (3, 10, 40):
         assert scenario_of(size, 100.0).fleet.gatekeepers == size
+    for name in REAL_FAULTS:
+        assert scenario_of(FAULTED, 100.0, 10.0, tuple(events_of(name))).events[0] == RELEASE
     assert quantile([], 0.5) == 0.0 and quantile([3.0, 1.0, 2.0], 0.5) == 2.0
