--- a/benchmarks/scale/commands.py
+++ b/benchmarks/scale/commands.py
@@ -45,6 +45,7 @@
     flags = Parser(prog="python -m benchmarks.scale", description=__doc__)
     flags.add_argument("--brief", action="store_true", help="small sizes, judged by bounds, in under 40 s")
     flags.add_argument("--out", metavar="DIR", help="write result.json and chart.png there")
+    flags.add_argument("--resume", metavar="FILE", help="a result.json: what it has played stays as it is")
     flags.add_argument("--seed", type=int, default=1)
     flags.add_argument("--jobs", type=int, default=3, help="hollow runs at once")
     flags.add_argument("--limit-s", type=float, default=1500.0, help="no run begins after so many seconds")
@@ -134,9 +135,31 @@
     return "\n".join("| " + " | ".join(row) + " |" for row in [head, ["---"] * len(head), *rows])
 
 
-def play(given: argparse.Namespace, points: list[tuple[str, float, Point]], sizes: list[int]
-         ) -> tuple[dict[str, Any], bool]:
+def earlier_of(flags: Parser, given: argparse.Namespace) -> dict[str, Any]:
+    """What an earlier result of this seed has played to its end: rows by key; ends the program where the file
+    cannot be read."""
+    if not given.resume:
+        return {"wall_s": 0.0, "rows": {}}
+    try:
+        old = json.loads(Path(given.resume).read_text(encoding="utf-8"))
+        rows = {Point(**row["point"]): row for row in old["points"]}
+        rows |= {(row["fault"], row["seed"]): row for row in old["faults"]}
+        rows |= {("real", row["gatekeepers"]): row for row in old["real"]}
+        rows |= {("real fault", row["fault"]): row for row in old.get("real_faults", [])}
+        rows = {key: row for key, row in rows.items() if not row.get("failed") and not row.get("cut")}
+        if old["seed"] == given.seed:
+            return {"wall_s": float(old["wall_s"]), "rows": rows}
+        flags.error(f"--resume: {given.resume} is of seed {old['seed']}")
+    except OSError as problem:
+        flags.error(f"--resume: {problem.strerror}")
+    except (ValueError, KeyError, TypeError) as problem:
+        flags.error(f"--resume: no result: {type(problem).__name__}: {problem}")
+
+
+def play(given: argparse.Namespace, points: list[tuple[str, float, Point]], sizes: list[int],
+         earlier: dict[str, Any]) -> tuple[dict[str, Any], bool]:
     """Everything that was asked for, and whether all of it was played."""
+    known = earlier["rows"]
     until = time.monotonic() + given.limit_s
     work = Work(given.jobs, until)
     dear = sorted({point for _, _, point in points}, key=lambda size: -size.workers * size.spread * size.rate)
@@ -152,6 +175,9 @@
         about = key if isinstance(key, Point) else f"fault {key[0]}, seed {key[1]}"
         print(f"{about}: {row.get('failed') or ('cut short' if row['cut'] else 'played')}", flush=True)
     begin = time.monotonic()
+    work.done = {key: known[key] for key in work.todo if key in known}
+    for key in work.done:
+        del work.todo[key]
     work.run(tell)
     rows = [work.done[point] | {"axis": axis, "value": value, "point": asdict(point)}
             for axis, value, point in points]
@@ -164,6 +190,9 @@
         "told": [told.play(size, shared, given.seed) for size in (3, 40, 200, 550)
                  for shared in (False, True)] if wanted else [], "real": []}
     for size in sizes:
+        if ("real", size) in known:
+            result["real"].append(known["real", size])
+            continue
         if time.monotonic() > until:
             result["real"].append({"gatekeepers": size, "failed": "not run: --limit-s was over"})
             continue
@@ -177,6 +206,9 @@
     for name in [] if one else names(given.real_faults):
         from benchmarks.scale import real
         from plumpick.rehearsal.supervisor import StartFailed
+        if ("real fault", name) in known:
+            result["real_faults"].append(known["real fault", name])
+            continue
         if time.monotonic() > until:
             result["real_faults"].append({"fault": name, "failed": "not run: --limit-s was over"})
             continue
@@ -184,7 +216,7 @@
             result["real_faults"].append(real.fault(name, given.seed))
         except (StartFailed, OSError) as problem:
             result["real_faults"].append({"fault": name, "failed": str(problem)})
-    result["wall_s"] = round(time.monotonic() - begin, 1)
+    result["wall_s"] = round(time.monotonic() - begin + earlier["wall_s"], 1)
     whole = [row for part in ("points", "faults", "real", "real_faults") for row in result[part]]
     return result, not any(row.get("failed") or row.get("cut") for row in whole)
 
@@ -236,11 +268,12 @@
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as problem:
             flags.error(f"--out: {problem.strerror}")
+    earlier = earlier_of(flags, given)
     print(f"seed {given.seed}", flush=True)
     if given.brief:
         from benchmarks.scale import brief
         return brief.main(given.seed)
-    result, whole = play(given, points, sizes)
+    result, whole = play(given, points, sizes, earlier)
     show(result)
     if folder is not None:
         def finite(value: Any) -> Any:  # JSON has no infinity
--- a/tests/scale/test_commands.py
+++ b/tests/scale/test_commands.py
@@ -17,7 +17,8 @@
     ("--axes rate,services", "--axes: there is no axis 'services'"), ("--jobs 0", "--jobs: 0 is not"),
     ("--limit-s 1e9", "--limit-s: 1e+09 is not"), ("--fault-seeds 0", "--fault-seeds: 0 is not"),
     ("--faults flood", "--faults: there is no fault 'flood'"),
-    ("--real-faults flood", "--real-faults: there is no fault 'flood'"), ("--real 3,x", "--real: 'x' is no size"),
+    ("--real-faults flood", "--real-faults: there is no fault 'flood'"),
+    ("--real 3,x", "--real: 'x' is no size"),
     ("--real 300", "--real: '300' is no size"), ("--out /dev/null/x", "--out: "),
     ("--nonsense", "--nonsense"),
     ("--firms many", "--firms")])
@@ -41,6 +42,27 @@
     assert result["services"].startswith("no mechanism")
 
 
+def test_what_an_earlier_result_has_played_is_not_played_again(capsys, tmp_path):
+    words = ["--axes", "", "--faults", "", "--real", "", "--real-faults", "", "--gatekeepers", "3",
+             "--workers", "10", "--firms", "50", "--rate", "20", "--spread", "3", "--jobs", "1", "--out"]
+    assert main([*words, str(tmp_path / "a")]) == 0
+    file = tmp_path / "a/result.json"
+    first = json.loads(file.read_text())
+    assert main([*words, str(tmp_path / "b"), "--resume", str(file)]) == 0
+    assert json.loads((tmp_path / "b/result.json").read_text())["points"] == first["points"]
+    first["points"][0]["cut"] = True  # what was cut short is played again
+    first["points"][0]["figures"]["cold_sum"] = 9.0
+    file.write_text(json.dumps(first))
+    assert main([*words, str(tmp_path / "b"), "--resume", str(file)]) == 0
+    assert json.loads((tmp_path / "b/result.json").read_text())["points"][0]["figures"]["cold_sum"] <= 1
+    capsys.readouterr()
+    for wrong, says in (("{", "--resume: no result"), (json.dumps(first | {"seed": 9}), "is of seed 9")):
+        file.write_text(wrong)
+        with pytest.raises(SystemExit):
+            main([*words, str(tmp_path / "b"), "--resume", str(file)])
+        assert says in capsys.readouterr().err
+
+
 def test_runs_that_come_too_late_or_fail_have_rows_that_say_so():
     work, told = Work(1, -math.inf), []
     work.add("late", faults.play, "calm", 1)
