--- a/benchmarks/scale/runs.py
+++ b/benchmarks/scale/runs.py
@@ -94,7 +94,9 @@
         "serve_us_per_try": 1e6 * cpu[COUNTED, "serve"] / count["tries"] if count["tries"] else 0.0,
         "whole_list_ms": 1000 * sum(s for (_, what), s in cpu.items() if what == "begin") / max(1, begun),
         "beyond_units": max(tier.beyond.values(), default=0.0), "beyond_sum": sum(tier.beyond.values()),
-        "beyond_firms": len(tier.beyond), "cold_sum": tier.cold_sum, "cold_sends": tier.cold_sends}
+        "beyond_firms": len(tier.beyond), "cold_sends": tier.cold_sends}
+    if tier.cold_sends:  # else nothing was seen
+        figures["cold_sum"] = tier.cold_sum
     for phase, prefix in ((COUNTED, ""), (CHANGING, "changing_")):
         if not played.get(phase):
             continue
@@ -129,6 +131,8 @@
     tier = Tier(load, seed, part.played, part.judged, make)
     workers = tier.near(part.judged)  # those that others send to as well are not counted
     tier.cold_judged = set(workers)
+    if not workers:  # a few workers: others of a large tier send to each, so no sum is known
+        workers = sorted(tier.list)
     changed = tier.rng.sample(workers, min(CHANGES, max(1, len(workers) // 3)))
     for number, name in enumerate(changed):
         tier.at(BEGIN_MS + (settle_s + counted_s) * 1000 + number * CHANGE_EACH_MS, tier.replaced, name)
