A fleet's file without share_s is read at any size of the tier

Found by `plumpick size`: the default, an eighth of a second for each gatekeeper, passed the key's own bound of 60 s from 481 on, so a tier of 550 was refused by a key that its file did not name, also with no budgets.

The default never passes the bound. A share too short for the tier is refused as before, only where there are budgets. At over 900 gatekeepers with budgets that is any share, the default too: all ask one, which takes in 30 askings a second.

--- a/plumpick/operator.py
+++ b/plumpick/operator.py
@@ -191,7 +191,7 @@
     budgets = tuple(_budget(row, f"{path}.budget[{number}]") for number, row in enumerate(rows))
     _once([one.budget.name for one in budgets], f"{path}.budget")
     budgets = tuple(sorted(budgets, key=lambda one: one.budget.name))
-    share_ms = keys.seconds("share_s", 0.2, SHARE_MOST_S, max(2.0, gateways / 8))
+    share_ms = keys.seconds("share_s", 0.2, SHARE_MOST_S, min(SHARE_MOST_S, max(2.0, gateways / 8)))
     if budgets and share_ms < 2 * 1000 * gateways / INBOX_PER_S:
         raise ConfigError(f"{path}.share_s: {share_ms / 1000:g} is too short for {gateways} gatekeepers: all "
                           f"ask one of them, which takes in {INBOX_PER_S:g} askings a second; at least "
--- a/tests/budgets/test_book.py
+++ b/tests/budgets/test_book.py
@@ -387,6 +387,29 @@
     assert key in str(problem.value)
 
 
+BUDGET = "[[fleet.budget]]\nname = 'x'\nwhole = 5\nburst = 5\n"
+
+
+@pytest.mark.parametrize("gateways", [3, 480, 481, 550, 900])
+def test_a_file_that_does_not_say_how_long_a_share_lasts_is_read_at_any_size(gateways):
+    """Seen: from 481 on the default passed the key's own bound, and the file was refused."""
+    for text in ("", BUDGET):
+        got = operator_from(tomllib.loads("[fleet]\nvoters = [0]\n" + text), gateways).fleet
+        assert got.share_ms == min(60.0, max(2.0, gateways / 8)) * 1000
+        assert got.share_ms >= 2000 * gateways / 30
+
+
+def test_a_share_too_short_for_the_tier_is_refused_where_there_are_budgets():
+    own = "[fleet]\nvoters = [0]\nshare_s = 36\n"
+    assert operator_from(tomllib.loads(own), 550).fleet.share_ms == 36_000
+    with pytest.raises(ConfigError, match="fleet.share_s: 36 is too short for 550 gatekeepers"):
+        operator_from(tomllib.loads(own + BUDGET), 550)
+    with pytest.raises(ConfigError, match="fleet.share_s: 60 is too short for 901 gatekeepers"):
+        operator_from(tomllib.loads(own.replace("36", "60") + BUDGET), 901)  # at any length that there may be
+    with pytest.raises(ConfigError, match="fleet.share_s: 61 is not from 0.2 to 60"):
+        operator_from(tomllib.loads(own.replace("36", "61")), 550)
+
+
 def test_a_tier_with_other_budgets_is_another_one_and_a_tier_with_none_is_as_before():
     def digest(text):
         return operator_from(tomllib.loads("[fleet]\nvoters = [0]\n" + text), 3).fleet.terms.digest
