Capacity: changes of configuration before and with versions from a service

The page was written before the mechanism that it showed to be missing first was built, and still called it missing. What is missing first is now services as pools of workers, and a call that reaches all gatekeepers.

Eleven slopes are new (benchmarks/slopes/versions.py, which imports the plays of benchmarks/reconfigure.py and benchmarks/configuration/size.py), measured beside other work.

Changed tests: the one of a mechanism that is built takes "services" in place of "configuration", which is no longer missing; it holds as much as before. Tests of the rows are new.

--- a/benchmarks/reconfigure.py
+++ b/benchmarks/reconfigure.py
@@ -34,8 +34,8 @@
     return Settings(**values)
 
 
-def filled(classes, accounts, servers):
-    """A module with so much in its tables."""
+def filled(classes, accounts, servers, stores=2000):
+    """A module with so much in its tables; as many open requests as stores."""
     control = Controller(settings(classes), 1)
     control.handle(0.0, [Fleet(tuple(
         Server(f"worker-{n}", f"z{n % 5}", n % 16, State.READY) for n in range(servers)))])
@@ -44,7 +44,7 @@
         arrival = Arrival(n, name, "route-0", f"plan-{n % PLANS}", 1e9, 1.0, n % 550, 3)
         control.quota.account(0.0, arrival, control.plans[arrival.plan_name])
     now = 4.0
-    for n in range(2000):  # some that are open, and stores of those whose home this is
+    for n in range(stores):  # some that are open, and stores of those whose home this is
         control.handle(now, [Arrival(10**6 + n, f"{n:016x}", f"route-{n % classes}", f"plan-{n % PLANS}",
                                      now + 1900.0, 1.0, 7, 1)])
     return control, now
--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -23,7 +23,9 @@
 from typing import Any
 
 from plumpick import compiled
-from plumpick.capacity.slopes import COMPILED, EITHER, FILE, FORMS, LINEAR, PLAIN, best_fit
+from plumpick.capacity.slopes import (
+    COMPILED, EITHER, FILE, FORMS, LINEAR, PLAIN, POWER, SATURATING, best_fit,
+)
 
 ROUNDS, LONG_ROUNDS = 9, 5  # of a slope of CPU, whose points are their medians; of one whose rounds are long
 ROUND_S = 600.0  # none takes so long
@@ -34,6 +36,7 @@
 RATES = (70, 150, 273, 600, 1000)
 SETS = (2, 3, 5, 8, 11, 20, 40)
 GATEKEEPERS = (40, 100, 200, 550)
+WATCHERS = (10, 40, 200, 550)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +129,26 @@
     Task("owner_bytes", "the same in bytes", "gatekeepers", "bytes/s", GATEKEEPERS, "processes"),
     Task("owner_cpu", "decisions of an owner, 10 duties", "gatekeepers", "ms CPU/s", GATEKEEPERS,
          "processes"),
+    Task("taken_over", "a class more taken over, 5,900 workers, 218 accounts, 73 stores and open requests",
+         "classes", "ms CPU", CLASSES, "versions", True),
+    Task("taken_over_by_stores", "the same, 3 classes", "stores and open requests", "ms CPU", FIRMS,
+         "versions", True, (LINEAR,)),
+    Task("plans_taken_over", "the burst of all 50 plans taken over, 5,900 workers, 73 stores", "classes",
+         "ms CPU", CLASSES, "versions", True),
+    Task("change_bytes", "a class more, as the answer of a service, 40 plans", "classes", "bytes", CLASSES,
+         "versions"),
+    Task("whole_bytes", "the whole, as the answer of a service, 40 plans", "classes", "bytes", CLASSES,
+         "versions"),
+    Task("change_read", "a class more read, made of its base and checked, 40 plans", "classes", "ms CPU",
+         CLASSES, "versions"),
+    Task("rest_calls", "calls in rest at one service", "watchers", "calls/s", WATCHERS, "versions"),
+    Task("rest_bytes", "bytes out and in, the same", "watchers", "bytes/s", WATCHERS, "versions"),
+    Task("rest_core", "the service in rest, one play", "watchers", "% of a core", WATCHERS, "versions",
+         forms=(POWER, SATURATING)),
+    Task("change_core", "the service for one change, one play", "watchers", "ms of a core", WATCHERS,
+         "versions"),
+    Task("change_told", "from publishing one change to the last that has it, one play", "watchers", "s",
+         WATCHERS, "versions"),
 )
 
 
@@ -137,9 +160,10 @@
 def one_round(task: Task) -> list[float]:
     """A value for each size, measured in this process."""
     from benchmarks.slopes import decisions as modelled
-    from benchmarks.slopes import processes
+    from benchmarks.slopes import processes, versions
 
-    point: Callable[[float], float] = getattr(modelled if task.where == "decisions" else processes, task.name)
+    where = {"decisions": modelled, "processes": processes, "versions": versions}[task.where]
+    point: Callable[[float], float] = getattr(where, task.name)
     if not task.is_of_cpu:
         return [float(point(size)) for size in task.sizes]
     values = []
--- a/plumpick/capacity/model.py
+++ b/plumpick/capacity/model.py
@@ -9,25 +9,30 @@
 import ast
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import cache
 from typing import Any
 
 from anisefront import aperture, usage, watching
 from anisefront.budgets.book import INBOX_PER_S
 from anisefront.budgets.holder import Share
 from anisefront.budgets.words import sharing
+from anisefront.configuration import shelf, versions
 from anisefront.control import HOLD_PINGS, ping_ms
 from anisefront.interface import Plan, Repeat, RequestClass, Settings
+from anisefront.reconfigure import refusal
 from anisefront.settings import MAX_CLASSES
 from plumpick.capacity.rows import MECHANISMS, NONE, ROWS, Row
 from plumpick.capacity.slopes import LINEAR, Slope
+from plumpick.cli import parser
 from plumpick.daemon import ending_of
 from plumpick.gatekeeper import WORKER_PART
-from plumpick.operator import SHARE_MOST_S, operator_from
+from plumpick.operator import MOST_SERVICES, SHARE_MOST_S, operator_from
+from plumpick.tools.configuration_service import MOST_CONNECTIONS
 
 MEASURED, FORMULA = "measured", "formula"
 SETS = (3, 20)  # of which words were measured at several rates
-SHARE_TIER = 240  # of which the operator's file has a default for share_s; it is in proportion to the tier
+SILENT = 2  # services of versions in turn that a row takes to be silent
 
 
 class ModelError(ValueError):
@@ -67,6 +72,13 @@
         return f"{MEASURED}, off {100 * self.off:.0f} % at most{more}"
 
 
+@cache
+def _publish_s() -> float:
+    """After how long `publish` puts a version in force where it is not told; read once: parsers are slow."""
+    given = parser().parse_args(["configuration", "publish", "any", "--to", "any"])
+    return float(given.in_force_in)
+
+
 def constants(sizes: Mapping[str, float]) -> dict[str, float]:
     """What the program's own text says at these sizes."""
     gatekeepers = int(sizes["gatekeepers"])
@@ -74,9 +86,11 @@
     tier = Settings(gateways=gatekeepers, number=0, zone="", classes=(any_class,), plans=(Plan("any"),),
                     warm_up_ms=0.0, cold_from=0.0, fall_multiple=0.0, fall_window_ms=0.0, max_attempts=1,
                     inbox_per_s=sizes["words_taken_in_per_s"])
-    default = operator_from({"fleet": {"voters": [0]}}, SHARE_TIER).fleet
+    default = operator_from({"fleet": {"voters": [0]}}, gatekeepers).fleet
     if default is None:
         raise ModelError("the operator's file names no fleet")
+    others = (replace(tier, classes=(*tier.classes, replace(any_class, name="other"))),
+              replace(tier, plans=(*tier.plans, Plan("other"))))
     return {
         "arc_workers": math.ceil(sizes["workers"] * aperture.share(sizes["workers"], gatekeepers)),
         "worker_part": WORKER_PART, "classes_most": float(MAX_CLASSES),
@@ -86,11 +100,16 @@
         "share_most_s": SHARE_MOST_S,
         "share_bytes": float(len(sharing(0, 0, [(0, Share(0, 0, 0, 0, 0), 0)])[0])),
         "slots": float(default.terms.slots), "term_s": default.terms.term_ms / 1000,
-        "share_default_s": max(2.0, default.share_ms / 1000 / SHARE_TIER * gatekeepers),
+        "share_default_s": default.share_ms / 1000,
         "agent_watch_ms": watching.WATCH_MS, "agent_worst_s": watching.worst_ms(False) / 1000,
         "shared_watch_ms": watching.SHARED_WATCH_MS, "shared_round_ms": watching.ROUND_MS,
         "shared_worst_s": watching.worst_ms(True) / 1000,
         "ending_s": ending_of([math.inf])[2],  # of classes with long deadlines
+        # What cannot be taken over in service takes a restart; a form's changes are of routes and plans.
+        "restarts_a_version": float(any(refusal(tier, other) for other in others)),
+        "version_in_force_s": max(versions.worst_ms(1) / 1000, _publish_s()),
+        "version_worst_s": versions.worst_ms(SILENT) / 1000, "versions_kept": float(shelf.KEPT),
+        "connections_most": float(MOST_CONNECTIONS), "services_most": float(MOST_SERVICES),
     }
 
 
--- a/plumpick/capacity/page.py
+++ b/plumpick/capacity/page.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from plumpick.capacity.model import Line, missing_of
-from plumpick.capacity.rows import EVENTS, FIGURES, ROLES, ROWS
+from plumpick.capacity.rows import BEFORE, EVENTS, FIGURES, ROLES, ROWS, WITH
 from plumpick.capacity.slopes import Slope
 
 BEGIN, END = "<!-- {}: from `plumpick size`, not by hand -->", "<!-- end of {} -->"
-ROWS_TABLE, SLOPES_TABLE, MISSING, GAPS = "rows", "slopes", "missing", "gaps"
+ROWS_TABLE, SLOPES_TABLE, MISSING, GAPS, PAIRS = "rows", "slopes", "missing", "gaps", "before and with"
 
 
 def number(value: float) -> str:
@@ -62,6 +62,21 @@
         for place, line in enumerate(rows, 1))
 
 
+def pairs_table(lines: Sequence[Line]) -> str:
+    """Where there are rows of both ways for one figure of a role or event: both, side by side."""
+    head = [f"| role or event | figure | {BEFORE} | {WITH} |", "| --- | --- | --- | --- |"]
+    found: dict[tuple[str, str], tuple[list[str], list[str]]] = {}
+    for row in ROWS:
+        for place, way in enumerate((BEFORE, WITH)):
+            if row.what.startswith(way):
+                line = next(one for one in lines if one.row is row)
+                ratio = "" if line.ratio is None else f", {number(line.ratio)} times the limit"
+                found.setdefault((row.who, row.figure), ([], []))[place].append(
+                    f"{row.what.removeprefix(f'{way}: ')}: {number(line.value)} {row.unit}{ratio}")
+    return "\n".join(head + [f"| {who} | {figure} | {'; '.join(before)} | {'; '.join(after)} |"
+                             for (who, figure), (before, after) in found.items() if before and after])
+
+
 def gaps_table() -> str:
     """Which figures of which role or event have a row."""
     head = [f"| | {' | '.join(FIGURES)} |", "| --- |" + " --- |" * len(FIGURES)]
@@ -75,7 +90,7 @@
 def parts(lines: list[Line], slopes: Sequence[Slope]) -> dict[str, str]:
     """All generated parts of the page."""
     return {ROWS_TABLE: rows_table(lines), SLOPES_TABLE: slopes_table(slopes), MISSING: missing_text(lines),
-            GAPS: gaps_table()}
+            GAPS: gaps_table(), PAIRS: pairs_table(lines)}
 
 
 def between(text: str, name: str) -> str:
--- a/plumpick/capacity/rows.py
+++ b/plumpick/capacity/rows.py
@@ -10,7 +10,8 @@
 
 NONE = "none"
 ROLES = ("gatekeeper", "home of a firm", "voter", "owner of a duty", "divider of a budget",
-         "discovery's agent", "discovery's service", "configuration", "operator's tools", "each machine")
+         "discovery's agent", "discovery's service", "configuration", "service of versions",
+         "operator's tools", "each machine")
 EVENTS = ("one worker", "replacements", "a rack", "a zone", "a region cut off", "all restarted in parts",
           "changes of configuration")
 FIGURES = ("state", "messages", "bytes", "CPU", "memory", "descriptors", "recovery", "delay", "reach")
@@ -38,9 +39,15 @@
     "watching": "anisefront/watching.py, Watching",
     "estate": "anisefront/estate.py, leave and take_over",
     "settings": "anisefront/settings.py, settings_from",
-    "configuration": NONE,  # in force without a restart
+    "file": "plumpick/config.py, load",  # what stands there is in force at the next start
+    # Settings in force without a restart: off unless the operator's file names a [configuration].
+    "versions": "plumpick/configuration/source.py, Source",
+    "change": "anisefront/reconfigure.py, apply",
+    "waits": "anisefront/configuration/versions.py, Versions",
+    "versions' service": "plumpick/tools/configuration_service.py, Service",
+    "kept versions": "anisefront/configuration/shelf.py, Shelf",
+    "publishing": "plumpick/tools/configuration.py, publish and status",
     "services": NONE,  # pools of workers, with routes to them
-    "machines": NONE,  # nothing of this program runs there
     "calls to all": NONE,  # one call that reaches all gatekeepers
 }
 
@@ -62,6 +69,9 @@
 MEAN = "requests_per_s / gatekeepers"
 CPU = "100 * cpu_part"
 CHANGED = "replaced_per_day * entries_a_replacement"
+# The two ways by which a change of the settings comes into force; rows of one figure stand in pairs.
+BEFORE, WITH = "before, with no service of versions named", "with versions from a service"
+SERVED = "gatekeepers / machines"  # by the service at one of the machines
 
 ROWS = (
     # A gatekeeper that serves.
@@ -186,15 +196,32 @@
     Row("discovery's service", "reach", "from a change to its being told, a watch silent", "s",
         "shared_worst_s", "told_s", "watching"),
     # Configuration.
-    Row("configuration", "messages", "configurations given out, over a day", "a second",
-        "configuration_per_day * gatekeepers / 86400", "", "configuration"),
-    Row("configuration", "bytes", "to each gatekeeper, if each change is a whole file with all routes",
-        "bytes a second", "configuration_per_day * settings_bytes(routes) / 86400", "bytes_per_s",
-        "configuration"),
-    Row("configuration", "delay", "a file with all routes as classes read, on the loop", "ms",
+    Row("configuration", "bytes", f"{BEFORE}: to each gatekeeper, each change a whole file with all routes",
+        "bytes a second", "configuration_per_day * settings_bytes(routes) / 86400", "bytes_per_s", "file"),
+    Row("configuration", "bytes", f"{WITH}: to each gatekeeper, by changes", "bytes a second",
+        "configuration_per_day * change_bytes(routes) / 86400", "bytes_per_s", "versions"),
+    Row("configuration", "bytes", f"{WITH}: those of a day", "bytes a day",
+        "configuration_per_day * change_bytes(routes)", "", "versions"),
+    Row("configuration", "bytes", f"{WITH}: to and from each gatekeeper in rest", "bytes a second",
+        "rest_bytes(gatekeepers) / gatekeepers", "bytes_per_s", "versions"),
+    Row("configuration", "messages", f"{WITH}: calls of each gatekeeper in rest", "a second",
+        "rest_calls(gatekeepers) / gatekeepers", "words_taken_in_per_s", "versions"),
+    Row("configuration", "delay", f"{BEFORE}: a file with all routes as classes read at a start", "ms",
         "settings_parse_by_classes(routes)", "added_ms", "settings"),
-    Row("configuration", "delay", "a file with all plans read, on the loop", "ms",
+    Row("configuration", "delay", f"{BEFORE}: a file with all plans read at a start", "ms",
         "settings_parse_by_plans(plans)", "added_ms", "settings"),
+    Row("configuration", "delay", f"{WITH}: a class more taken over, on the loop", "ms", "taken_over(routes)",
+        "added_ms", "change"),
+    Row("configuration", "delay", f"{WITH}: the same with few classes", "ms",
+        f"taken_over_by_stores({HOMES})", "added_ms", "change"),
+    Row("configuration", "delay", f"{WITH}: the burst of all plans taken over, on the loop", "ms",
+        "plans_taken_over(routes)", "added_ms", "change"),
+    Row("configuration", "delay", f"{WITH}: part of the day in which requests wait for changes", "part",
+        "configuration_per_day * taken_over(routes) / 1000 / 86400", "added_part", "change"),
+    Row("configuration", "CPU", f"{WITH}: changes read beside the loop, over a day", "% of a core",
+        "configuration_per_day * change_read(routes) / 86400 / 10", CPU, "versions"),
+    Row("configuration", "CPU", f"{WITH}: changes taken over, over a day", "% of a core",
+        "configuration_per_day * taken_over(routes) / 86400 / 10", CPU, "change"),
     Row("configuration", "state", "routes, each as a class", "entries", "routes", "classes_most", "settings"),
     Row("configuration", "state", "the same in bytes at each gatekeeper", "bytes",
         "growth(memory_by_classes, routes)", "", "settings"),
@@ -203,19 +230,50 @@
         "growth(resident_by_classes, routes)", "memory_mb", "settings"),
     Row("configuration", "recovery", "a start with all routes as classes", "s", "start_by_classes(routes)",
         "", "process"),
+    # One service of versions with all gatekeepers; where there are several each has its part.
+    Row("service of versions", "messages", "calls of all gatekeepers in rest", "a second",
+        "rest_calls(gatekeepers)", "", "versions' service"),
+    Row("service of versions", "messages", "changes told to all, over a day", "a second",
+        "configuration_per_day * gatekeepers / 86400", "", "versions' service"),
+    Row("service of versions", "bytes", "out and in with all gatekeepers in rest", "bytes a second",
+        "rest_bytes(gatekeepers)", "", "versions' service"),
+    Row("service of versions", "bytes", "changes told to all, over a day", "bytes a second",
+        "configuration_per_day * gatekeepers * change_bytes(routes) / 86400", "", "versions' service"),
+    Row("service of versions", "bytes", "wholes, if all gatekeepers begin anew at once", "bytes",
+        "gatekeepers * whole_bytes(routes)", "", "versions' service"),
+    Row("service of versions", "CPU", "with all gatekeepers in rest", "% of a core", "rest_core(gatekeepers)",
+        "", "versions' service"),
+    Row("service of versions", "CPU", "changes told to all, over a day", "% of a core",
+        "configuration_per_day * change_core(gatekeepers) / 86400 / 10", "", "versions' service"),
+    Row("service of versions", "descriptors", "connections of all gatekeepers", "descriptors", "gatekeepers",
+        "connections_most", "versions' service"),
+    Row("service of versions", "state", "versions kept", "entries", "versions_kept", "", "kept versions"),
+    Row("service of versions", "reach", "from publishing to the last of all that has it", "s",
+        "change_told(gatekeepers)", "told_s", "versions' service"),
     # Operators.
     Row("operator's tools", "reach", "a call to each gatekeeper, one after another", "s",
         "calls_s(gatekeepers)", "told_s", "calls to all"),
     Row("operator's tools", "messages", "calls, to reach all", "calls", "gatekeepers", "", "calls to all"),
-    # The machines set aside.
-    Row("each machine", "state", "gatekeepers that it would serve", "entries", "gatekeepers / machines", "",
-        "machines"),
-    Row("each machine", "messages", "configurations that it would give out, over a day", "a second",
-        "configuration_per_day * gatekeepers / machines / 86400", "", "machines"),
-    Row("each machine", "bytes", "the same, if each change is a whole file with all routes", "bytes a second",
-        "configuration_per_day * gatekeepers / machines * settings_bytes(routes) / 86400", "", "machines"),
-    Row("each machine", "descriptors", "connections that it would hold", "descriptors",
-        "gatekeepers / machines", "", "machines"),
+    Row("operator's tools", "messages", f"{WITH}: calls, to see who has which version", "calls", "machines",
+        "services_most", "publishing"),
+    # The machines set aside, with a service of versions at each.
+    Row("each machine", "state", "gatekeepers that its service has", "entries", SERVED, "",
+        "versions' service"),
+    Row("each machine", "messages", "their calls in rest", "a second", f"rest_calls({SERVED})", "",
+        "versions' service"),
+    Row("each machine", "messages", "changes told, over a day", "a second",
+        f"configuration_per_day * {SERVED} / 86400", "", "versions' service"),
+    Row("each machine", "bytes", f"{WITH}: out and in in rest", "bytes a second", f"rest_bytes({SERVED})",
+        "", "versions' service"),
+    Row("each machine", "bytes", f"{BEFORE}: each change a whole file with all routes",
+        "bytes a second",
+        f"configuration_per_day * {SERVED} * settings_bytes(routes) / 86400", "", "file"),
+    Row("each machine", "bytes", f"{WITH}: changes told, over a day", "bytes a second",
+        f"configuration_per_day * {SERVED} * change_bytes(routes) / 86400", "", "versions' service"),
+    Row("each machine", "CPU", "its service in rest", "% of a core", f"rest_core({SERVED})", "",
+        "versions' service"),
+    Row("each machine", "descriptors", "connections of gatekeepers", "descriptors", SERVED,
+        "connections_most", "versions' service"),
     # Events.
     Row("one worker", "delay", "its entry taken in", "ms", "changed_entry(workers)", "added_ms", "list"),
     Row("one worker", "messages", "gatekeepers to be told of each change", "answers", "gatekeepers", "",
@@ -245,8 +303,12 @@
         "agent_worst_s + (list_parse(workers) + whole_list(workers)) / 1000", "told_s", "watching"),
     Row("a region cut off", "recovery", "until it lives by its own part of quotas", "s", "home_lost_s", "",
         "home lost"),
-    Row("a region cut off", "state", "changes of configuration that it lacks, then restarts of each",
-        "entries", "configuration_per_day * cut_off_s / 86400", "", "configuration"),
+    Row("a region cut off", "state", f"{BEFORE}: changes that it lacks, then restarts of each", "entries",
+        "configuration_per_day * cut_off_s / 86400", "", "file"),
+    Row("a region cut off", "state", f"{WITH}: changes that it lacks, for which a service keeps its base",
+        "entries", "configuration_per_day * cut_off_s / 86400", "versions_kept", "kept versions"),
+    Row("a region cut off", "messages", f"{WITH}: steps in which it takes them", "steps", "1", "",
+        "versions"),
     Row("all restarted in parts", "messages", "restarts", "restarts", "gatekeepers", "restarts_per_day",
         "process"),
     Row("all restarted in parts", "recovery", "all, a part at a time, each ended and begun", "s",
@@ -258,10 +320,20 @@
     Row("all restarted in parts", "bytes", "whole lists of a shared service, a part in one round",
         "bytes a second", "gatekeepers / restart_parts * list_bytes(workers) * 1000 / shared_round_ms", "",
         "watching"),
-    Row("changes of configuration", "messages", "restarts a day, since each takes one of each gatekeeper",
-        "restarts a day", "configuration_per_day * gatekeepers", "restarts_per_day", "configuration"),
-    Row("changes of configuration", "CPU", "if each were read as a whole file with all routes", "% of a core",
+    Row("changes of configuration", "messages", f"{BEFORE}: restarts, each change one of each gatekeeper",
+        "restarts a day", "configuration_per_day * gatekeepers", "restarts_per_day", "file"),
+    Row("changes of configuration", "messages", f"{WITH}: restarts", "restarts a day",
+        "configuration_per_day * gatekeepers * restarts_a_version", "restarts_per_day", "change"),
+    Row("changes of configuration", "CPU", f"{BEFORE}: each a whole file with all routes", "% of a core",
         "configuration_per_day * settings_parse_by_classes(routes) / 86400 / 10", CPU, "settings"),
-    Row("changes of configuration", "reach", "in force everywhere, gatekeepers restarted in parts", "s",
-        "restart_parts * (ending_s + start_by_workers(workers))", "told_s", "configuration"),
+    Row("changes of configuration", "CPU", f"{WITH}: changes read and taken over", "% of a core",
+        "configuration_per_day * (change_read(routes) + taken_over(routes)) / 86400 / 10", CPU, "versions"),
+    Row("changes of configuration", "reach",
+        f"{BEFORE}: in force everywhere, gatekeepers restarted in parts", "s",
+        "restart_parts * (ending_s + start_by_workers(workers))", "told_s", "process"),
+    Row("changes of configuration", "reach", f"{WITH}: in force everywhere, one service silent", "s",
+        "version_in_force_s", "told_s", "waits"),
+    Row("changes of configuration", "reach",
+        f"{WITH}: told and read everywhere, two services in turn silent", "s",
+        "version_worst_s + change_read(routes) / 1000", "told_s", "waits"),
 )
--- a/tests/capacity/test_size.py
+++ b/tests/capacity/test_size.py
@@ -129,12 +129,57 @@
 
 def test_a_mechanism_that_is_built_takes_its_rows_out_of_what_is_missing():
     sizes = target()
-    built = {**rows.MECHANISMS, "configuration": "plumpick/some.py, thing"}
+    built = {**rows.MECHANISMS, "services": "plumpick/some.py, thing"}
     before = [line for line in map(lambda row: model.line_of(row, sizes, CHOSEN), rows.ROWS)]
     after = [model.line_of(row, sizes, CHOSEN, built) for row in rows.ROWS]
     assert sum(line.is_missing for line in after) < sum(line.is_missing for line in before)
 
 
+def test_what_is_missing_first_names_what_comes_next_and_no_change_of_configuration():
+    told = page.parts(lines(), ALL)[page.MISSING]
+    assert [line.mechanism for line in model.missing_of(lines())] == [rows.NONE] * 2
+    assert "services, each a pool of workers" in told and "a call to each gatekeeper" in told
+    assert "changes of configuration" not in told
+
+
+def test_before_and_after_versions_from_a_service_stand_side_by_side():
+    for figure in ("messages", "reach"):
+        found = [line for line in lines()
+                 if (line.row.who, line.row.figure) == ("changes of configuration", figure)]
+        before = [line for line in found if line.row.what.startswith(rows.BEFORE)]
+        after = [line for line in found if line.row.what.startswith(rows.WITH)]
+        assert all(line.ratio > 1 for line in before) and all(line.ratio < 1 for line in after)
+        assert len(before) == 1 and after and not any(line.is_missing for line in (*before, *after))
+
+
+def test_a_version_that_the_program_refuses_in_service_takes_a_restart(monkeypatch):
+    """So that no restarts is what the program says, and no figure by hand."""
+    row = next(row for row in rows.ROWS if "restarts_a_version" in row.formula)
+    assert model.line_of(row, target(), CHOSEN).value == 0
+    monkeypatch.setattr(model, "refusal", lambda old, new: "classes: until a restart")
+    assert model.line_of(row, target(), CHOSEN).value == 810 * 550
+
+
+def test_the_time_until_a_version_is_in_force_is_the_programs_own(monkeypatch):
+    row = next(row for row in rows.ROWS if row.formula == "version_in_force_s")
+    assert model.line_of(row, target(), CHOSEN).value == 3.0  # the default of `publish`
+    monkeypatch.setattr(model.versions, "WAIT_MS", 4000.0)
+    assert model.line_of(row, target(), CHOSEN).value == pytest.approx(4.7)
+
+
+def test_a_change_that_holds_up_the_loop_for_too_long_shows_as_such():
+    """At many classes, not at few."""
+    row = next(row for row in rows.ROWS if row.formula == "taken_over(routes)")
+    assert model.line_of(row, target(), CHOSEN).ratio > 1
+    assert model.line_of(row, {**target(), "routes": 230.0}, CHOSEN).ratio < 1
+
+
+def test_the_share_of_a_tier_is_the_default_of_the_operators_file():
+    for gatekeepers in (3.0, 240.0, 550.0, 10_000.0):
+        told = model.constants({**target(), "gatekeepers": gatekeepers})["share_default_s"]
+        assert told == min(60.0, max(2.0, gatekeepers / 8))
+
+
 def test_a_figure_beyond_what_was_measured_says_so():
     sizes = target()
     row = next(row for row in rows.ROWS if row.formula == "changed_entry(workers)")
