--- a/tests/configuration/test_gatekeepers.py
+++ b/tests/configuration/test_gatekeepers.py
@@ -48,11 +48,11 @@
         told = document(version, value, self.service.now() + later_ms)
         assert (await self.service._publish(json.dumps(told).encode()))[0] == 200
 
-    async def start(self):
-        """A process, up; where operators call it."""
+    async def start(self, worker=9):
+        """A process, up, with a worker at that port; where operators call it."""
         calls = free_port()
         (self.folder / "config.json").write_text(json.dumps(config(
-            9, self.port, known=[entry("w", 9)], management=f"{HOST}:{calls}")))
+            9, self.port, known=[entry("w", worker)], management=f"{HOST}:{calls}")))
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "benchmarks.configuration.witness", cwd=ROOT,
             stderr=asyncio.subprocess.DEVNULL,
--- a/tests/configuration/test_in_force.py
+++ b/tests/configuration/test_in_force.py
@@ -1,33 +1,12 @@
 """From publishing to serving: a real gatekeeper, a service and a worker, and no restart between."""
 
 import asyncio
-import json
-import os
 import signal
-import sys
 
 import pytest
-from fakes import Client, FakeWorker, answer, config, entry, request, run
+from fakes import Client, FakeWorker, answer, request, run
 from settings_rig import published
 from test_gatekeepers import Machine
-from test_process import ROOT, until_up
-
-
-class Serving(Machine):
-    """A machine whose gatekeeper has a worker and clients."""
-
-    async def serve(self, worker):
-        (self.folder / "config.json").write_text(json.dumps(config(
-            9, self.port, known=[entry("w", worker.port)])))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "benchmarks.configuration.witness", cwd=ROOT,
-            stderr=asyncio.subprocess.DEVNULL,
-            env={**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json"),
-                 "PLUMPICK_OPERATOR": str(self.folder / "operator.toml"), "TMPDIR": str(self.folder),
-                 "WITNESS_FILE": str(self.folder / "witness")})
-        self.processes.append(process)
-        await until_up(self.port)
-        return process
 
 
 def homed(path):
@@ -51,10 +30,10 @@
 @pytest.mark.parametrize("by", ["whole", "delta"])
 def test_a_class_that_is_published_is_served_and_one_that_is_dropped_is_not_with_no_restart(tmp_path, by):
     async def scenario():
-        async with FakeWorker() as worker, Serving(tmp_path) as machine:
+        async with FakeWorker() as worker, Machine(tmp_path) as machine:
             if by == "delta":
                 await machine.put(1, published(1, classes=2))
-            process = await machine.serve(worker)
+            process, _ = await machine.start(worker.port)
             client = await Client().open(machine.port)
             name = "/c0" if by == "delta" else "/look"
             assert await asks(client, worker, name) == 200
