Fix: limits messages between gateways reach the budgets

Callers saw: while the operator's files named different wholes of a budget, each gateway went by its own file and the tier spent more than the lower one allows.

Cause: LeaseRunner handed payloads to the budgets by a second list of first bytes (PAYLOAD_KINDS), which named three of the five kinds; a limits query (0x24) and its answer (0x25) went to the usage collector, which drops what it does not know.

Mended: the codec's table of decoders is the one list of kinds, and is_budget_message asks it.

--- a/plumpick/gateway/cluster/budget_spending.py
+++ b/plumpick/gateway/cluster/budget_spending.py
@@ -13,16 +13,12 @@
 
 from plumpick.gateway.config import Config
 from plumpick.gateway.operator_config import FleetSettings
-from plumpick.policy.budgets import codec
 from plumpick.policy.budgets.ledger import BudgetLedger
 from plumpick.policy.budgets.matching import BudgetMatcher
 from plumpick.policy.events import RequestReceived
 from plumpick.policy.leases.actions import DeliverPayload
 from plumpick.policy.leases.participant import LeaseParticipant
 
-GRANT_KIND = bytes([codec.GRANT])
-# The first bytes of its messages.
-PAYLOAD_KINDS = (bytes([codec.DEMAND_REPORT]), GRANT_KIND, bytes([codec.ALLOCATOR_HINT]))
 MAX_LOGGED_CHARACTERS = 500
 
 log = logging.getLogger(__name__)
--- a/plumpick/gateway/cluster/lease_runner.py
+++ b/plumpick/gateway/cluster/lease_runner.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from plumpick.gateway.cluster import status
-from plumpick.gateway.cluster.budget_spending import PAYLOAD_KINDS, BudgetSpending
+from plumpick.gateway.cluster.budget_spending import BudgetSpending
 from plumpick.gateway.cluster.fenced_effects import EffectError, StaleTokenError
 from plumpick.gateway.cluster.planned_restart import PlannedRestart
 from plumpick.gateway.cluster.process_guard import ProcessGuard
@@ -24,6 +24,7 @@
 from plumpick.gateway.config import Config
 from plumpick.gateway.operator_config import FleetSettings
 from plumpick.gateway.platform import Platform
+from plumpick.policy.budgets.codec import is_budget_message
 from plumpick.policy.leases.actions import (
     Action,
     DeliverPayload,
@@ -299,7 +300,7 @@
                 self._on_lease_change(now_ms, action)
 
     def _on_payload(self, now_ms: float, payload: DeliverPayload) -> None:
-        if payload.data[:1] in PAYLOAD_KINDS:
+        if is_budget_message(payload.data):
             self.budgets.on_payload(now_ms, payload)
         else:
             self.usage.on_payload(now_ms, payload)
--- a/plumpick/policy/budgets/codec.py
+++ b/plumpick/policy/budgets/codec.py
@@ -9,6 +9,7 @@
 
 import math
 import struct
+from collections.abc import Callable
 
 from plumpick.policy.budgets.grant import Grant
 from plumpick.policy.budgets.messages import (
@@ -69,20 +70,16 @@
     return _LIMITS.pack(kind, message.budget_index, message.limit, message.burst)
 
 
+def is_budget_message(data: bytes) -> bool:
+    """Whether a payload is for the budgets, by its first byte; it may still be malformed."""
+    return data[:1] in _KINDS
+
+
 def decode(data: bytes) -> Message | None:
     """The message in these bytes; None where there is none, or one that no gateway sends."""
     kind = data[0] if data else 0
-    if kind == DEMAND_REPORT:
-        return _decode_demand_reports(data)
-    if kind == GRANT:
-        return _decode_grants(data)
-    if kind == ALLOCATOR_HINT and len(data) == _HINT.size:
-        return AllocatorHint(*_HINT.unpack(data)[1:])
-    if kind in (LIMITS_QUERY, LIMITS) and len(data) == _LIMITS.size:
-        _, budget_index, limit, burst = _LIMITS.unpack(data)
-        if _are_valid(limit, burst):
-            return LimitsMessage(budget_index, limit, burst, kind == LIMITS_QUERY)
-    return None
+    decoder = _DECODERS.get(kind)
+    return None if decoder is None else decoder(data)
 
 
 def _report_row(report: DemandReport) -> bytes:
@@ -127,5 +124,28 @@
     return GrantMessage(incarnation, rows)
 
 
+def _decode_allocator_hint(data: bytes) -> AllocatorHint | None:
+    return AllocatorHint(*_HINT.unpack(data)[1:]) if len(data) == _HINT.size else None
+
+
+def _decode_limits(data: bytes) -> LimitsMessage | None:
+    if len(data) != _LIMITS.size:
+        return None
+    kind, budget_index, limit, burst = _LIMITS.unpack(data)
+    if not _are_valid(limit, burst):
+        return None
+    return LimitsMessage(budget_index, limit, burst, kind == LIMITS_QUERY)
+
+
 def _are_valid(*values: float) -> bool:
     return all(math.isfinite(value) and value >= 0 for value in values)
+
+
+_DECODERS: dict[int, Callable[[bytes], Message | None]] = {
+    DEMAND_REPORT: _decode_demand_reports,
+    GRANT: _decode_grants,
+    ALLOCATOR_HINT: _decode_allocator_hint,
+    LIMITS_QUERY: _decode_limits,
+    LIMITS: _decode_limits,
+}
+_KINDS = frozenset(bytes([kind]) for kind in _DECODERS)
--- a/plumpick/rehearsal/tier.py
+++ b/plumpick/rehearsal/tier.py
@@ -99,13 +99,17 @@
 
     async def change(self, budgets: list[dict[str, Any]], chance: random.Random) -> None:
         """Other figures of budgets, at one gatekeeper after another (SIGHUP); over once all have them."""
-        self.budgets = budgets
         for number in chance.sample(range(self.gatekeepers), self.gatekeepers):
-            async with self.gates[number].starting:
-                self._write_settings(number)
-                await self._hang_up(self.gates[number])
+            await self.change_at(number, budgets)
             await asyncio.sleep(chance.uniform(0, 0.3))
 
+    async def change_at(self, number: int, budgets: list[dict[str, Any]]) -> None:
+        """Other limits of budgets at one gateway (SIGHUP); files written later have them, too."""
+        self.budgets = budgets
+        async with self.gates[number].starting:
+            self._write_settings(number)
+            await self._hang_up(self.gates[number])
+
     async def _hang_up(self, gate: Gatekeeper) -> None:
         """SIGHUP, if it runs; wait until it has read its file."""
         process, begin = gate.process, machine_ms()
--- a/plumpick/rehearsal/witness.py
+++ b/plumpick/rehearsal/witness.py
@@ -103,8 +103,9 @@
 def main() -> int:  # noqa: C901, PLR0915  (to be split by concern)
     """The exit code."""
     from plumpick.gateway import daemon
-    from plumpick.gateway.cluster import budget_spending, fenced_effects, lease_runner
+    from plumpick.gateway.cluster import fenced_effects, lease_runner
     from plumpick.gateway.platform import Platform
+    from plumpick.policy.budgets import codec as budget_codec
     from plumpick.policy.budgets import ledger, rate_limiter
     from plumpick.policy.leases import codec
     from plumpick.policy.leases.participant import LeaseParticipant
@@ -203,7 +204,7 @@
 
     def sent(self: Any, now_ms: float, message: Any, is_lease_message: bool = False) -> None:
         decoded = None if is_lease_message else codec.decode(message.data)
-        share = decoded is not None and decoded.payload[:1] == budget_spending.GRANT_KIND
+        share = decoded is not None and decoded.payload[:1] == bytes([budget_codec.GRANT])
         if share:
             obey("before-share", signal.SIGKILL)
         send_message(self, now_ms, message, is_lease_message)
--- a/tests/gateway/cluster/test_budget_tier.py
+++ b/tests/gateway/cluster/test_budget_tier.py
@@ -80,6 +80,40 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("has_allocator", [True, False])
+def test_lower_limits_in_the_file_of_one_gateway_hold_for_the_whole_tier(has_allocator):
+    """Guards against limits messages that are dropped on arrival: each gateway then went by its own file."""
+    exports = BUDGETS[0]
+    lower = {**exports, "whole": exports["whole"] / 2, "burst": exports["burst"] / 2}
+
+    async def scenario():
+        tier = Tier(
+            3,
+            43,
+            {"voters": [0, 1, 2], "slots": 4, "term_s": 2.0, "share_s": 1.0},
+            [],
+            management=True,
+            budgets=[exports],
+            demand={"exports": 60.0},
+        )
+        trial = Trial(tier, None)
+        try:
+            await tier.start()
+            number = await trial.divider()
+            await tier.until(lambda: len(trial.spent("exports")) > 60, 20, "what is granted is spent")
+            await tier.change_at(number if has_allocator else (number + 1) % 3, [lower])
+            # Two rounds of messages to agree, and the term of what had been granted by the higher limit.
+            begin = machine_ms() + 2 * 1000 * 1.03
+            await tier.until(lambda: machine_ms() > begin + 4000, 20, "seconds with different limits")
+            spent = [(t, units) for t, units in trial.spent("exports") if t >= begin]
+            assert not audit(spent, lower["whole"], lower["burst"])
+            assert sum(units for _, units in spent) > 0.8 * lower["whole"] * 4
+        finally:
+            await tier.close()
+
+    asyncio.run(scenario())
+
+
 def test_audit_goes_by_the_limits_of_each_moment():
     rows = [(0.0, 1.0)] * 5 + [(1000.0, 1.0)] * 7
     assert len(audit(rows, 2.0, 5.0)) == 5
--- a/tests/policy/budgets/test_budget_codec.py
+++ b/tests/policy/budgets/test_budget_codec.py
@@ -8,18 +8,34 @@
     ALLOCATOR_HINT,
     DEMAND_REPORT,
     GRANT,
+    LIMITS,
     LIMITS_QUERY,
     decode,
     encode_allocator_hint,
     encode_demand_reports,
     encode_grants,
     encode_limits,
+    is_budget_message,
 )
 from plumpick.policy.budgets.grant import Grant
 from plumpick.policy.budgets.messages import AllocatorHint, DemandReport, GrantRow, LimitsMessage
 from plumpick.policy.leases.codec import MAX_PAYLOAD_BYTES
 
-KINDS = (DEMAND_REPORT, GRANT, ALLOCATOR_HINT, LIMITS_QUERY)
+KINDS = (DEMAND_REPORT, GRANT, ALLOCATOR_HINT, LIMITS_QUERY, LIMITS)
+
+
+def test_every_message_that_is_encoded_is_recognized_as_one_for_budgets():
+    """Guards against a kind that is encoded and decoded, but dropped where payloads are dispatched."""
+    payloads = [
+        *encode_demand_reports([DemandReport(0, 1, 0.5, 0.1, 1, 1.0, 7)]),
+        *encode_grants(9, 1, [GrantRow(0, Grant(1, 1, 0.1, 1.0, 1.0), 9)]),
+        encode_allocator_hint(AllocatorHint(3, 4)),
+        encode_limits(LimitsMessage(7, 0.1, 1.0, True)),
+        encode_limits(LimitsMessage(7, 0.1, 1.0, False)),
+    ]
+    assert {payload[0] for payload in payloads} == set(KINDS)
+    assert all(is_budget_message(payload) and decode(payload) is not None for payload in payloads)
+    assert not is_budget_message(b"") and not is_budget_message(bytes([0x11]))
 
 
 @given(st.binary(max_size=MAX_PAYLOAD_BYTES))
