Fix: a hot restart gives up its sockets whatever becomes of the state

Callers saw: requests lost when the old process of an upgrade was killed. It had logged "handed over" and accepted clients all the same.

Cause: Predecessor._hand_over exported the state and gave up listener, datagrams and clients in one try; an export that raised skipped the rest.

Mended: the state is encoded first, into one value that names what is missing; then the sockets are given up always. Leases and settings pass on without the policy's state; one line of the log on each side says so.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -319,12 +319,15 @@
         self._update_readiness()
 
     def export_state(self) -> Mapping[str, Any]:
-        """The sibling takes the clients from now on; the state that it goes on from. Raises
+        """The state that the sibling goes on from, which owns it from now on. Raises
         StateNotExportedError."""
-        state = self._state_transfer.export_state()
+        return self._state_transfer.export_state()
+
+    def start_handover(self, sibling: SiblingProcess) -> None:
+        """The sibling takes the clients from now on."""
+        self.sibling = sibling
         self.has_handed_over = True
         self._update_readiness()
-        return state
 
     def import_state(self, state: Mapping[str, Any]) -> None:
         """Go on from the state of the process before."""
--- a/plumpick/gateway/hot_restart/channel.py
+++ b/plumpick/gateway/hot_restart/channel.py
@@ -52,8 +52,15 @@
         if self.is_closed:
             _close_all(descriptors or [])
             return
-        data = encode(kind, value)
-        self._unsent.append((data, descriptors or []))
+        self._enqueue(encode(kind, value), descriptors or [])
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send a message that has been encoded."""
+        if not self.is_closed:
+            self._enqueue(data, [])
+
+    def _enqueue(self, data: bytes, descriptors: list[int]) -> None:
+        self._unsent.append((data, descriptors))
         self._unsent_bytes += len(data)
         if self._unsent_bytes > MAX_UNSENT_BYTES:
             self.close()
--- a/plumpick/gateway/hot_restart/predecessor.py
+++ b/plumpick/gateway/hot_restart/predecessor.py
@@ -13,11 +13,12 @@
 import logging
 import os
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from plumpick.gateway.hot_restart.channel import Channel
+from plumpick.gateway.hot_restart.exported_state import encode_state
 from plumpick.gateway.hot_restart.message import MessageKind
 from plumpick.gateway.hot_restart.sibling import HotRestartContext, SiblingChannel, handle_sibling_message
 from plumpick.gateway.hot_restart.socket_path import is_same_user, short_address
@@ -148,34 +149,33 @@
         channel.send(MessageKind.OFFER, {"descriptors": len(descriptors)}, descriptors)
 
     def _hand_over(self, channel: Channel) -> None:
+        """Stop accepting clients and receiving from peers, then pass on the state: whatever becomes of the
+        state, this process keeps no socket that the next one serves."""
         context = self._context
         gateway = context.gateway
         if gateway.has_handed_over:
             return
-        leases = None
-        if context.participant is not None:  # whatever becomes of it, from here on the leases are not ours
-            leases = context.participant.capture()
-            context.participant.usage.forward = lambda row: channel.send(MessageKind.USAGE_ROW, row)
-        try:
-            state = self._export_state(leases)
-            context.close()
-            gateway.peers.stop_receiving()
-            gateway.sibling = SiblingChannel(channel)
-            channel.send(MessageKind.STATE, state)
-        except ValueError as problem:  # too long, or not to be had: the next process begins without
-            log.error("handover: no state: %s", problem)
-            channel.send(MessageKind.STATE, None)
-        log.info("handed over to the next process")
+        state = encode_state(context, self._capture_participant(channel))
+        context.close()
+        gateway.peers.stop_receiving()
+        gateway.start_handover(SiblingChannel(channel))
+        channel.send_encoded(state.message)
+        if state.problem is None:
+            log.info("handed over to the next process")
+        else:
+            log.error("handed over to the next process without the state of the policy: %s", state.problem)
         context.listener.transfer_idle_connections(lambda transport: self._transfer(channel, transport))
         gateway.close_idle_upstream_connections()
         self.send_descriptor_count()
         self._on_change(True)
 
-    def _export_state(self, leases: Any) -> Mapping[str, Any]:
-        """The state of this process; raises ValueError."""
-        state = {**self._context.gateway.export_state(), "fleet": leases}
-        if self._context.settings_source is not None:
-            state["configuration"] = self._context.settings_source.export_state()
+    def _capture_participant(self, channel: Channel) -> Any:
+        """The state of the cluster participant, which takes no part here from now on; None without one."""
+        participant = self._context.participant
+        if participant is None:
+            return None
+        state = participant.capture()
+        participant.usage.forward = lambda row: channel.send(MessageKind.USAGE_ROW, row)
         return state
 
     @staticmethod
--- a/plumpick/gateway/management.py
+++ b/plumpick/gateway/management.py
@@ -89,20 +89,30 @@
         context = self._context
         context.listen_socket = self._successor.listen_socket
         state = await self._successor.take_over()
-        if state is not None:
+        if state is None:
+            self._log_no_policy_state()
+        else:
             await self._import_state(state)
         self._gateway.peers.start_receiving()
         await context.listen(self._loop)
         self._successor.complete(context)
 
     async def _import_state(self, state: Mapping[str, Any]) -> None:
-        self.inherited_leases = state.get("fleet")
+        from plumpick.gateway.hot_restart.exported_state import PARTICIPANT_KEY, SETTINGS_KEY, policy_state_of
+
+        self.inherited_leases = state.get(PARTICIPANT_KEY)
         source = self._context.settings_source
-        if source is not None and state.get("configuration") is not None:
-            await source.import_state(state["configuration"])  # the rest of the state is of these settings
-        self._gateway.import_state(
-            {key: value for key, value in state.items() if key not in ("fleet", "configuration")}
-        )
+        if source is not None and state.get(SETTINGS_KEY) is not None:
+            await source.import_state(state[SETTINGS_KEY])  # the rest of the state is of these settings
+        policy_state = policy_state_of(state)
+        if policy_state:
+            self._gateway.import_state(policy_state)
+        else:
+            self._log_no_policy_state()
+
+    @staticmethod
+    def _log_no_policy_state() -> None:
+        log.warning("handover: the process before left no state of the policy: this one begins without")
 
     # -- the other process
 
--- a/tests/gateway/hot_restart/test_hot_restart.py
+++ b/tests/gateway/hot_restart/test_hot_restart.py
@@ -23,7 +23,7 @@
     told,
 )
 from support.management import say
-from support.processes import UP, free_port, start, until_up
+from support.processes import ROOT, UP, free_port, start, until_up
 from support.snapshots import left_by
 from support.traffic import settings
 
@@ -268,8 +268,8 @@
         self.folder, self.fake, self.worker, self.port = folder, fake, worker, free_port()
         self.management, self.processes = [], []
 
-    async def start(self):
-        """One more process; its management port."""
+    async def start(self, module="plumpick"):
+        """One more process, once it is ready."""
         self.management.append(free_port())
         path = self.folder / f"config-{len(self.management)}.json"
         path.write_text(
@@ -283,7 +283,7 @@
                 )
             )
         )
-        process = await start(path)
+        process = await start(path, module)
         self.processes.append(process)
         _, writer = await self.fake.called()
         writer.write(told(listing(entry("w1", self.worker.port))))
@@ -295,13 +295,17 @@
                 await asyncio.sleep(0.01)
 
 
-def upgrades(tmp_path, monkeypatch, scenario):
+def upgrades(tmp_path, monkeypatch, scenario, fault=""):
+    """Play the scenario with a first process that is up; `fault` is one of support.faulty_gateway in it."""
+
     async def whole():
         monkeypatch.setenv("TMPDIR", str(tmp_path))
+        monkeypatch.setenv("PYTHONPATH", str(ROOT / "tests"))
+        monkeypatch.setenv("GATEWAY_FAULT", fault)
         async with FakeDiscovery() as fake, FakeWorker() as worker:
             one = Upgrade(tmp_path, fake, worker)
             try:
-                await one.start()
+                await one.start("support.faulty_gateway" if fault else "plumpick")
                 await until_up(one.port)
                 await scenario(one)
             finally:
@@ -559,3 +563,39 @@
         assert (await older.answer())[2] == b"first" and await one.processes[0].wait() == 0
 
     upgrades(tmp_path, monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("fault", ["state-raises", "state-too-long"])
+def test_a_process_whose_state_cannot_be_passed_on_hands_over_its_sockets_all_the_same(
+    tmp_path, monkeypatch, fault
+):
+    """Guards against an old process that goes on accepting clients, and is killed with them."""
+
+    async def scenario(one):
+        old = one.processes[0]
+        log = asyncio.create_task(old.stderr.read())
+        serving = asyncio.create_task(serve_all(one.worker))
+        idle = await Client().open(one.port)
+        assert (await idle.send(UP).answer())[0] == 200
+        new = await one.start()
+        counts = dict(sent=0, whole=0, lost=0, refused=0, stop=0)
+        clients = [asyncio.create_task(keep_asking(one.port, 1000, counts)) for _ in range(16)]
+        while counts["whole"] < 50:
+            await asyncio.sleep(0.01)
+        assert await say(one.management[0], b"READY\n") == "-ERR handed over\n"
+        old.kill()
+        await old.wait()
+        while counts["whole"] < 100:
+            await asyncio.sleep(0.01)
+        counts["stop"] = 1
+        await asyncio.gather(*clients)
+        assert counts["lost"] == counts["refused"] == 0 and counts["whole"] == counts["sent"]
+        assert (await idle.send(UP).answer())[0] == 200
+        serving.cancel()
+        told_by_old = (await log).decode()
+        assert told_by_old.count("handed over to the next process") == 1
+        assert "handed over to the next process without the state of the policy: " in told_by_old
+        new.kill()
+        assert "the process before left no state of the policy" in (await new.stderr.read()).decode()
+
+    upgrades(tmp_path, monkeypatch, scenario, fault)
