Fix: a hot restart needs no descriptor of its own, and gives connections to a process that serves

Callers saw: in an upgrade under a crowd, connections that hung or were reset; requests lost on idle connections where the next process died between TAKE_OVER and serving.

Cause: every descriptor was duplicated before it was passed on, and the duplicates waited in a queue; os.dup raised out of the message callback, so the rest of the connections stayed behind, one of them paused for good. Idle connections went together with the state, to a process that did not serve yet.

Mended: a descriptor is passed on as it is, if the channel takes it at once; else the connection stays in use and is tried again. One descriptor is kept in reserve for accept. Idle connections pass over after SERVING, a new message of the next process. Accepting again after a next process that died is tried until it works.

test_connection_with_unwritten_response_is_not_transferred... gives a callback that says "gone" and expects the descriptor in place of the transport: the callback's form has changed, the check is as strict.

--- a/plumpick/gateway/hot_restart/channel.py
+++ b/plumpick/gateway/hot_restart/channel.py
@@ -6,10 +6,10 @@
 
 import array
 import asyncio
+import errno
 import logging
 import os
 import socket
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -24,8 +24,8 @@
 
 class Channel:
     """`on_message(kind, value, descriptors)` gets each message; `on_closed()` is called once, when the other
-    side has gone or has sent what cannot be read. A descriptor that is sent is closed here, one that comes
-    belongs to the receiver of the message."""
+    side has gone or has sent what cannot be read. A descriptor that comes belongs to the receiver of the
+    message."""
 
     def __init__(
         self,
@@ -39,55 +39,62 @@
         self._on_message = on_message
         self._on_closed = on_closed
         self._decoder = MessageDecoder()
-        self._unsent = deque[tuple[bytes, list[int]]]()
-        self._unsent_bytes = 0
+        self._unsent = bytearray()
         self._unassigned: list[int] = []  # descriptors whose message is not complete yet
         self.is_closed = False
         connection.setblocking(False)
         loop.add_reader(connection, self._read)
 
-    def send(self, kind: str, value: Any = None, descriptors: list[int] | None = None) -> None:
-        """Send a message, with descriptors; they are this channel's from now on. Raises ValueError where the
-        message cannot be encoded."""
-        if self.is_closed:
-            _close_all(descriptors or [])
-            return
-        self._enqueue(encode(kind, value), descriptors or [])
+    def send(self, kind: str, value: Any = None) -> None:
+        """Send a message. Raises ValueError where it cannot be encoded."""
+        self.send_encoded(encode(kind, value))
 
     def send_encoded(self, data: bytes) -> None:
         """Send a message that has been encoded."""
-        if not self.is_closed:
-            self._enqueue(data, [])
-
-    def _enqueue(self, data: bytes, descriptors: list[int]) -> None:
-        self._unsent.append((data, descriptors))
-        self._unsent_bytes += len(data)
-        if self._unsent_bytes > MAX_UNSENT_BYTES:
+        if self.is_closed:
+            return
+        self._unsent += data
+        if len(self._unsent) > MAX_UNSENT_BYTES:
             self.close()
-        elif len(self._unsent) == 1:
+        elif len(self._unsent) == len(data):
             self._write()
 
+    def send_descriptors(self, kind: str, descriptors: list[int]) -> bool:
+        """Send a message with descriptors, if it can go at once; whether it has gone. The descriptors stay
+        open here, and no further one is needed for it."""
+        if self.is_closed or self._unsent:
+            return False
+        data = encode(kind, {"descriptors": len(descriptors)})
+        rights = (socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", descriptors))
+        sent = self._send([data], [rights])
+        if sent:
+            self.send_encoded(data[sent:])
+        return sent > 0
+
     def _write(self) -> None:
-        while self._unsent:
-            data, descriptors = self._unsent[0]
-            rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", descriptors))]
-            try:
-                sent = self._socket.sendmsg([data], rights if descriptors else [])
-            except BlockingIOError:
-                self._loop.add_writer(self._socket, self._write)
-                return
-            except OSError:
-                self.close()
-                return
-            _close_all(descriptors)
-            self._unsent_bytes -= sent
-            if sent < len(data):
-                self._unsent[0] = (data[sent:], [])
-            else:
-                self._unsent.popleft()
-        if not self.is_closed:
+        while self._unsent and not self.is_closed:
+            sent = self._send([self._unsent], [])
+            if not sent:
+                break
+            del self._unsent[:sent]
+        if self.is_closed:
+            return
+        if self._unsent:
+            self._loop.add_writer(self._socket, self._write)
+        else:
             self._loop.remove_writer(self._socket)
 
+    def _send(self, data: list[Any], rights: list[Any]) -> int:
+        """How many bytes the system has taken; none where it takes none now or the connection has failed."""
+        try:
+            return self._socket.sendmsg(data, rights)
+        except BlockingIOError:
+            return 0
+        except OSError as problem:
+            if problem.errno != errno.ETOOMANYREFS:  # too many descriptors are under way
+                self.close()
+            return 0
+
     def _read(self) -> None:
         size = array.array("i").itemsize
         try:
@@ -137,8 +144,6 @@
         self._socket.close()
         _close_all(self._unassigned)
         self._unassigned = []
-        for _, descriptors in self._unsent:
-            _close_all(descriptors)
         self._unsent.clear()
         self._loop.call_soon(self._on_closed)
 
--- a/plumpick/gateway/hot_restart/message.py
+++ b/plumpick/gateway/hot_restart/message.py
@@ -26,6 +26,7 @@
     OFFER = "offer"  # {"descriptors": count}, with the listening socket and the datagram socket
     TAKE_OVER = "take"
     STATE = "state"  # the state, or None
+    SERVING = "serving"  # the new process accepts clients, and can take connections over
     CLIENT_CONNECTION = "client"  # {"descriptors": 1}, with the connection of a client
     DESCRIPTOR_COUNT = "held"  # how many descriptors the old process still holds
     PEER_MESSAGE = "heard"  # [sender, hex]
--- a/plumpick/gateway/hot_restart/predecessor.py
+++ b/plumpick/gateway/hot_restart/predecessor.py
@@ -2,9 +2,11 @@
 
 It listens at a Unix socket in $TMPDIR. A new process connects and says HELLO; this one offers its listening
 socket and its datagram socket. When the new one is ready to serve it says TAKE_OVER: in one step this process
-stops accepting clients and receiving from peers, and answers with its state. Then both live: this one
-finishes its requests, and each tells the other what it needs (sibling.py). Should the new one die first, this
-one goes on as before. Where the socket cannot be had, the log says so and a restart is an ordinary one."""
+stops accepting clients and receiving from peers, and answers with its state. Once the new one says SERVING it
+gets the idle connections of clients. Then both live: this one finishes its requests, and each tells the other
+what it needs (sibling.py). Should the new one die first, this one goes on as before. No step needs a
+descriptor that is not open yet: clients may hold all others. Where the socket cannot be had, the log says so
+and a restart is an ordinary one."""
 
 from __future__ import annotations
 
@@ -27,6 +29,8 @@
 REOPEN_INTERVAL_S = 0.2
 MAX_REOPEN_ATTEMPTS = 20
 LISTEN_BACKLOG = 4
+SERVING_TIMEOUT_S = 2.0  # for a next process of an older version, which does not say that it serves
+TRANSFER_RETRY_S = 0.01
 
 log = logging.getLogger(__name__)
 
@@ -45,14 +49,16 @@
         self._path: Path | None = None
         self._inode = 0  # of the socket's file, as long as it is ours
         self._channel: Channel | None = None
+        self._reserve = _open_reserve()
         self.is_stopping = False
 
     # -- the socket
 
     def open(self, path: Path) -> None:
         """Wait for the next process at that path."""
-        listening = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        listening: socket.socket | None = None
         try:
+            listening = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             fresh = path.with_name(f"{path.name}.{os.getpid()}")
             with short_address(fresh) as address:
                 listening.bind(address)
@@ -61,7 +67,8 @@
             self._inode = os.stat(path).st_ino
         except OSError as problem:
             log.warning("handover: no socket at %s: %s", path, problem.strerror)
-            listening.close()
+            if listening is not None:
+                listening.close()
             return
         listening.setblocking(False)
         self._socket = listening
@@ -71,7 +78,7 @@
     def _accept(self) -> None:
         assert self._socket is not None
         try:
-            connection, _ = self._socket.accept()
+            connection = self._accept_with_reserve(self._socket)
         except OSError:
             return
         if self._channel is not None or not is_same_user(connection):
@@ -79,6 +86,16 @@
             return
         self._channel = Channel(self._loop, connection, self._on_message, self._on_closed)
 
+    def _accept_with_reserve(self, listening: socket.socket) -> socket.socket:
+        """The next connection, also where clients hold all other descriptors; raises OSError."""
+        if self._reserve is not None:
+            os.close(self._reserve)
+            self._reserve = None
+        try:
+            return listening.accept()[0]
+        finally:
+            self._reserve = _open_reserve()
+
     def _reopen(self, attempts_left: int) -> None:
         """Wait at our path again. The process that died put its own socket in place of ours: the next one
         would find nobody there and start beside this one. It may take a moment to be gone; a process that is
@@ -99,15 +116,14 @@
     @staticmethod
     def _is_abandoned(path: Path) -> bool:
         """Whether no process listens at the path; one that is busy does."""
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
-            probe.setblocking(False)
-            try:
-                with short_address(path) as address:
-                    probe.connect(address)
-            except (ConnectionRefusedError, FileNotFoundError):
-                return True
-            except OSError:
-                return False
+        try:
+            with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe, short_address(path) as address:
+                probe.setblocking(False)
+                probe.connect(address)
+        except (ConnectionRefusedError, FileNotFoundError):
+            return True
+        except OSError:
+            return False
         return False
 
     def close(self) -> None:
@@ -121,6 +137,9 @@
                     os.unlink(self._path)
         if self._channel is not None:
             self._channel.close()
+        if self._reserve is not None:
+            os.close(self._reserve)
+            self._reserve = None
 
     # -- the next process
 
@@ -134,6 +153,8 @@
             self._offer(channel, value)
         elif kind == MessageKind.TAKE_OVER:
             self._hand_over(channel)
+        elif kind == MessageKind.SERVING:
+            self._transfer_idle_connections(channel)
         elif not handle_sibling_message(self._context, kind, value):
             log.warning("handover: %r is unknown", kind)
 
@@ -145,8 +166,9 @@
             channel.close()
             return
         sockets = (context.listen_socket, context.gateway.peers.bound_socket)
-        descriptors = [os.dup(one.fileno()) for one in sockets if one is not None]
-        channel.send(MessageKind.OFFER, {"descriptors": len(descriptors)}, descriptors)
+        descriptors = [one.fileno() for one in sockets if one is not None]
+        if not channel.send_descriptors(MessageKind.OFFER, descriptors):
+            channel.close()
 
     def _hand_over(self, channel: Channel) -> None:
         """Stop accepting clients and receiving from peers, then pass on the state: whatever becomes of the
@@ -164,7 +186,7 @@
             log.info("handed over to the next process")
         else:
             log.error("handed over to the next process without the state of the policy: %s", state.problem)
-        context.listener.transfer_idle_connections(lambda transport: self._transfer(channel, transport))
+        self._loop.call_later(SERVING_TIMEOUT_S, self._transfer_idle_connections, channel)
         gateway.close_idle_upstream_connections()
         self.send_descriptor_count()
         self._on_change(True)
@@ -178,10 +200,17 @@
         participant.usage.forward = lambda row: channel.send(MessageKind.USAGE_ROW, row)
         return state
 
-    @staticmethod
-    def _transfer(channel: Channel, transport: Any) -> None:
-        descriptor = os.dup(transport.get_extra_info("socket").fileno())
-        channel.send(MessageKind.CLIENT_CONNECTION, {"descriptors": 1}, [descriptor])
+    def _transfer_idle_connections(self, channel: Channel) -> None:
+        """Pass on the connections of clients that are idle. Only a process that is known to serve gets them:
+        with one that dies before, they would be lost."""
+        if channel is not self._channel or channel.is_closed or not self._context.gateway.has_handed_over:
+            return
+
+        def pass_on(descriptor: int) -> bool:
+            return channel.send_descriptors(MessageKind.CLIENT_CONNECTION, [descriptor])
+
+        if not self._context.listener.transfer_idle_connections(pass_on):
+            self._loop.call_later(TRANSFER_RETRY_S, self._transfer_idle_connections, channel)
 
     def send_descriptor_count(self) -> None:
         """Tell the next process how many descriptors this one still holds: the rest is the next one's."""
@@ -202,3 +231,11 @@
             self._context.participant.resume_after_failed_handover()
         self._on_change(False)
         self._reopen(MAX_REOPEN_ATTEMPTS)
+
+
+def _open_reserve() -> int | None:
+    """A descriptor that can be closed when another one is needed; None where there is none."""
+    try:
+        return os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+    except OSError:
+        return None
--- a/plumpick/gateway/hot_restart/successor.py
+++ b/plumpick/gateway/hot_restart/successor.py
@@ -82,6 +82,7 @@
         self._context = context
         if not self._is_alone and self._channel is not None:
             context.gateway.sibling = SiblingChannel(self._channel)
+            self._channel.send(MessageKind.SERVING)
         early = self._early_messages
         self._early_messages = []
         for kind, value, descriptors in early:
@@ -122,6 +123,8 @@
             self.on_descriptor_count(int(value) if isinstance(value, int) else 0)
             return
         if kind == MessageKind.CLIENT_CONNECTION:
+            if not descriptors:
+                log.warning("handover: a client's connection was lost: this process has no descriptor left")
             for descriptor in descriptors:
                 client = socket.socket(fileno=descriptor)
                 task = self._loop.create_task(self._adopt_client(context, client))
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 from plumpick.gateway.listeners.http.connection_state import ConnectionOwner
 from plumpick.gateway.listeners.http.parsed_request import MAX_BUFFERED_BODY_BYTES, ParsedRequest
@@ -210,10 +209,13 @@
         else:
             self.close_if_idle()
 
-    def transfer(self, take_over: Callable[[Any], None]) -> None:
-        """Give the connection to another process, as it is: what is unread stays in it."""
+    def transfer(self, pass_on: Callable[[int], bool]) -> bool:
+        """Give the connection to another process, as it is: what is unread stays in it. False, and nothing
+        has changed, where `pass_on` cannot pass on its descriptor now."""
         transport = self.transport
         if transport is not None and not transport.is_closing():
+            if not pass_on(transport.get_extra_info("socket").fileno()):
+                return False
             transport.pause_reading()
-            take_over(transport)
         self.abort()
+        return True
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -141,16 +141,18 @@
         """Requests that are read from now on are validated by these."""
         self.validator = RequestValidator(settings)
 
-    def transfer_idle_connections(self, take_over: Callable[[Any], None]) -> None:
-        """Give the connections on which nothing is open to another process. `take_over` gets the transport of
-        each and duplicates its descriptor.
+    def transfer_idle_connections(self, pass_on: Callable[[int], bool]) -> bool:
+        """Give the connections on which nothing is open to another process. `pass_on` gets the descriptor of
+        each, and says whether it has gone; once it has not, the rest stays, and False is returned.
 
         What is not written of a response does not pass over: the rest of it would never come, or the next one
         in its place. Such a connection stays here."""
         for connection in list(self.admission.connections):
             assert isinstance(connection, ClientConnection)
-            if connection.is_idle() and not connection.unwritten_bytes():
-                connection.transfer(take_over)
+            is_transferable = connection.is_idle() and not connection.unwritten_bytes()
+            if is_transferable and not connection.transfer(pass_on):
+                return False
+        return True
 
     def has_connections(self) -> bool:
         """Whether a connection is open."""
--- a/plumpick/gateway/management.py
+++ b/plumpick/gateway/management.py
@@ -21,6 +21,7 @@
 OWN_DESCRIPTORS = 24  # of the program itself: the loop's, listeners, discovery, operators
 LISTEN_BACKLOG = 512
 POLL_INTERVAL_S = 0.02
+LISTEN_RETRY_S = 0.2
 
 log = logging.getLogger(__name__)
 
@@ -119,9 +120,19 @@
     def _on_handover_change(self, handed_over: bool) -> None:
         """The next process has taken over, or has died and this one goes on."""
         if not handed_over:
-            task = self._loop.create_task(self._context.listen(self._loop))
+            task = self._loop.create_task(self._listen_again())
             task.add_done_callback(lambda done: done.exception() and log.error("%s", done.exception()))
 
+    async def _listen_again(self) -> None:
+        """Accept clients again; tried until there is a descriptor for it."""
+        while not self._gateway.has_handed_over:
+            try:
+                await self._context.listen(self._loop)
+                return
+            except OSError as problem:
+                log.warning("handover: no client is accepted: %s", problem.strerror)
+            await asyncio.sleep(LISTEN_RETRY_S)
+
     def _on_descriptor_count(self, count: int) -> None:
         """What the process before still holds is not ours, and it has some of its own."""
         sockets = self._config.sockets
--- a/tests/gateway/hot_restart/test_hot_restart.py
+++ b/tests/gateway/hot_restart/test_hot_restart.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 from dataclasses import replace
@@ -32,6 +33,7 @@
     MAX_TEXT_BYTES,
     MessageDecoder,
     MessageFormatError,
+    MessageKind,
     encode,
 )
 from plumpick.gateway.hot_restart.socket_path import socket_path
@@ -285,7 +287,7 @@
         )
         process = await start(path, module)
         self.processes.append(process)
-        _, writer = await self.fake.called()
+        _, writer = await unless_ended(process, self.fake.called())
         writer.write(told(listing(entry("w1", self.worker.port))))
         while True:
             try:
@@ -295,6 +297,17 @@
                 await asyncio.sleep(0.01)
 
 
+async def unless_ended(process, awaitable):
+    """What is awaited; raises ChildProcessError with the log of a process that ends before."""
+    awaited, ended = asyncio.ensure_future(awaitable), asyncio.create_task(process.wait())
+    await asyncio.wait([awaited, ended], return_when=asyncio.FIRST_COMPLETED)
+    if not awaited.done():
+        awaited.cancel()
+        raise ChildProcessError((await process.stderr.read()).decode())
+    ended.cancel()
+    return awaited.result()
+
+
 def upgrades(tmp_path, monkeypatch, scenario, fault=""):
     """Play the scenario with a first process that is up; `fault` is one of support.faulty_gateway in it."""
 
@@ -599,3 +612,115 @@
         assert "the process before left no state of the policy" in (await new.stderr.read()).decode()
 
     upgrades(tmp_path, monkeypatch, scenario, fault)
+
+
+def descriptors_of(process):
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+CLIENTS_BELOW_A_CROWD = 160  # no process closes idle ones early, with half of 1,024 descriptors either
+
+
+async def ask_readiness(client, port):
+    """One request, which must be answered; a client that is told to close comes again."""
+    answer = await client.send(UP).answer()
+    assert answer is not None and answer[0] == 200
+    if answer[1].get("connection") == "close":
+        client.close()
+        await client.open(port)
+
+
+@pytest.mark.parametrize("spare", [0, 1, 3, 8])
+def test_an_upgrade_with_hardly_a_descriptor_left_loses_no_connection(tmp_path, monkeypatch, spare):
+    """Guards against a hand-over that needs descriptors of its own and ends in its midst without any."""
+
+    async def scenario(one):
+        old = one.processes[0]
+        log = asyncio.create_task(old.stderr.read())
+        clients = []
+        for _ in range(CLIENTS_BELOW_A_CROWD):
+            clients.append(await Client().open(one.port))
+            await ask_readiness(clients[-1], one.port)
+        limit = descriptors_of(old) + spare
+        resource.prlimit(old.pid, resource.RLIMIT_NOFILE, (limit, limit))
+        starting = asyncio.create_task(one.start())
+        rounds = 0
+        while not starting.done() or rounds < 3:  # all connections are in use as long as it takes
+            for client in clients:
+                await ask_readiness(client, one.port)
+            rounds += 1
+        await starting
+        assert await say(one.management[0], b"READY\n") == "-ERR handed over\n"
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        for client in clients:
+            await ask_readiness(client, one.port)
+        told_by_old = (await log).decode()
+        assert "Traceback" not in told_by_old and told_by_old.count("handed over to the next process") == 1
+
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("dies_after", ["connect", "hello", "offer", "take", "state"])
+def test_a_next_process_that_dies_at_any_message_leaves_the_old_one_serving(
+    tmp_path, monkeypatch, dies_after
+):
+    """Guards against a hand-over that is half done when its other side has gone."""
+
+    async def scenario(one):
+        old = one.processes[0]
+        serving = asyncio.create_task(serve_all(one.worker))
+        counts = dict(sent=0, whole=0, lost=0, refused=0, stop=0)
+        clients = [asyncio.create_task(keep_asking(one.port, 1000, counts)) for _ in range(8)]
+        while counts["whole"] < 16:
+            await asyncio.sleep(0.01)
+        open_before = descriptors_of(old)
+        for _ in range(20):
+            while not await asyncio.to_thread(
+                die_as_next_process, socket_path(str(tmp_path), "n0"), dies_after
+            ):
+                await asyncio.sleep(0.01)
+        begin = counts["whole"]
+        while counts["whole"] < begin + 50 or not (await say(one.management[0], b"READY\n")).startswith(
+            "+OK"
+        ):
+            await asyncio.sleep(0.01)
+        counts["stop"] = 1
+        await asyncio.gather(*clients)
+        assert counts["lost"] == counts["refused"] == 0 and counts["whole"] == counts["sent"]
+        assert descriptors_of(old) <= open_before + 8
+        new = await one.start()
+        assert await say(one.management[0], b"READY\n") == "-ERR handed over\n"
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0 and new.returncode is None
+        assert "Traceback" not in (await old.stderr.read()).decode()
+        serving.cancel()
+
+    upgrades(tmp_path, monkeypatch, scenario)
+
+
+def die_as_next_process(path, dies_after):
+    """A next process that goes as far as that message, and is gone; False where the one before it has not
+    been noticed as gone yet."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as connection:
+        connection.settimeout(5.0)
+        try:
+            connection.connect(str(path))
+            if dies_after == "connect":
+                return True
+            connection.sendall(encode(MessageKind.HELLO, "n0"))
+            if dies_after == "hello":
+                return True
+            offer, descriptors, _, _ = socket.recv_fds(connection, 65536, 8)
+        except (ConnectionError, BlockingIOError):
+            return False
+        for descriptor in descriptors:
+            os.close(descriptor)
+        if not offer:
+            return False
+        if dies_after == "offer":
+            return True
+        connection.sendall(encode(MessageKind.TAKE_OVER))
+        if dies_after == "state":
+            connection.recv(1)
+        return True
--- a/tests/gateway/listeners/http/test_connection_closing.py
+++ b/tests/gateway/listeners/http/test_connection_closing.py
@@ -185,6 +185,11 @@
     async def scenario(worker, gate, client):
         client.close()
         plug, given = Plug(gate.port, room=4096), []
+
+        def pass_on(descriptor):
+            given.append(descriptor)
+            return True
+
         plug.send(request())
         _, writer = await worker.asked()
         (one,) = [one for one in gate.front.admission.connections if one.open_request is not None]
@@ -194,13 +199,14 @@
         while one.open_request is not None:
             await asyncio.sleep(0)
         assert one.unwritten_bytes()
-        gate.front.transfer_idle_connections(given.append)
+        assert gate.front.transfer_idle_connections(pass_on)
         assert not given
         got = b""
         while not got.endswith(body):
             got += await plug.receive()
-        gate.front.transfer_idle_connections(given.append)
-        assert given == [one.transport]
+        descriptor = one.transport.get_extra_info("socket").fileno()
+        assert gate.front.transfer_idle_connections(pass_on)
+        assert given == [descriptor]
         plug.close()
 
     one_worker(scenario)
