Fix: an attempt that we could not start is no failure of its worker

Callers saw: in a crowd that uses up the gateway's connections, healthy workers were avoided and ejected, and peers were told that they fail.

Cause: the connection pool ended each attempt that it could not send with CONNECT_FAILED, also for its own limit of connections, the system's descriptors, time that was over, or a worker that had left service; the policy counts that result against the worker and charges the next attempt to the retry budget.

Mended: these end as NOT_STARTED, which teaches nothing of the worker; the attempt in its place costs no token.

--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -1,11 +1,14 @@
 """The pool of connections to workers, and the start of attempts on them.
 
-Nothing is resent here: each attempt goes out once, or not at all. An attempt that cannot go out ends with
-CONNECT_FAILED, which says that the worker has seen no byte of it; nothing is raised."""
+Nothing is resent here: each attempt goes out once, or not at all. Of one that cannot go out the worker has
+seen no byte: it ends with CONNECT_FAILED where the worker does not accept the connection, and with
+NOT_STARTED where it is this gateway that lacks a connection or the time, or the worker has left service.
+Nothing is raised."""
 
 from __future__ import annotations
 
 import asyncio
+import errno
 import functools
 import json
 import logging
@@ -29,6 +32,8 @@
 REUSE_DELAY_MS = 20.0
 MIN_REUSE_DELAY_MS = 2.0
 MAX_RESTING_CONNECTIONS = 8
+# Errors of a connection that say nothing of the worker: no descriptor, port or memory is left here.
+LOCAL_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM)
 MAX_LOAD_VALUE = 1e6  # a load report with a field beyond that is none
 
 log = logging.getLogger(__name__)
@@ -141,7 +146,7 @@
         for connection in list(worker.idle):
             connection.abort()
         for attempt in list(worker.connecting):  # not a byte of these was written
-            attempt.end(AttemptResult.CONNECT_FAILED)
+            attempt.end(AttemptResult.NOT_STARTED)
 
     def is_in_service(self, worker: Worker) -> bool:
         """Whether new attempts may go to that process of a worker."""
@@ -169,7 +174,7 @@
             attempt.timer = self._timers.at(attempt.deadline_ms, lambda: attempt.end(AttemptResult.TIMEOUT))
         worker = self._workers.get(attempt.worker_id)
         if worker is None or not self._may_send(worker, attempt):
-            self._loop.call_soon(attempt.end, AttemptResult.CONNECT_FAILED)
+            self._loop.call_soon(attempt.end, AttemptResult.NOT_STARTED)
             return
         connection = self._reusable_connection(worker, now)
         if connection is not None:
@@ -179,7 +184,7 @@
             or worker.connection_count >= MAX_CONNECTIONS_PER_WORKER
             or self._connection_count >= self._max_connections
         ):
-            self._loop.call_soon(attempt.end, AttemptResult.CONNECT_FAILED)
+            self._loop.call_soon(attempt.end, AttemptResult.NOT_STARTED)
         else:
             self._connect(worker, attempt, now)
 
@@ -239,9 +244,10 @@
         is_up = not task.cancelled() and problem is None and not connection.is_closed
         if is_up and self._may_send(worker, attempt):
             connection.send(attempt)
-        else:  # nothing was written, and nothing may be any more
-            connection.abort()
-            attempt.end(AttemptResult.CONNECT_FAILED)
+            return
+        connection.abort()  # nothing was written, and nothing may be any more
+        is_own_doing = is_up or isinstance(problem, OSError) and problem.errno in LOCAL_SHORTAGES
+        attempt.end(AttemptResult.NOT_STARTED if is_own_doing else AttemptResult.CONNECT_FAILED)
 
     # -- connections
 
--- a/plumpick/policy/attempt_lifecycle.py
+++ b/plumpick/policy/attempt_lifecycle.py
@@ -199,9 +199,16 @@
         request.unproven_attempts -= event.result.proves_not_executed
         if event.is_final:
             self.on_final(request)
-        elif not request.in_flight and not self.retry(request):
+        elif not request.in_flight and not self._follow_up(request, event.result):
             self.on_exhausted(request)
 
+    def _follow_up(self, request: Request, result: AttemptResult) -> bool:
+        """A further attempt after one that ended so. In place of one that was not started it is no load more
+        than was asked for: it costs no token."""
+        if result is AttemptResult.NOT_STARTED:
+            return self.may_retry(request) and self.start(request)
+        return self.retry(request)
+
     def _release(self, attempt: Attempt, event: AttemptCompleted) -> None:
         """The attempt no longer counts as in flight."""
         state, now_ms = self.state, self.turn.now_ms
--- a/plumpick/policy/events.py
+++ b/plumpick/policy/events.py
@@ -21,7 +21,7 @@
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    NOT_STARTED = "moot"  # its request had ended before a byte was sent
+    NOT_STARTED = "moot"  # no byte was sent, which was not the worker's doing
 
     @property
     def proves_not_executed(self) -> bool:
