Fix: a backlog after a stall lasts until it is read

Callers saw: after a process had been suspended, work was done for clients that had given up meanwhile, and those that still waited were answered too late.

Cause: what is read after a stall may have waited all through it; that was taken as over after 20 ms. The loop accepts one connection a turn and reads it in the next, 0.55 ms each here, so the 37th request passed for new.

A probe at `submit` after SIGCONT: unread=735 wait=40 at first, unread=0 wait=400 from 20 ms on, of clients that had closed. The test (300 clients that go during SIGSTOP): 10 sent on in 3 plays of 3 before, none in 6 of 6 now.

Mended: the backlog lasts until three turns of the loop in a row have accepted nothing, 20 ms at least, 1 s at most.

--- a/benchmarks/simulation/plants.py
+++ b/benchmarks/simulation/plants.py
@@ -107,6 +107,7 @@
     return [
         (request_table, "FINAL_RESPONSE_MARGIN_MS", -500.0),
         (request_table, "DEADLINE_MARGIN_MS", -500.0),
+        (stall_detector, "MAX_BACKLOG_MS", -500.0),
         (stall_detector, "BACKLOG_READ_MS", -500.0),  # one constant with the margin in earlier programs
     ]
 
--- /dev/null
+++ b/benchmarks/soak/play.py
@@ -0,0 +1,60 @@
+"""One seed of the soak, from the start of its tier to the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import asdict
+from pathlib import Path
+
+from benchmarks.soak.fleet import SoakFleet, SoakSupervisor
+from benchmarks.soak.judge import Verdict, judge_logs, judge_processes, judge_resources, judge_rules
+from benchmarks.soak.schedule import Schedule, draw_schedule
+from plumpick.rehearsal.supervisor import StartFailed
+from plumpick.rehearsal.surroundings import Surroundings
+
+SETTLE_S = 5.0  # after the last client has gone: a connection that is being closed has ended by then
+
+
+async def play_seed(seed: int, seconds: float, found: Path) -> Verdict:
+    """Play a seed; what is needed to understand a failure is kept below `found`."""
+    schedule = draw_schedule(seed, seconds)
+    fleet = SoakFleet(Surroundings(asyncio.get_running_loop(), seed), schedule)
+    supervisor = fleet.supervisor
+    assert isinstance(supervisor, SoakSupervisor)
+    verdict = Verdict(seed)
+    try:
+        await fleet.start()
+        await fleet.play()
+        judge_rules(fleet, verdict)
+        fleet.front.close()
+        for door in fleet.front.doors:
+            while door.idle:
+                door.idle.pop().transport.abort()
+        await asyncio.sleep(SETTLE_S)
+        judge_resources(fleet, verdict)
+        judge_logs(fleet, verdict)
+        if verdict.is_broken:
+            keep(schedule, fleet, verdict, found / f"soak-{seed}")
+    except (StartFailed, OSError) as problem:
+        verdict.problems.append(f"not played: {problem}")
+    finally:
+        await asyncio.shield(fleet.close())
+    judge_processes(supervisor, verdict)
+    return verdict
+
+
+def keep(schedule: Schedule, fleet: SoakFleet, verdict: Verdict, folder: Path) -> None:
+    """Schedule, logs and the stories of the broken rules, to be read in one place."""
+    folder.mkdir(parents=True, exist_ok=True)
+    page = {
+        "seed": schedule.seed,
+        "problems": verdict.problems,
+        "actions": [[type(one).__name__, asdict(one)] for one in schedule.actions],
+        "events": [repr(one) for one in schedule.scenario.events],
+        "marks": fleet.marks,
+        "breaches": verdict.unexplained,
+    }
+    (folder / "page.json").write_text(json.dumps(page, indent=1) + "\n", encoding="utf-8")
+    for gate in fleet.supervisor.gates:
+        (folder / f"{gate.name}.log").write_bytes((gate.folder / "log").read_bytes())
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -116,7 +116,7 @@
         )
         self._commands = OperatorCommands(self, self._turn)
         self._state_transfer = StateTransfer(self._turn)
-        self._stalls = StallDetector(self._listeners)
+        self._stalls = StallDetector(self._listeners, loop.call_soon)
         self._turn.handlers = self._action_handlers()
         self.timers.at(self.clock.now() + SWEEP_INTERVAL_MS, self._sweep)
         self.timers.at(self.clock.now() + REQUEST_ID_RETENTION_MS, self.requests.expire_ids)
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -33,6 +33,7 @@
         super().__init__(gateway, admission, has_peer_closed, has_no_unread_input)
         self.validator = RequestValidator(settings)
         self._is_eviction_due = False
+        self.accepted_connections = 0
 
     def create_connection(self) -> ClientConnection:
         """A connection for a new transport."""
@@ -48,6 +49,7 @@
 
     def on_connected(self, connection: ConnectionState) -> None:
         """Admit a new connection, or close it."""
+        self.accepted_connections += 1
         now = self.gateway.clock.now()
         spare = self.gateway.spare_descriptors()
         if not self._admit(connection, now, spare):
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -96,6 +96,8 @@
 class Listener(Protocol):
     """What the gateway asks of a listener."""
 
+    accepted_connections: int  # since the start
+
     def sweep_delay_ms(self, now: float) -> float:
         """How late its next sweep is: this process may have stalled for so long."""
 
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -25,12 +25,14 @@
 from plumpick.gateway.config import parse_config
 
 
-def with_program(tmp_path, scenario, **more):
+def with_program(tmp_path, scenario, settings=None, **more):
+    """`settings` go into the configuration, `more` to the start of the process."""
+
     async def whole():
         async with FakeDiscovery() as fake, FakeWorker() as worker:
             port = free_port()
             path = tmp_path / "config.json"
-            path.write_text(json.dumps(config(fake.port, port)))
+            path.write_text(json.dumps(config(fake.port, port, **(settings or {}))))
             process = await start(path, **more)
             try:
                 await tell_list(fake, entry("w1", worker.port))
@@ -268,3 +270,49 @@
                     one.close()
 
     run(whole())
+
+
+def homed(**more):
+    """A request of a customer whose quota owner is this gateway."""
+    return request(**more).replace(b"spread=2", b"spread=1")
+
+
+CLIENTS_THAT_GO = 300
+KEPT_CONNECTIONS = 16  # to the worker: what is sent on one of them needs no new connection
+
+
+def test_nothing_is_sent_on_after_a_stall_for_clients_that_have_gone_however_long_reading_takes(tmp_path):
+    """Guards against a backlog that takes longer to read than a fixed time: its rest passed for new."""
+
+    async def scenario(process, port, worker, _fake, _path):
+        seen = []
+
+        async def serve():
+            while True:
+                message, writer = await worker.asked()
+                if message is not None:
+                    seen.append(message.headers["x-request-id"])
+                    asyncio.get_running_loop().call_later(0.02, writer.write, answer())
+
+        serving = asyncio.create_task(serve())
+        kept = [await Client().open(port) for _ in range(KEPT_CONNECTIONS)]
+        await asyncio.gather(*(client.send(homed()).answer() for client in kept))
+        await asyncio.sleep(0.1)
+        process.send_signal(signal.SIGSTOP)
+        going = [await Client().open(port) for _ in range(CLIENTS_THAT_GO)]
+        for client in going:
+            client.send(homed(deadline=400))
+        await asyncio.sleep(0.6)
+        for client in going:
+            client.writer.transport.abort()
+        await asyncio.sleep(0.1)
+        before = len(seen)
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.3)
+        assert len(seen) == before, f"{len(seen) - before} sent on for clients that have gone"
+        last = await Client().open(port)
+        mine = homed().replace(b"b4d65521", b"b4d65522")  # a customer whose quota is not used up
+        assert (await last.send(mine).answer())[0] == 200
+        serving.cancel()
+
+    with_program(tmp_path, scenario, {"limits": {"sockets": 2048}})
