--- a/plumpick/rehearsal/auditor.py
+++ b/plumpick/rehearsal/auditor.py
@@ -130,6 +130,7 @@
     """Judges by the five rules; feed it records in their order."""
 
     def __init__(self) -> None:
+        self.most_breaches = MOST_BREACHES
         self.breaches: list[Breach] = []
         self.counts = dict.fromkeys(RULES, 0)  # breaches
         self.chances = dict.fromkeys(RULES, 0)  # how often each rule could have been broken
@@ -190,7 +191,7 @@
         self, rule: str, t: float, what: str, text: str, story: list[Record], *, timing: bool = False
     ) -> None:
         self.counts[rule] += 1
-        if self.counts[rule] <= MOST_BREACHES:
+        if self.counts[rule] <= self.most_breaches:
             self.breaches.append(Breach(rule, t, what, text, timing, story))
 
     # -- the run
@@ -566,6 +567,14 @@
 
     # -- what reports want beyond verdicts
 
+    def open_requests(self, gate: str) -> list[str]:
+        """The ids of the requests at a gateway that have no final answer yet."""
+        return [
+            name
+            for name, request in self._requests.items()
+            if request.asked.gate == gate and request.ended_t is None
+        ]
+
     def nearest(self) -> dict[str, float]:
         """How near each firm under a ceiling came to it, in units left, by name."""
         return {firm: round(store.lowest, 3) for firm, store in self._stores.items()}
