--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import signal
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,6 +38,7 @@
     """When a process was stopped by SIGSTOP."""
 
     gate: str
+    process: asyncio.subprocess.Process
     begin_ms: float
     end_ms: float = math.inf
 
@@ -63,16 +65,17 @@
 
     def stop(self, gate: Gatekeeper) -> None:
         """SIGSTOP."""
-        if gate.running():
-            self._stops.append(_Stop(gate.name, self.around.now()))
+        if gate.process is not None and gate.running():
+            self._stops.append(_Stop(gate.name, gate.process, self.around.now()))
         super().stop(gate)
 
     def go_on(self, gate: Gatekeeper) -> None:
-        """SIGCONT."""
+        """SIGCONT to the process that was stopped: the gateway may have a next one by now."""
         for stop in self._stops:
             if stop.gate == gate.name and stop.end_ms == math.inf:
                 stop.end_ms = self.around.now()
-        super().go_on(gate)
+                if stop.process.returncode is None:
+                    stop.process.send_signal(signal.SIGCONT)
 
     def was_stopped(self, gate: str, begin_ms: float, end_ms: float) -> bool:
         """Whether the gateway's process was stopped, or was catching up, at some time between these."""
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -34,7 +34,7 @@
         await asyncio.sleep(SETTLE_S)
         judge_resources(fleet, verdict)
         judge_logs(fleet, verdict)
-        if verdict.is_broken:
+        if verdict.problems:
             keep(schedule, fleet, verdict, found / f"soak-{seed}")
     except (StartFailed, OSError) as problem:
         verdict.problems.append(f"not played: {problem}")
