Review: stand-ins take ports that the system gives to no client

Cause: a port between its choice and its bind could be taken by an outgoing connection of the case.

Change: ports of the cases are drawn from 20,000 to 30,000.

--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -23,6 +24,7 @@
 HOST = "127.0.0.1"
 PYTHON = str(ROOT / ".venv/bin/python")
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+PORTS = (20_000, 30_000)
 START_TIMEOUT_S = 15.0
 RUN_TIMEOUT_S = 100.0
 
@@ -36,17 +38,23 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(used: set[int] = set()) -> int:  # noqa: B006  (shared on purpose: no port is given out twice)
-    """A port that is free for TCP and for UDP."""
+_given_ports: set[int] = set()
+
+
+def free_port() -> int:
+    """A port that is free for TCP and for UDP, below those that the system gives to clients."""
     while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        try:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind((HOST, port))
                 udp.bind((HOST, port))
-                if port not in used:
-                    used.add(port)
-                    return int(port)
+        except OSError:
+            continue
+        return port
 
 
 class Record:
