--- a/review/standins.py
+++ b/review/standins.py
@@ -145,23 +145,38 @@
 
 
 class Worker:
-    """A licence server: runs each request that comes whole once, and answers after `service_s`."""
+    """A licence server: runs each request that comes whole once, and answers after `service_s`.
 
-    def __init__(self, name: str, zone: str, record: Record) -> None:
+    The workers of a hall share the keys that they have run: they answer a repeat and drop it. `loses_answer`
+    tells of the id of a request whether the connection breaks after it has run, before the answer."""
+
+    def __init__(self, name: str, zone: str, record: Record, hall_keys: set[str]) -> None:
         self.name = name
         self.zone = zone
         self.service_s = 0.02
         self.runs: list[Run] = []
+        self.loses_answer: Callable[[str], bool] = lambda _request_id: False
+        self._hall_keys = hall_keys
         self._record = record
         self.server = Server(self._answer)
 
-    async def _answer(self, message: Message, _writer: asyncio.StreamWriter) -> bytes:
+    async def _answer(self, message: Message, writer: asyncio.StreamWriter) -> bytes | None:
         request_id = message.headers.get("x-request-id", "")
         if not request_id:
             return http_answer(404)
         what = message.first.rpartition(" ")[0]
-        self.runs.append(Run(time.time(), request_id, what, message.body))
-        self._record(f"run      {self.name} {what} id={request_id} body={message.body.decode()!r}")
+        line = f"{self.name} ({self.zone}) {what} id={request_id} body={message.body.decode()!r}"
+        key = message.headers.get("idempotency-key", "")
+        if key and key in self._hall_keys:
+            self._record(f"repeat   {line}")
+        else:
+            self._hall_keys.update([key] if key else [])
+            self.runs.append(Run(time.time(), request_id, what, message.body))
+            self._record(f"run      {line}")
+            if self.loses_answer(request_id):
+                self._record(f"lost     {line}: its connection is reset before the answer")
+                writer.transport.abort()
+                return None
         await asyncio.sleep(self.service_s)
         load = json.dumps({"util": 0.1, "latency_ms": self.service_s * 1000})
         return http_answer(200, f"{self.name} served {request_id}".encode(), f"X-Load: {load}\r\n")
@@ -386,7 +401,9 @@
         self.record = Record(folder / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.operator: Path | None = None
-        self.workers = [Worker(f"s-{n}", "hall-" + "ab"[n % 2], self.record) for n in range(workers)]
+        halls: dict[str, set[str]] = {"hall-a": set(), "hall-b": set()}
+        names = [(f"s-{number}", "hall-" + "ab"[number % 2]) for number in range(workers)]
+        self.workers = [Worker(name, hall, self.record, halls[hall]) for name, hall in names]
         self.discovery = Discovery(self.workers)
         self.client = Client(self.record)
         self.gates: list[Gatekeeper] = []
