Fix: a request that offers an upgrade keeps its body

What callers saw: a POST with "Connection: Upgrade" and "Upgrade: h2c" (or websocket) was executed by its worker with an empty body and answered 200. A 400 followed the response, also for GET, and the client took it for the response to its next request. A streamed body ended as 502.

Cause: httptools ends a message with such an offer after its head, whether or not a body follows: it calls on_message_complete, then raises HttpParserUpgrade with the offset of the rest. The reader queued the request as complete and treated the exception as malformed input.

The callbacks of the parser alone: head, message complete, HttpParserUpgrade(73), no body. "Upgrade" without "Connection: Upgrade" is parsed with its body.

Fix: the offer is ignored (RFC 9110, 7.8). feed_parser continues with a second parser, which is first fed a head that delimits the body in the same way; the end reported by the first one is ignored. CONNECT, which the parser treats alike, gets one 400 and a close. The version service of `plumpick configuration serve` had the same fault: it closed the connection without a response.

--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -21,6 +21,7 @@
     ParsedRequest,
 )
 from plumpick.gateway.listeners.http.response_writer import ResponseWriter
+from plumpick.gateway.listeners.http.upgrade_offer import FRAMING_HEADERS, feed_parser
 
 
 class RequestReader(ResponseWriter):
@@ -46,8 +47,8 @@
             return
         self.last_activity_ms = self.gateway.clock.now()
         try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            feed_parser(self, data)
+        except httptools.HttpParserError:
             self._reject_unparsable()
         incoming = self.incoming
         if incoming is not None and not incoming.error_status:
@@ -152,6 +153,8 @@
         length = headers.get(b"content-length", b"0")
         if b"content-length" in headers and b"transfer-encoding" in headers:
             incoming.error_status = 400  # the two headers contradict each other on the end of the request
+        elif incoming.method == b"CONNECT":
+            incoming.error_status = 400  # what follows its head is no HTTP
         elif not length.isdigit():
             incoming.error_status = 400
         elif len(length) > MAX_CONTENT_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
@@ -181,16 +184,27 @@
         if len(incoming.body) > MAX_BUFFERED_BODY_BYTES:
             self.start_stream(incoming)
 
+    def framing_fields(self) -> bytes | None:
+        """Return the header lines that delimit the body of the request being read; None if it has been
+        rejected."""
+        incoming = self.incoming
+        if incoming is None:
+            return None
+        present = [name for name in FRAMING_HEADERS if name in incoming.headers]
+        return b"".join([b"%s: %s\r\n" % (name, incoming.headers[name]) for name in present])
+
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete. Queue it, or end its streamed body."""
         incoming = self.incoming
-        self.incoming = None
         if incoming is None:
             return
+        # The parser's answer is valid only during this callback.
+        incoming.keep_alive = incoming.keep_alive and self.parser.should_keep_alive()
+        if self.parser.should_upgrade():
+            return  # only the head is complete, see upgrade_offer.py
+        self.incoming = None
         incoming.is_complete = True
         incoming.received_ms = self.gateway.clock.now()
-        # The parser's answer is valid only during this callback.
-        incoming.keep_alive = self.parser.should_keep_alive()
         if incoming.stream is None:
             self.pipelined.append(incoming)
         elif self.open_request is not None and incoming is self.current:
--- a/plumpick/tools/configuration_service.py
+++ b/plumpick/tools/configuration_service.py
@@ -23,6 +23,7 @@
 
 import httptools
 
+from plumpick.gateway.listeners.http.upgrade_offer import FRAMING_HEADERS, RequestReceiver, feed_parser
 from plumpick.policy.dynamic_config.errors import PublishError
 from plumpick.policy.dynamic_config.updates import MAX_VERSION_NUMBER
 from plumpick.policy.dynamic_config.version_store import SubscriberStatus, VersionStore
@@ -53,23 +54,35 @@
     return time.time() * 1000
 
 
-class _Request:
+class _Request(RequestReceiver):
     """One HTTP request that is being received, with its parser."""
 
     def __init__(self) -> None:
+        self.method = b""
         self.target = b""
         self.parts: list[bytes] = []
         self.is_complete = False
         self.parser = httptools.HttpRequestParser(self)
+        self._framing = b""
 
-    def on_url(self, part: bytes) -> None:
-        self.target += part
+    def framing_fields(self) -> bytes:
+        return self._framing
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() in FRAMING_HEADERS:
+            self._framing += b"%s: %s\r\n" % (name, value)
+
+    def on_headers_complete(self) -> None:
+        self.method = self.parser.get_method()
 
     def on_body(self, part: bytes) -> None:
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
-        self.is_complete = True
+        self.is_complete = not self.parser.should_upgrade()
 
 
 class VersionService:
@@ -135,7 +148,7 @@
         """The status and the body of the response to a request. Raises ValueError if the request is
         malformed."""
         parts = urlsplit(request.target.decode("ascii", "replace"))
-        method = request.parser.get_method()
+        method = request.method
         path = parts.path
         if (method, path) == (b"GET", PATH):
             body = await self._watch(parse_qs(parts.query))
@@ -216,7 +229,7 @@
             received_bytes += len(data)
             if not data or received_bytes > MAX_REQUEST_BYTES or len(request.target) > MAX_TARGET_BYTES:
                 return None
-            request.parser.feed_data(data)
+            feed_parser(request, data)
     return request
 
 
--- a/tests/gateway/dynamic_config/test_config_client.py
+++ b/tests/gateway/dynamic_config/test_config_client.py
@@ -83,11 +83,12 @@
     return HOST, service.port
 
 
-async def publish(service, value):
-    """Publish a settings version at `service`. Returns the HTTP status and the JSON value of the response."""
+async def publish(service, value, extra=""):
+    """Publish a settings version at `service`. Returns the HTTP status and the JSON value of the response.
+    `extra`: further header lines of the request, each with its line end."""
     reader, writer = await asyncio.open_connection(HOST, service.port)
     data = json.dumps(value).encode()
-    head = f"PUT {PATH} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(data)}\r\n\r\n"
+    head = f"PUT {PATH} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(data)}\r\n{extra}\r\n"
     writer.write(head.encode() + data)
     head = await reader.readuntil(b"\r\n\r\n")
     length = int(head.lower().partition(b"content-length:")[2].split()[0])
@@ -106,6 +107,20 @@
     run(run_scenario())
 
 
+def test_version_is_published_by_a_request_that_offers_an_upgrade():
+    """Guards against a connection that the service closed without a response to a client such as `curl
+    --http2`."""
+
+    async def scenario(service):
+        offer = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAEAAEAA\r\n"
+        assert (await publish(service, document(1, published_settings(1)), offer))[0] == 200
+        gateway = GatewayStub([address_of(service)]).start()
+        await gateway.wait_until_active(1)
+        await gateway.stop()
+
+    with_services(1, scenario)
+
+
 def test_first_version_is_sent_as_a_snapshot_and_the_next_as_a_delta():
     async def scenario(service):
         gateway = GatewayStub([address_of(service)]).start()
