Fix: a 101 from discovery, a service of settings or a receiver is a failed call

What operators saw: a server that switches to another protocol unasked ended the watch with an exception, a traceback in the log and half a second's delay; a receiver of effects the same, without an EffectError of its own.

Cause: httptools raises HttpParserUpgrade for a 101, which is no HttpParserError, so that neither client caught it.

Evidence and test: a stub that answers 101.

--- a/plumpick/gateway/cluster/fenced_effects.py
+++ b/plumpick/gateway/cluster/fenced_effects.py
@@ -102,6 +102,8 @@
             raise LeaseEndedError
         writer.write(request)
         status, receiver_token = await _read_response(reader)
+    except httptools.HttpParserUpgrade as problem:  # is no HttpParserError
+        raise ReceiverError("the receiver switched to another protocol") from problem
     except (OSError, httptools.HttpParserError) as problem:
         raise ReceiverError(f"no valid response from the receiver: {problem or 'timed out'}") from problem
     finally:
--- a/plumpick/gateway/http_client.py
+++ b/plumpick/gateway/http_client.py
@@ -49,7 +49,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes from the connection; empty bytes mean that the peer has closed it. Raises
-        CallFailedError or httptools.HttpParserError."""
+        CallFailedError, httptools.HttpParserError or httptools.HttpParserUpgrade."""
         self.received_bytes += len(data)
         if not data:
             # A close completes a body without a declared length (RFC 9112, 6.3); a reset never does.
@@ -141,6 +141,8 @@
         raise CallFailedError("no response in time", timed_out=connection.is_open) from problem
     except httptools.HttpParserError as problem:
         raise CallFailedError("the response is not valid HTTP") from problem
+    except httptools.HttpParserUpgrade as problem:  # is no HttpParserError
+        raise CallFailedError("the server switched to another protocol") from problem
     except OSError as problem:
         raise CallFailedError(f"connection failed: {problem}") from problem
 
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -88,6 +88,21 @@
     with_discovery_client(scenario)
 
 
+def test_response_that_switches_protocols_is_a_failed_call(caplog):
+    """Guards against a 101 that ended the watch with an exception, a traceback in the log and a delay."""
+
+    async def scenario(fake, updates, _discovery):
+        _, writer = await fake.next_call()
+        writer.write(b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n")
+        _, writer = await fake.next_call()
+        writer.write(json_response(listing(entry("w1", 5001), index=44)))
+        assert (await updates.get()).index == 44
+
+    with_discovery_client(scenario)
+    assert "switched to another protocol" in caplog.text
+    assert not [record for record in caplog.records if record.exc_info]
+
+
 def test_malformed_endpoint_is_omitted_from_the_list():
     async def scenario(fake, updates, _discovery):
         _, writer = await fake.next_call()
