Fix: a timer that is set for the past keeps no turn alive

What callers saw: with "tickMs": -1 in force (also 0 and -0.5) a gateway answered nobody any more, one core busy, and did not heed SIGTERM.

Cause: Controller._fire_timers fired timers until none was due. A turn's time stands still, so that a timer that sets itself at or before the present fired again and again in one turn. A ledger's timer did so: it is set at the time of the next grant plus tickMs.

Fix: a turn fires the timers that were due when it began; one that is set meanwhile fires in a later turn, between which sockets and signals are served. After 100 such turns in a row the kind of the timer is logged.

test_timer_set_for_the_past_keeps_no_turn_alive failed before in its three cases (10,000 timers in a turn).

--- a/plumpick/policy/controller.py
+++ b/plumpick/policy/controller.py
@@ -21,7 +21,7 @@
 )
 from plumpick.policy.concurrency_limit import PERIOD_MS
 from plumpick.policy.endpoint_state import TrackedEndpoint
-from plumpick.policy.errors import CommandError, ReconfigurationError
+from plumpick.policy.errors import CommandError, ReconfigurationError, TimerLoopError
 from plumpick.policy.events import (
     AttemptCompleted,
     ClientDisconnected,
@@ -48,6 +48,9 @@
 
 TIMER_NAME = "agenda"  # name of the single timer that the controller sets
 REMOVAL_INTERVAL_MS = 250.0
+MAX_TURNS_WITH_OVERDUE_TIMERS = (
+    100  # number of turns in a row that set timers in the past, from which it is a fault
+)
 WATCH_RETRY_RATIO = 0.25  # delay after a failed endpoint watch, as a fraction of settings.watch_retry_ms
 
 
@@ -61,6 +64,7 @@
         self.is_quota_started = False
         self.timer_ms = math.inf  # time at which the timer fires; infinite while none is set
         self.next_removal_ms = 0.0  # time of the next removal of expired entries
+        self.turns_with_overdue_timers = 0  # number of the latest turns that left a timer that was due
 
     @property
     def faults(self) -> list[Exception]:
@@ -242,15 +246,26 @@
     # -- processing of timers
 
     def _fire_timers(self) -> None:
+        """Fire the timers that are due. One that is set meanwhile fires in a later turn even if it is due at
+        once, so that no turn goes on for ever."""
         timers, now_ms = self.state.timers, self.turn.now_ms
-        entry = timers.pop_due(now_ms)
-        while entry is not None:
-            _, _, kind, key = entry
+        for _, _, kind, key in timers.take_due(now_ms):
             # Set the next period's timer first: no exception below can then prevent it.
             if kind is TimerKind.PERIOD:
                 timers.schedule(now_ms + PERIOD_MS, TimerKind.PERIOD)
             self.turn.run_isolated(self.on_timer, kind, key)
-            entry = timers.pop_due(now_ms)
+        self._report_overdue_timers()
+
+    def _report_overdue_timers(self) -> None:
+        """Add a fault if timers have been set for a time in the past for too many turns in a row."""
+        timers = self.state.timers
+        if not timers.has_due(self.turn.now_ms):
+            self.turns_with_overdue_timers = 0
+            return
+        self.turns_with_overdue_timers += 1
+        if self.turns_with_overdue_timers % MAX_TURNS_WITH_OVERDUE_TIMERS == 0:
+            kind = timers.entries[0][2]
+            self.turn.faults.append(TimerLoopError(kind.name, self.turns_with_overdue_timers))
 
     def on_timer(self, kind: TimerKind, key: int) -> None:
         """Process one timer that has fired. `key`: id of the request or ledger that it belongs to."""
--- a/plumpick/policy/errors.py
+++ b/plumpick/policy/errors.py
@@ -16,3 +16,10 @@
 
 class SnapshotError(PolicyError):
     """A snapshot is malformed or belongs to another gateway; no part of it is imported."""
+
+
+class TimerLoopError(PolicyError):
+    """A timer of a kind is set for a time in the past again and again; `turns`: number of turns in a row."""
+
+    def __init__(self, kind: str, turns: int) -> None:
+        super().__init__(f"timer {kind}: set for a time in the past in {turns} turns in a row")
--- a/plumpick/policy/timers.py
+++ b/plumpick/policy/timers.py
@@ -55,11 +55,16 @@
         self.serial += 1
         heapq.heappush(self.entries, (at_ms, self.serial, kind, key))
 
-    def pop_due(self, now_ms: float) -> Entry | None:
-        """Remove and return the earliest timer if it is due; None otherwise."""
-        if self.entries and self.entries[0][0] <= now_ms + CLOCK_GRAIN_MS:
-            return heapq.heappop(self.entries)
-        return None
+    def has_due(self, now_ms: float) -> bool:
+        """Whether the earliest timer is due."""
+        return bool(self.entries) and self.entries[0][0] <= now_ms + CLOCK_GRAIN_MS
+
+    def take_due(self, now_ms: float) -> list[Entry]:
+        """Remove the timers that are due, and return them in the order in which they fire."""
+        due: list[Entry] = []
+        while self.has_due(now_ms):
+            due.append(heapq.heappop(self.entries))
+        return due
 
     def next_ms(self, open_requests: Mapping[int, object]) -> float:
         """Time of the earliest timer. Drops timers of ended requests from the head of the queue, since most
--- a/tests/policy/test_turn.py
+++ b/tests/policy/test_turn.py
@@ -181,3 +181,44 @@
     assert actions_of(RejectRequest, control.handle(1001.0, [odd])) and not control.requests
     assert all(at == at for at, *_ in control.state.timers.entries)
     assert not actions_of(StartAttempt, control.handle(1002.0, [PeerMessageReceived(1, b"")]))
+
+
+class TurnDidNotEndError(BaseException):
+    """Raised out of a turn that fires timers without an end; no step of a turn catches it."""
+
+
+@pytest.mark.parametrize("offset_ms", [0.0, -1.0, -1e6], ids=["now", "past", "long past"])
+def test_timer_set_for_the_past_keeps_no_turn_alive(monkeypatch, offset_ms):
+    """Guards against a timer that sets itself anew in the past, with which all gateways hung in one turn
+    (review/2)."""
+    control = gateway()
+    control.handle(1000.0, [FLEET])
+    fired, served = [], set()
+    on_timer = type(control).on_timer
+
+    def set_anew(self, kind, key):
+        on_timer(self, kind, key)
+        if kind is TimerKind.OUTBOX:
+            fired.append(kind)
+            if len(fired) > 10_000:
+                raise TurnDidNotEndError
+            self.state.timers.schedule(self.turn.now_ms + offset_ms, kind)
+
+    monkeypatch.setattr(type(control), "on_timer", set_anew)
+    control.state.timers.schedule(1000.0, TimerKind.OUTBOX)
+    own_customers = [name for name in map(str, range(3000)) if owner_of(name) == 0]
+    faults = []
+    for turn in range(1, 301):
+        now = 1000.0 + turn
+        request = request_event(turn, due=now + 1000.0, customer=own_customers[turn])
+        actions = control.handle(now, [TimerFired("agenda"), request])
+        faults += control.faults
+        for send in actions_of(StartAttempt, actions):
+            control.handle(now, [completion(send, AttemptResult.OK)])
+            faults += control.faults
+            served.add(send.id)
+    assert len(served) > 250 and len(fired) <= 600  # fired once in each turn
+    assert [str(fault) for fault in faults] == [
+        f"timer OUTBOX: set for a time in the past in {turns} turns in a row"
+        for turns in range(100, len(fired) + 1, 100)
+    ]
