Fix: a callback that sets its timer for the past does not block the event loop

No such callback is known in the program.

test_timer_set_for_the_past_by_its_callback_does_not_block_the_event_loop failed before in its three cases: 10,000 calls in one iteration.

--- a/plumpick/gateway/clock.py
+++ b/plumpick/gateway/clock.py
@@ -47,9 +47,14 @@
         self._serial = 0
         self._handle: asyncio.TimerHandle | None = None
         self._armed_ms = math.inf
+        self._firing_ms = -math.inf  # time up to which due callbacks are being called; -inf otherwise
 
     def call_at(self, when_ms: float, callback: Callable[[], None]) -> Timer:
-        """Schedule the callback for the clock time `when_ms` or soon after, never earlier."""
+        """Schedule the callback for the clock time `when_ms` or soon after, never earlier.
+
+        Scheduled by a callback, it is called in a later iteration of the event loop even if it is due."""
+        if when_ms <= self._firing_ms:
+            when_ms = math.nextafter(self._firing_ms, math.inf)
         self._serial += 1
         timer = Timer(callback)
         heapq.heappush(self._heap, (when_ms, self._serial, timer))
@@ -70,6 +75,7 @@
         self._handle = None
         self._armed_ms = -math.inf  # prevents arming of the timer while the due callbacks run
         now = self._clock.now()
+        self._firing_ms = now
         heap = self._heap
         try:
             while heap and heap[0][0] <= now:
@@ -79,6 +85,7 @@
                 if callback is not None:
                     callback()
         finally:
+            self._firing_ms = -math.inf
             while heap and heap[0][2].callback is None:
                 heapq.heappop(heap)
             self._armed_ms = math.inf
--- /dev/null
+++ b/tests/gateway/test_clock.py
@@ -0,0 +1,53 @@
+"""Timers of the gateway's event loop."""
+
+import asyncio
+
+import pytest
+
+from plumpick.gateway.clock import Clock, Timers
+
+CALLS_OF_A_BLOCKED_LOOP = 10_000
+
+
+@pytest.mark.parametrize("offset_ms", [0.0, -1.0, -1e9], ids=["now", "past", "long past"])
+def test_timer_set_for_the_past_by_its_callback_does_not_block_the_event_loop(offset_ms):
+    """Guards against a timer that sets itself anew in the past and keeps the event loop from all else."""
+
+    async def scenario():
+        clock = Clock()
+        timers = Timers(asyncio.get_running_loop(), clock)
+        started_ms = clock.now()
+        calls = []
+
+        def set_anew():
+            calls.append(None)
+            if len(calls) < CALLS_OF_A_BLOCKED_LOOP:
+                timers.call_at(started_ms + offset_ms, set_anew)
+
+        timers.call_at(started_ms, set_anew)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        assert 1 <= len(calls) <= 50  # at most once in each iteration of the event loop
+
+    asyncio.run(scenario())
+
+
+def test_other_timers_fire_after_a_callback_that_raises_and_sets_itself_anew():
+    async def scenario():
+        clock = Clock()
+        loop = asyncio.get_running_loop()
+        problems, fired = [], asyncio.Event()
+        loop.set_exception_handler(lambda _loop, context: problems.append(context["exception"]))
+        timers = Timers(loop, clock)
+
+        def set_anew_and_raise():
+            if len(problems) < 3:
+                timers.call_at(0.0, set_anew_and_raise)
+            raise RuntimeError
+
+        timers.call_at(0.0, set_anew_and_raise)
+        timers.call_at(1.0, fired.set)
+        await asyncio.wait_for(fired.wait(), 5.0)
+        assert problems
+
+    asyncio.run(scenario())
