Fix: a tickMs below 0 is refused by its key

Cause: Settings checks the range of its numbers, but tick_ms was left out. The start's file, publish and each gateway's check all build Settings.

--- a/plumpick/policy/settings.py
+++ b/plumpick/policy/settings.py
@@ -139,6 +139,7 @@
             fall_window_ms=self.overload_window_ms,
             max_units=self.max_units,
             inbox_per_s=self.peer_inbox_per_s,
+            tickMs=self.tick_ms,
         )
         if self.gateway_number >= self.gateway_count:
             number, count = self.gateway_number, self.gateway_count
