--- a/tests/compatibility/edges.py
+++ b/tests/compatibility/edges.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from support.fakes import config, entry, listing
+from support.ports import free_port
 
 from plumpick.gateway.config import ConfigError, parse_config, parse_worker_list
 from plumpick.gateway.operator_config import parse_operator_config
@@ -99,13 +100,6 @@
 # -- processes
 
 
-def free_port():
-    """Returns a TCP port of the loopback interface that is currently unused."""
-    with socket.socket() as connection:
-        connection.bind(("127.0.0.1", 0))
-        return connection.getsockname()[1]
-
-
 def start(folder, text=None, **environment):
     """Starts the gateway as a process; `text` is the content of its configuration file, None for no file."""
     if text is not None:
--- a/tests/gateway/hot_restart/test_hot_restart.py
+++ b/tests/gateway/hot_restart/test_hot_restart.py
@@ -25,7 +25,8 @@
     run,
 )
 from support.management import send_admin_command
-from support.processes import ROOT, UP_REQUEST, free_port, start_program, wait_until_ready
+from support.ports import free_port
+from support.processes import ROOT, UP_REQUEST, start_program, wait_until_ready
 from support.snapshots import export_snapshot
 from support.traffic import settings
 
@@ -305,12 +306,18 @@
         self.processes.append(process)
         _, writer = await await_while_running(process, self.fake.next_call())
         writer.write(json_response(listing(entry("w1", self.worker.port))))
-        while True:
-            try:
-                if (await send_admin_command(self.management[-1], b"READY\n")).startswith("+OK"):
-                    return process
-            except ConnectionError:
-                await asyncio.sleep(0.01)
+        await await_while_running(process, wait_until_admin_ready(self.management[-1]))
+        return process
+
+
+async def wait_until_admin_ready(admin_port):
+    """Wait until the operators' call READY is answered +OK at `admin_port`."""
+    while True:
+        try:
+            if (await send_admin_command(admin_port, b"READY\n")).startswith("+OK"):
+                return
+        except ConnectionError:
+            await asyncio.sleep(0.01)
 
 
 async def await_while_running(process, awaitable):
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -20,7 +20,8 @@
     request,
     run,
 )
-from support.processes import UP_REQUEST, free_port, send_endpoint_list, start_program, wait_until_ready
+from support.ports import free_port
+from support.processes import UP_REQUEST, send_endpoint_list, start_program, wait_until_ready
 
 from plumpick.gateway.config import parse_config
 
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -19,7 +19,8 @@
     request,
     run,
 )
-from support.processes import UP_REQUEST, free_port, wait_until_ready
+from support.ports import free_port
+from support.processes import UP_REQUEST, wait_until_ready
 from support.shutdown import run_served_gateway
 
 from plumpick.gateway import management, process, shutdown
--- a/tests/support/config_processes.py
+++ b/tests/support/config_processes.py
@@ -10,7 +10,8 @@
 
 from support.dynamic_config import document
 from support.fakes import HOST, config, entry, run
-from support.processes import ROOT, free_port, wait_until_ready
+from support.ports import free_port
+from support.processes import ROOT, wait_until_ready
 
 from plumpick.tools.call import send_command
 from plumpick.tools.configuration_service import VersionService
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -3,12 +3,10 @@
 import asyncio
 import os
 import pathlib
-import socket
 import sys
 import tomllib
 
 from support.fakes import (
-    HOST,
     Client,
     json_response,
     listing,
@@ -20,12 +18,6 @@
 UP_REQUEST = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-def free_port():
-    """Returns a TCP port that is free at the moment of the call."""
-    with socket.create_server((HOST, 0)) as probe:
-        return probe.getsockname()[1]
-
-
 async def start_program(path, module="plumpick", **more):
     """Start a gateway process with the deploy file's `run` command. `path`: its configuration file; `module`:
     the module that runs in place of plumpick; `more`: arguments for creating the process."""
--- a/tests/support/shutdown.py
+++ b/tests/support/shutdown.py
@@ -10,7 +10,7 @@
     listing,
     run,
 )
-from support.processes import free_port
+from support.ports import free_port
 
 from plumpick.gateway import daemon, process
 from plumpick.gateway.config import parse_config
--- a/tests/test_counts.py
+++ b/tests/test_counts.py
@@ -4,7 +4,8 @@
 
 import pytest
 from support.fakes import HOST, Client, FakeDiscovery, FakeWorker, config, entry, http_response, request, run
-from support.processes import free_port, send_endpoint_list, start_program, wait_until_ready
+from support.ports import free_port
+from support.processes import send_endpoint_list, start_program, wait_until_ready
 
 from plumpick.cli import EXIT_HELD, EXIT_USAGE, main
 from plumpick.tools.counts import CountsError, aggregate, parse_records, summarize
