Tests: a rehearsal that the machine was too slow for is not judged

The test judged such a verdict all the same.

Two are played at a time now, and a run that ends with 3 is played again alone, once, with a warning that tells of it; a verdict that counts is final. Then the injected fault has to be found as before, and no other rule may have a breach that counts: none is excused but one that depends on the clock alone beside a recorded stall of the loop, which is the design page's rule.

--- a/plumpick/rehearsal/auditor.py
+++ b/plumpick/rehearsal/auditor.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -64,6 +65,8 @@
     "killed_early": 250.0,
 }
 DATAGRAM_BYTES = 256  # maximum size of a datagram between gateways
+# Time around a stall of the stubs' event loop in which a breach that depends on the clock does not count
+STALL_MARGIN_MS = 50.0
 KEEP_MS = 20_000.0  # time after which an ended request is removed; no further records of it can come
 
 MAX_BREACHES_PER_RULE = 200  # maximum number of breaches stored per rule; further ones are only counted
@@ -93,6 +96,14 @@
         }
 
 
+def is_excused_by_stall(breach: Breach, stalls: Iterable[LoopLag]) -> bool:
+    """Return whether a breach does not count: it depends on the clock, and the event loop of the stubs
+    stalled at about the same time."""
+    return breach.timing and any(
+        stall.t - stall.ms - STALL_MARGIN_MS <= breach.t <= stall.t + STALL_MARGIN_MS for stall in stalls
+    )
+
+
 @dataclass(slots=True)
 class _Attempt:
     n: int
--- a/plumpick/rehearsal/fleet.py
+++ b/plumpick/rehearsal/fleet.py
@@ -10,7 +10,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from plumpick.rehearsal.auditor import Auditor
+from plumpick.rehearsal.auditor import Auditor, is_excused_by_stall
 from plumpick.rehearsal.clients import Front, total_capacity
 from plumpick.rehearsal.datagrams import Relay
 from plumpick.rehearsal.licence_server import WorkerStub, ZoneKeys
@@ -448,9 +448,7 @@
             f"(99th percentile; the limit is {SLOW_P99_MS:g} ms)"
         )
     for breach in auditor.breaches:
-        if breach.timing and any(
-            stall.t - stall.ms - 50 <= breach.t <= stall.t + 50 for stall in auditor.stalls
-        ):
+        if is_excused_by_stall(breach, auditor.stalls):
             return f"the stubs' event loop stalled when {breach.rule} was judged at {breach.t / 1000:.2f} s"
     return ""
 
--- a/tests/rehearsal/test_runs.py
+++ b/tests/rehearsal/test_runs.py
@@ -5,19 +5,23 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import warnings
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from plumpick.rehearsal.auditor import RULES
+from plumpick.rehearsal.auditor import RULES, Auditor, is_excused_by_stall
 from plumpick.rehearsal.plants import PLANTS
+from plumpick.rehearsal.records import read_history
 
 ROOT = pathlib.Path(__file__).parents[2]
 TIMEOUT_S = 120
+EXIT_SLOW = 3  # docs/operators/rehearsal.md: the machine was too slow for the verdict to count
 
 
 def plumpick(*arguments, tmp=None, **more):
@@ -67,15 +71,24 @@
 
 @pytest.fixture(scope="module")
 def runs(tmp_path_factory):
-    """Run the kit once with each injected fault and once without; return report folders and processes."""
+    """Run the kit once with each injected fault and once without; return report folders and processes.
+
+    A run whose verdict does not count, as other runs beside it made this machine too slow, is played again
+    alone, once. A verdict that counts is final."""
     folders = {name: tmp_path_factory.mktemp(name or "unplanted") for name in ("", *PLANTS)}
 
     def one(name):
         plant = ["--plant", name] if name else []
         return name, plumpick("rehearse", "brief", "--seed", 1, "--quiet", "--report", folders[name], *plant)
 
-    with ThreadPoolExecutor(3) as pool:
+    with ThreadPoolExecutor(2) as pool:  # three at a time make one another too slow
         done = dict(pool.map(one, folders))
+    for name, process in done.items():
+        if process.returncode == EXIT_SLOW:
+            warnings.warn(f"{name or 'no fault'}: played again: {process.stderr}", stacklevel=1)
+            shutil.rmtree(folders[name])
+            folders[name].mkdir()
+            done[name] = one(name)[1]
     return {name: (folders[name], done[name]) for name in folders}
 
 
@@ -88,12 +101,25 @@
     assert 0.5 < report["service"]["service"] <= 1
 
 
+def rules_with_counting_breaches(history):
+    """Return the rules with a breach that counts: none is excused but those that depend on the clock and came
+    while the stubs' event loop stalled, as in docs/design/rehearsal.md."""
+    auditor = Auditor()
+    auditor.most_breaches = sys.maxsize
+    with open(history, encoding="utf-8") as lines:
+        for record in read_history(lines):
+            auditor.feed(record)
+    return {breach.rule for breach in auditor.breaches if not is_excused_by_stall(breach, auditor.stalls)}
+
+
+# Guards against a fault that is not found, and against a verdict on a stall of this machine.
 @pytest.mark.parametrize("plant", PLANTS)
 def test_injected_fault_breaks_its_rule_and_no_other(runs, plant):
     folder, done = runs[plant]
     report = json.loads((folder / "report.json").read_text())
-    broken = {rule for rule, one in report["rules"].items() if one["verdict"] == "broken"}
-    assert broken == {PLANTS[plant].rule}, done.stdout
+    rule = PLANTS[plant].rule
+    assert report["rules"][rule]["verdict"] == "broken", done.stdout
+    assert rules_with_counting_breaches(folder / "history.jsonl") <= {rule}, done.stdout
     assert done.returncode in (1, 3)
     first = report["rules"][PLANTS[plant].rule]["breaches"][0]
     assert first["what"] and first["text"] and first["story"]
