Fix: a gateway whose next process died keeps no drain without its permit

Operators saw two gateways out by DRAIN FLEET with one turn after an upgrade whose next process died. The restart permit had been handed over with the other leases; the process that resumed stayed drained, held no permit and asked for none, and a term later another gateway got it.

It now counts the permit as lost, as where the voters do not answer: it accepts clients again, says so, and asks for a permit of its own, with which it drains again. docs/operators/ownership.md: "A gatekeeper that cannot keep its turn takes clients again and says so". The test was red before: the policy had got DRAIN alone. Not shown by real processes.

--- a/plumpick/gateway/cluster/lease_runner.py
+++ b/plumpick/gateway/cluster/lease_runner.py
@@ -34,6 +34,7 @@
     LeaseDenied,
     LeaseLost,
     LeaseYieldRequested,
+    LossReason,
     SendMessage,
     WriteLog,
 )
@@ -191,10 +192,18 @@
 
     def resume_after_failed_handover(self) -> None:
         """Start without state after the hot-restart successor has died. The leases that were passed on to it
-        expire by themselves."""
+        expire by themselves.
+
+        Once the restart permit among them has expired another gateway may get it. So this gateway accepts
+        clients again until it has acquired a permit of its own."""
+        assert self.participant is not None
+        permit_wanted = self.participant.permits.wanted
         self.usage.forward = None
         self._scheduler = self._new_scheduler()
+        self._restart.on_permit_lost(LossReason.SUCCESSOR_ENDED)
         self.start()
+        if permit_wanted:
+            self._step([RestartPermitWanted(True)])
 
     def reconfigure(self, settings: FleetSettings) -> None:
         """Apply the settings of an operator's file that was reloaded."""
--- a/plumpick/policy/leases/actions.py
+++ b/plumpick/policy/leases/actions.py
@@ -14,6 +14,7 @@
     GRANTED_TO_OTHER = "the voters granted it to another gatekeeper"
     LARGER_TOKEN_AT_ACCEPTOR = "a voter knows a larger token"
     LARGER_TOKEN_AT_RECEIVER = "a receiver knows a larger token"
+    SUCCESSOR_ENDED = "the next process, which had taken it over, has ended"
 
 
 class DenialReason(StrEnum):
--- a/tests/gateway/cluster/test_lease_runner.py
+++ b/tests/gateway/cluster/test_lease_runner.py
@@ -131,6 +131,33 @@
     run_alone([], scenario, turns=1)
 
 
+# Guards against two gateways that are out of service with one restart permit.
+def test_gateway_resumes_undrained_until_it_has_a_restart_permit_of_its_own():
+    async def scenario(runner, commands):
+        runner.request_restart_permit(True)
+        await until(lambda: commands == ["DRAIN"])
+        passed_on = runner.participant.permits.held()
+        runner.capture()
+        runner.resume_after_failed_handover()
+        assert commands == ["DRAIN", "UNDRAIN"]  # at once: the permit of the process that has ended expires
+        await until(lambda: commands == ["DRAIN", "UNDRAIN", "DRAIN"])
+        assert runner.participant.permits.held() == passed_on
+        runner.request_restart_permit(False)
+        await until(lambda: commands == ["DRAIN", "UNDRAIN", "DRAIN", "UNDRAIN"])
+
+    run_alone([], scenario, turns=1)
+
+
+def test_gateway_without_a_restart_permit_resumes_as_it_was():
+    async def scenario(runner, commands):
+        runner.capture()
+        runner.resume_after_failed_handover()
+        await until(lambda: len(runner.participant.holder.held) == 2)
+        assert commands == [] and not runner.participant.permits.wanted
+
+    run_alone([], scenario, turns=1)
+
+
 def test_lower_limits_of_another_gateway_are_applied_to_an_allocated_budget():
     async def scenario(runner, _commands):
         now_ms = runner._system.boottime()
