Fix: a subscriber without the version in force gets it before one that waits

Cause: VersionStore.response_for sent the version of the highest number alone. The service now works out which version is in force from the times that it stores, and sends that first. The version in force is not dropped while 64 newer ones wait.

--- a/plumpick/policy/dynamic_config/version_store.py
+++ b/plumpick/policy/dynamic_config/version_store.py
@@ -15,9 +15,10 @@
 from plumpick.policy.dynamic_config.errors import DeltaError, InvalidUpdateError, PublishError
 from plumpick.policy.dynamic_config.updates import OWN_FILE, SettingsVersion, parse_update, resolve_update
 
-MAX_VERSIONS = 64  # maximum number of stored versions; the lowest number is dropped first
+# Maximum number of stored versions; the lowest number is dropped first, but never the version in force
+MAX_VERSIONS = 64
 MAX_SUBSCRIBERS = 4096  # maximum number of subscribers; the one with the oldest call is dropped first
-MAX_CACHED_RESPONSES = 64  # maximum number of bases with a cached response to the newest version
+MAX_CACHED_RESPONSES = 64  # maximum number of cached responses; all are dropped when it is reached
 
 
 @dataclass(slots=True)
@@ -61,8 +62,8 @@
     def __init__(self) -> None:
         self.versions: dict[int, StoredVersion] = {}  # published versions by number
         self.subscribers: dict[str, SubscriberStatus] = {}  # subscribers by name, in order of the last call
-        # Cached responses by base; cleared by each new version.
-        self._responses: dict[tuple[int, str], bytes] = {}
+        # Cached responses by version number, base number and base digest; cleared by each new version.
+        self._responses: dict[tuple[int, int, str], bytes] = {}
 
     @property
     def newest(self) -> SettingsVersion | None:
@@ -82,8 +83,15 @@
             raise PublishError(f"version {version.number} is older than {newest.number}")
         self.versions[version.number] = StoredVersion(version, now_ms)
         self._responses.clear()
+        self._drop_excess_versions(now_ms)
+
+    def _drop_excess_versions(self, now_ms: float) -> None:
+        """Drop the lowest numbers beyond MAX_VERSIONS, except the version in force, which a subscriber
+        without a version still needs."""
+        in_force = self.version_in_force(now_ms)
+        kept_number = in_force.number if in_force is not None else 0
         while len(self.versions) > MAX_VERSIONS:
-            del self.versions[min(self.versions)]
+            del self.versions[min(number for number in self.versions if number != kept_number)]
 
     def record_subscriber(self, status: SubscriberStatus) -> None:
         """Store the status that a gateway reported with a call."""
@@ -92,24 +100,54 @@
         while len(self.subscribers) > MAX_SUBSCRIBERS:
             del self.subscribers[next(iter(self.subscribers))]
 
-    def response_for(self, since_number: int, since_digest: str, rejected_number: int) -> bytes | None:
-        """The newest version as JSON, for a subscriber that has version `since_number`; None unless it is
-        newer than both `since_number` and `rejected_number`.
+    def version_in_force(self, now_ms: float) -> SettingsVersion | None:
+        """The version that is active at subscribers that received each version when it was published here;
+        None if no version is active yet.
+
+        A subscriber stages one version at a time, so one that still waited for its activation time when a
+        higher number was published never becomes active.
+        """
+        active: SettingsVersion | None = None
+        staged: SettingsVersion | None = None
+        for number in sorted(self.versions):
+            stored = self.versions[number]
+            if staged is not None and staged.activates_at_ms <= stored.published_ms:
+                active = staged
+            staged = stored.version
+        if staged is not None and staged.activates_at_ms <= now_ms:
+            active = staged
+        return active
+
+    def response_for(
+        self, now_ms: float, since_number: int, since_digest: str, rejected_number: int
+    ) -> bytes | None:
+        """The next version as JSON, for a subscriber that has version `since_number`: the version in force,
+        or the newest one if the subscriber has that already. None unless it is newer than both `since_number`
+        and `rejected_number`.
 
         The response is a delta if the base is stored and the delta is shorter, otherwise a snapshot.
         """
-        newest = self.newest
-        if newest is None or newest.number <= max(since_number, rejected_number):
+        version = self._next_version(now_ms, max(since_number, rejected_number))
+        if version is None:
             return None
         stored = self.versions.get(since_number)
         base = stored.version if stored is not None and stored.version.digest == since_digest else None
-        key = (since_number, since_digest) if base is not None else (0, "")
+        base_key = (since_number, since_digest) if base is not None else (0, "")
+        key = (version.number, *base_key)
         if key not in self._responses:
             if len(self._responses) >= MAX_CACHED_RESPONSES:
                 self._responses.clear()
-            self._responses[key] = _encode_response(newest, base)
+            self._responses[key] = _encode_response(version, base)
         return self._responses[key]
 
+    def _next_version(self, now_ms: float, known_number: int) -> SettingsVersion | None:
+        """The version that a subscriber needs next that knows the numbers up to `known_number`; None if it
+        needs none."""
+        for version in (self.version_in_force(now_ms), self.newest):
+            if version is not None and version.number > known_number:
+                return version
+        return None
+
     def status(self, now_ms: float) -> dict[str, Any]:
         """Status JSON of this service, as read by `plumpick configuration status`."""
         return {
@@ -153,18 +191,18 @@
         raise PublishError(f"version {version.number} is already published with another content or time")
 
 
-def _encode_response(newest: SettingsVersion, base: SettingsVersion | None) -> bytes:
-    """The newest version as JSON: the shorter one of snapshot and delta; a snapshot without a base."""
+def _encode_response(version: SettingsVersion, base: SettingsVersion | None) -> bytes:
+    """A version as JSON: the shorter one of snapshot and delta; a snapshot without a base."""
     head: dict[str, Any] = {
-        "version": newest.number,
-        "digest": newest.digest,
-        "in_force_ms": newest.activates_at_ms,
+        "version": version.number,
+        "digest": version.digest,
+        "in_force_ms": version.activates_at_ms,
     }
-    snapshot = json.dumps({**head, "settings": newest.settings}, separators=(",", ":")).encode()
+    snapshot = json.dumps({**head, "settings": version.settings}, separators=(",", ":")).encode()
     if base is None:
         return snapshot
     try:
-        changes = changes_between(base.settings, newest.settings)
+        changes = changes_between(base.settings, version.settings)
     except DeltaError:
         return snapshot
     delta = canonical_json(
--- a/plumpick/tools/configuration_service.py
+++ b/plumpick/tools/configuration_service.py
@@ -1,8 +1,9 @@
 """`plumpick configuration serve`: the version service, which distributes versions of the settings over
 HTTP/1.1.
 
-    GET  /configuration?since=V&digest=D&name=N&...   long poll: 200 with the newest version as soon as it is
-                                                      newer than V; 204 after timeout_ms without one
+    GET  /configuration?since=V&digest=D&name=N&...   long poll: 200 with the version in force if it is newer
+                                                      than V, then with the newest as soon as it is; 204 after
+                                                      timeout_ms without one
     PUT  /configuration                               publishes a version with all its settings: 200, or 409
                                                       with the reason of its rejection
     GET  /configuration/status                        the versions of the service and of its gateways
@@ -207,7 +208,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + min(MAX_WATCH_TIMEOUT_MS, _number_in(query, "timeout_ms")) / 1000
         while True:
-            body = self.store.response_for(since_number, since_digest, status.rejected_version)
+            body = self.store.response_for(self.now_ms(), since_number, since_digest, status.rejected_version)
             if body is not None:
                 return body
             published = self._published
--- a/tests/compatibility/config_histories.py
+++ b/tests/compatibility/config_histories.py
@@ -202,7 +202,9 @@
         elif what < 11:
             has = rng.choice(known)
             its = has["digest"] if rng.random() < 0.8 else ""
-            rows.add("answer", words.answer(store, has["version"], its, rng.choice((0, 0, has["version"]))))
+            rows.add(
+                "answer", words.answer(store, now, has["version"], its, rng.choice((0, 0, has["version"])))
+            )
         else:
             rows.add("status", [words.status(one, now) for one in stores])
         rows.add(
--- a/tests/compatibility/dynamic_config.py
+++ b/tests/compatibility/dynamic_config.py
@@ -185,8 +185,8 @@
     store.record_subscriber(version_store.SubscriberStatus(*values))
 
 
-def answer(store, since, its, refused):
-    body = store.response_for(since, its, refused)
+def answer(store, now, since, its, refused):
+    body = store.response_for(now, since, its, refused)
     return None if body is None else body.decode()
 
 
--- a/tests/gateway/dynamic_config/test_config_client.py
+++ b/tests/gateway/dynamic_config/test_config_client.py
@@ -156,6 +156,21 @@
     with_services(1, scenario)
 
 
+# Guards against a gateway that reported that it was ready while it still served by its own file.
+def test_client_has_its_first_response_only_with_the_version_in_force():
+    async def scenario(service):
+        await publish(service, document(1, published_settings(1)))
+        await publish(service, document(2, published_settings(2), service.now_ms() + 60_000.0))
+        gateway = GatewayStub([address_of(service)]).start()
+        await gateway.client.has_response.wait()
+        assert gateway.client.subscriber.active.number == 1
+        await gateway.wait_until(lambda subscriber: subscriber.staged is not None)
+        assert gateway.client.subscriber.staged.number == 2 and len(gateway.activated) == 1
+        await gateway.stop()
+
+    with_services(1, scenario)
+
+
 @pytest.mark.parametrize(
     "wrong, expected_key",
     [
--- a/tests/gateway/dynamic_config/test_config_processes.py
+++ b/tests/gateway/dynamic_config/test_config_processes.py
@@ -84,6 +84,35 @@
     with_service_and_gateway(tmp_path, scenario)
 
 
+# Guards against a restarted gateway that served by its own file until the waiting version's time.
+@pytest.mark.parametrize("services", [1, 2])
+def test_gateway_restarted_while_a_version_waits_serves_by_the_one_in_force(tmp_path, services):
+    async def scenario(setup):
+        others = [VersionService() for _ in range(services - 1)]
+        for other in others:
+            await other.open(HOST, 0)
+        setup.name_services(*others)
+        for service in (setup.service, *others):
+            setup.publish_at(service, 1, published_settings(1))
+        process, _ = await setup.start_gateway()
+        await setup.wait_until_activated(process, 1)
+        at_ms = setup.service.now_ms() + 60_000.0
+        for service in (setup.service, *others):
+            setup.publish_at(service, 2, published_settings(2), at_ms)
+        process.kill()
+        await process.wait()
+        restarted, admin_port = await setup.start_gateway()
+        assert setup.activated_versions(restarted.pid) == [1]  # before its first client
+        while "2 " not in (await send_when_listening(admin_port)).partition(";")[2]:
+            pass
+        line = await send_when_listening(admin_port)
+        assert line.startswith("+OK version 1 ") and "staged, in force in" in line
+        for other in others:
+            other.close()
+
+    with_service_and_gateway(tmp_path, scenario)
+
+
 def test_hot_restart_successor_gets_the_active_version_while_the_service_is_down(tmp_path):
     async def scenario(setup):
         await setup.publish(5, published_settings(5))
--- a/tests/support/config_processes.py
+++ b/tests/support/config_processes.py
@@ -27,11 +27,15 @@
 
     async def __aenter__(self):
         await self.service.open(HOST, 0)
-        (self.folder / "operator.toml").write_text(
-            f'[configuration]\naddresses = ["{HOST}:{self.service.port}"]\n'
-        )
+        self.name_services()
         return self
 
+    def name_services(self, *others):
+        """Write the operator's file of the gateway, which names this service and `others`."""
+        addresses = [f"{HOST}:{service.port}" for service in (self.service, *others)]
+        text = f"[configuration]\naddresses = {json.dumps(addresses)}\n"
+        (self.folder / "operator.toml").write_text(text)
+
     async def __aexit__(self, *_):
         self.service.close()
         for process in self.processes:
@@ -41,8 +45,13 @@
 
     async def publish(self, version, value, later_ms=0.0):
         """Publish `value` as a version that gateways activate in `later_ms` milliseconds."""
-        update = document(version, value, self.service.now_ms() + later_ms)
-        assert self.service._publish(json.dumps(update).encode())[0] == 200
+        self.publish_at(self.service, version, value, self.service.now_ms() + later_ms)
+
+    @staticmethod
+    def publish_at(service, version, value, activates_at_ms=0.0):
+        """Publish `value` at `service` as a version that gateways activate at `activates_at_ms`."""
+        update = document(version, value, activates_at_ms)
+        assert service._publish(json.dumps(update).encode())[0] == 200
 
     async def start_gateway(self, worker=9):
         """Start a gateway process whose only worker listens at the port `worker`, and wait until the gateway
