Fix: records of use name a gap where counts of another process are missing

A period's record lacked what a next process had served that died, and what a next process counted before it took in its predecessor's counts, with an empty list of gaps.

The process that resumed went on with the old start of counting; restore() replaced rows that were counted already. Counting begins anew now wherever another process's counts are missing (resumed, no state, malformed state), so that the report names the time before as a gap; counts that are taken in are added. A report holds one time, so counts from before a hole are given up.

The tests were red before. A takeover without any state (management.py) is by reading. Not shown by real processes under load.

--- a/plumpick/gateway/cluster/lease_runner.py
+++ b/plumpick/gateway/cluster/lease_runner.py
@@ -136,6 +136,7 @@
             self._restart.drained = bool(state["drained"])
             log.info("duties: %d leases taken over from the previous process", len(participant.holder.held))
         except (ValueError, KeyError, TypeError) as problem:
+            self.usage.start_again()
             log.warning("duties: %s; this process starts without the previous process's state", problem)
 
     def _acquire_guard(self, participant: LeaseParticipant) -> None:
@@ -199,6 +200,7 @@
         assert self.participant is not None
         permit_wanted = self.participant.permits.wanted
         self.usage.forward = None
+        self.usage.start_again()
         self._scheduler = self._new_scheduler()
         self._restart.on_permit_lost(LossReason.SUCCESSOR_ENDED)
         self.start()
--- a/plumpick/gateway/cluster/usage_collector.py
+++ b/plumpick/gateway/cluster/usage_collector.py
@@ -71,8 +71,13 @@
         """The counts for the hot-restart successor, by task name."""
         return {name: counter.capture() for name, counter in self._counters.items()}
 
+    def start_again(self) -> None:
+        """Begin to count anew, because another process of this gateway had counts that are not known here."""
+        for counter in self._counters.values():
+            counter.start_again(self._system.unix_ms())
+
     def restore(self, state: dict[str, Any]) -> None:
-        """Import the counts of the hot-restart predecessor; raises UsageSnapshotError if malformed."""
+        """Add the counts of the hot-restart predecessor; raises UsageSnapshotError if malformed."""
         for name, rows in state.items():
             if name in self._counters:
                 self._counters[name].restore(rows)
--- a/plumpick/gateway/management.py
+++ b/plumpick/gateway/management.py
@@ -97,6 +97,8 @@
             self._log_no_policy_state()
         else:
             await self._import_state(state)
+        if self.inherited_leases is None and context.participant is not None:
+            context.participant.usage.start_again()  # what the predecessor has counted did not come
         self._gateway.peers.start_receiving()
         await context.listen(self._loop)
         self._successor.complete(context)
--- a/plumpick/policy/usage_report.py
+++ b/plumpick/policy/usage_report.py
@@ -80,13 +80,22 @@
         rows = self.periods.get(period)
         if rows is None:
             rows = self.periods[period] = {}
-            for old in sorted(self.periods)[:-MAX_PERIODS]:
-                del self.periods[old]
+            self._drop_old_periods()
         row = rows.setdefault(plan, [0, 0, 0, 0.0])
         row[outcome] += 1
         if outcome == SERVED:
             row[3] += units
 
+    def _drop_old_periods(self) -> None:
+        for old in sorted(self.periods)[:-MAX_PERIODS]:
+            del self.periods[old]
+
+    def start_again(self, unix_ms: float) -> None:
+        """Begin to count anew, because counts from before this time are missing. All of the time before is
+        then reported as not counted, as a report can't tell of a gap within a period."""
+        self.started_unix_ms = unix_ms
+        self.periods = {}
+
     def usage(self, unix_ms: float, period: int) -> PeriodUsage:
         """Return the usage in a period. It is NOT_COUNTED if the period is not over, is no longer kept, or
         was over before this gateway began to count."""
@@ -107,8 +116,8 @@
         }
 
     def restore(self, state: dict[str, Any]) -> None:
-        """Continue from the counts that `capture` returned. Raises UsageSnapshotError if they are malformed,
-        and then changes nothing."""
+        """Continue from the counts that `capture` returned, and add what was counted here since. Raises
+        UsageSnapshotError if they are malformed, and then changes nothing."""
         try:
             started_unix_ms = float(state["born"])
             periods = {
@@ -119,8 +128,12 @@
             raise UsageSnapshotError(str(problem)) from problem
         if any(len(row) != 4 for rows in periods.values() for row in rows.values()):
             raise UsageSnapshotError("malformed usage row: expected 4 values of a plan")
+        counted_here = self.periods
         self.started_unix_ms = started_unix_ms
         self.periods = periods
+        for period, rows in counted_here.items():
+            _add(self.periods.setdefault(period, {}), rows)
+        self._drop_old_periods()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/cluster/test_lease_runner.py
+++ b/tests/gateway/cluster/test_lease_runner.py
@@ -3,6 +3,7 @@
 
 import asyncio
 
+import pytest
 from support.fakes import HOST, config
 
 from plumpick.gateway.cluster import fenced_effects, lease_runner
@@ -148,6 +149,37 @@
     run_alone([], scenario, turns=1)
 
 
+# Guards against a period's record that lacks what the process that has ended had served, and tells of no gap.
+def test_gateway_that_resumes_reports_only_what_it_counted_since():
+    async def scenario(runner, _commands):
+        counter = runner.usage._counters["record"]
+        runner.usage.count("basic", 0, 1.0)
+        runner.capture()
+        runner.usage.forward = lambda _row: None  # to the process that will end
+        runner.usage.count("basic", 0, 1.0)
+        resumed_ms = runner._system.unix_ms()
+        runner.resume_after_failed_handover()
+        runner.usage.count("basic", 0, 1.0)
+        assert resumed_ms <= counter.started_unix_ms <= runner._system.unix_ms()
+        assert [row[0] for rows in counter.periods.values() for row in rows.values()] == [1]
+
+    record = duty("record", kind="use", period_s=3600)
+    run_alone([record], scenario)
+
+
+# Guards against a record that has no gap for the time before, though the predecessor's counts are malformed.
+@pytest.mark.parametrize("state", [{}, {"leases": {}, "use": {}, "drained": False}])
+def test_gateway_that_starts_without_its_predecessors_counts_reports_only_its_own(state):
+    async def scenario(runner, _commands):
+        counter = runner.usage._counters["record"]
+        runner.close()
+        before_ms = runner._system.unix_ms()
+        runner.start(state)
+        assert before_ms <= counter.started_unix_ms <= runner._system.unix_ms()
+
+    run_alone([duty("record", kind="use", period_s=3600)], scenario)
+
+
 def test_gateway_without_a_restart_permit_resumes_as_it_was():
     async def scenario(runner, commands):
         runner.capture()
--- a/tests/policy/test_usage_report.py
+++ b/tests/policy/test_usage_report.py
@@ -38,6 +38,37 @@
         other.restore({"born": 1.0, "periods": [[1, [[0, 1]]]]})
 
 
+# Guards against counts that the next process of a hot restart made before it took in its predecessor's.
+def test_restored_usage_is_added_to_what_was_counted_since():
+    old, new = UsageCounter(1000.0, 100.0), UsageCounter(1000.0, 1300.0)
+    old.count(900.0, 0, SERVED, 2.0)
+    old.count(1200.0, 0, SERVED, 2.0)
+    new.count(1350.0, 0, SERVED, 1.0)
+    new.count(1360.0, 1, REJECTED, 0.0)
+    new.restore(old.capture())
+    assert new.usage(2100.0, 0) == (100, {0: [1, 0, 0, 2.0]})
+    assert new.usage(2100.0, 1) == (0, {0: [2, 0, 0, 3.0], 1: [0, 1, 0, 0.0]})
+    new.count(1400.0, 0, SERVED, 1.0)
+    with pytest.raises(UsageSnapshotError):
+        new.restore({"born": 1.0, "periods": [[1, [[0, 1]]]]})
+    assert new.usage(2100.0, 1) == (0, {0: [3, 0, 0, 4.0], 1: [0, 1, 0, 0.0]})
+    for period in range(2, 2 + MAX_PERIODS):
+        new.count(period * 1000.0, 0, SERVED, 1.0)
+    new.restore(old.capture())
+    assert len(new.periods) == MAX_PERIODS
+
+
+# Guards against a record with a hole and no gap, where a process resumes as its successor has died.
+def test_usage_from_before_a_new_start_is_reported_as_not_counted():
+    counter = UsageCounter(1000.0, 100.0)
+    counter.count(900.0, 0, SERVED, 2.0)
+    counter.count(1200.0, 0, SERVED, 2.0)
+    counter.start_again(1500.0)
+    counter.count(1600.0, 0, SERVED, 1.0)
+    assert counter.usage(2100.0, 0) == (NOT_COUNTED, {})
+    assert counter.usage(2100.0, 1) == (500, {0: [1, 0, 0, 1.0]})
+
+
 def test_decoded_messages_equal_the_encoded_ones_and_other_bytes_give_none():
     rows = {plan: [plan, 2, 3, 0.5] for plan in range(15)}
     parts = [decode(data) for data in encode_report(9, 77, PeriodUsage(250, rows))]
