Fix: commands confirmed before a takeover hold after it

Operators got +OK for a DRAIN from the next process of a hot restart, and 3 s later it was ready again: the state of the predecessor replaced the drain, and the timers of the stages then found none. An ENABLE was undone in the same way where the predecessor had disabled the worker, and the predecessor heard of no such command.

The last command for each worker and the last of DRAIN and UNDRAIN from before the takeover are executed again after it, and told to the predecessor. ENABLE and what the predecessor is told are by reading.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -344,6 +344,14 @@
         self.has_handed_over = True
         self._update_readiness()
 
+    def begin_takeover(self) -> None:
+        """Keep operators' commands, as this process may take over from a hot-restart predecessor."""
+        self._commands.begin_takeover()
+
+    def end_takeover(self) -> None:
+        """Put the kept commands in force again, here and in the predecessor, and keep no further ones."""
+        self._commands.end_takeover()
+
     def import_state(self, state: Mapping[str, Any]) -> None:
         """Restore the policy's state that the predecessor of a hot restart exported."""
         self._state_transfer.import_state(state)
--- a/plumpick/gateway/management.py
+++ b/plumpick/gateway/management.py
@@ -63,6 +63,7 @@
         from plumpick.gateway.listeners.admin import start_server
 
         assert self._config.management is not None
+        self._gateway.begin_takeover()
         self._server = await start_server(self._admin, self._config.management, self._loop)
         folder = os.environ.get("TMPDIR")
         if folder:
@@ -78,6 +79,7 @@
                 return
         peers.open(self._loop, shared=True)
         if self._successor is None:
+            self._gateway.end_takeover()
             self._context.listen_socket = open_shared_listener(self._config.listen)
             await self._context.listen(self._loop)
 
@@ -102,6 +104,7 @@
         self._gateway.peers.start_receiving()
         await context.listen(self._loop)
         self._successor.complete(context)
+        self._gateway.end_takeover()
 
     async def _import_state(self, state: Mapping[str, Any]) -> None:
         from plumpick.gateway.hot_restart.exported_state import PARTICIPANT_KEY, SETTINGS_KEY, policy_state_of
--- a/plumpick/gateway/operator_commands.py
+++ b/plumpick/gateway/operator_commands.py
@@ -30,6 +30,8 @@
     "management",
 )
 
+MAX_REPEATED = 1024  # maximum number of commands that are repeated after a takeover
+
 log = logging.getLogger(__name__)
 
 
@@ -52,6 +54,24 @@
         self._turn = turn
         # The policy's replies by command id, read at once; empty if the command succeeded.
         self._errors: dict[int, str] = {}
+        # While this process may take over from a hot-restart predecessor: the last command for each worker,
+        # and the last one of DRAIN and UNDRAIN, in order. None at any other time.
+        self._before_takeover: dict[str, tuple[str, str]] | None = None
+
+    def begin_takeover(self) -> None:
+        """Keep the commands that are executed from now on, for `end_takeover`."""
+        self._before_takeover = {}
+
+    def end_takeover(self) -> None:
+        """Repeat the commands kept since `begin_takeover`. They have been answered, but the state of the
+        hot-restart predecessor may have undone them, and the predecessor does not know of them."""
+        kept = self._before_takeover or {}
+        self._before_takeover = None
+        for name, argument in kept.values():
+            try:
+                self._apply_everywhere(name, argument)
+            except CommandRejectedError as problem:
+                log.warning("operator: %s %s: not in force after the handover: %s", name, argument, problem)
 
     def execute(self, name: str, argument: str) -> str:
         """Execute an operator's command and return the text of the reply. Raises CommandRejectedError, and
@@ -71,15 +91,30 @@
             context.participant.request_restart_permit(False)
         text = f"{name}{' ' if argument else ''}{argument}"
         try:
-            self.apply(name, argument)
+            self._apply_everywhere(name, argument)
         except CommandRejectedError as problem:
             log.info("operator: %s: rejected: %s", text, problem)
             raise
-        if context.sibling is not None:
-            context.sibling.on_operator_command(name, argument)
+        self._keep_until_takeover(name, argument)
         log.info("operator: %s: done", text)
         return text
 
+    def _apply_everywhere(self, name: str, argument: str) -> None:
+        """Apply a command here and in the sibling process, if there is one. Raises the errors of `apply`."""
+        self.apply(name, argument)
+        sibling = self._context.sibling
+        if sibling is not None:
+            sibling.on_operator_command(name, argument)
+
+    def _keep_until_takeover(self, name: str, argument: str) -> None:
+        kept = self._before_takeover
+        if kept is None:
+            return
+        kept.pop(argument, None)
+        kept[argument] = name, argument
+        if len(kept) > MAX_REPEATED:
+            del kept[next(iter(kept))]
+
     def _execute_cluster_command(self, name: str, argument: str) -> str:
         """Execute a command that concerns all gateways; raises CommandRejectedError."""
         participant = self._context.participant
--- a/tests/gateway/hot_restart/test_hot_restart.py
+++ b/tests/gateway/hot_restart/test_hot_restart.py
@@ -42,6 +42,7 @@
 from plumpick.policy import snapshot
 from plumpick.policy.actions import CommandCompleted, SendPeerMessage, StartAttempt
 from plumpick.policy.controller import Controller
+from plumpick.policy.draining import CLOSE_UNREAD_AFTER_MS
 from plumpick.policy.events import (
     AttemptCompleted,
     AttemptResult,
@@ -441,6 +442,43 @@
     run_with_first_process(tmp_path, monkeypatch, scenario)
 
 
+# Guards against operators' commands that the next process confirms before it takes over, and then forgets.
+def test_commands_confirmed_by_the_successor_before_it_takes_over_hold_in_both_processes(
+    tmp_path, monkeypatch
+):
+    async def scenario(gateway):
+        serving = asyncio.create_task(answer_all_attempts(gateway.worker))
+        starting = asyncio.create_task(gateway.start())  # it waits for discovery, which does not answer it
+        while len(gateway.processes) < 2:
+            await asyncio.sleep(0)
+        new = gateway.management[1]
+        assert await send_when_listening(new, b"DISABLE w1\n") == "+OK DISABLE w1\n"
+        assert await send_when_listening(new, b"DRAIN\n") == "+OK DRAIN\n"
+        assert await send_when_listening(new, b"READY\n") == "-ERR not accepting clients yet\n"
+        await starting
+        await asyncio.sleep(CLOSE_UNREAD_AFTER_MS / 1000 + 0.1)  # until the timers of all stages have fired
+        assert await send_when_listening(new, b"READY\n") == "+OK draining\n"
+        client = await Client().open(gateway.port)
+        assert (await client.send(UP_REQUEST).read_response())[0] == 503
+        assert (await send_admin_command(new, b"UNDRAIN\n")).startswith("+OK")
+        client = await Client().open(gateway.port)
+        assert (await client.send(request()).read_response())[0] == 503  # the only worker is disabled
+        assert (await send_admin_command(new, b"ENABLE w1\n")).startswith("+OK")
+        assert (await client.send(request()).read_response())[0] == 200
+        serving.cancel()
+
+    run_with_first_process(tmp_path, monkeypatch, scenario)
+
+
+async def send_when_listening(admin_port, line):
+    """The reply to an operator's command, which is sent as soon as `admin_port` accepts connections."""
+    while True:
+        try:
+            return await send_admin_command(admin_port, line)
+        except ConnectionError:
+            await asyncio.sleep(0.001)
+
+
 def test_successor_serves_when_the_predecessor_is_killed(tmp_path, monkeypatch):
     async def scenario(gateway):
         await gateway.start()
