Fix: a request for a restart permit is kept or refused, not dropped

DRAIN FLEET was answered +OK, and forgotten, by a process that had not started its participant yet and by one that had handed it over. UNDRAIN said to the latter reached the policy of the next process alone, which kept the permit.

A request from before the start is kept for it, a closed participant refuses it, and a forwarded UNDRAIN gives the permit back.

--- a/plumpick/gateway/cluster/lease_runner.py
+++ b/plumpick/gateway/cluster/lease_runner.py
@@ -55,6 +55,7 @@
 MAX_TIMER_MS = 60_000.0
 MAX_LOGGED_TASKS = 8
 SEED_MASK = 0xD5
+OTHER_PROCESS_HAS_TASKS = "another process of this gateway has the duties"
 
 log = logging.getLogger(__name__)
 
@@ -97,6 +98,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._due_ms = math.inf
         self._is_stepping = False
+        # An operator's request for a restart permit, or its withdrawal, from before `start`; None without one
+        self._early_permit_request: RestartPermitWanted | None = None
         system.on_participant_created(self)
 
     def _new_scheduler(self) -> TaskScheduler:
@@ -124,7 +127,8 @@
         self._acquire_guard(participant)
         if state is not None:
             self._restore(now_ms, participant, state)
-        self._step()
+        early_request, self._early_permit_request = self._early_permit_request, None
+        self._step([early_request] if early_request is not None else None)
 
     def _restore(self, now_ms: float, participant: LeaseParticipant, state: dict[str, Any]) -> None:
         """Import the state of the hot-restart predecessor up to the first malformed part, which is logged."""
@@ -223,7 +227,13 @@
         Returns the error text, or an empty string."""
         if not self._settings.terms.restart_permits:
             return "restart permits are disabled: fleet.turns in the operator's file is 0"
-        self._step([RestartPermitWanted(wanted)])
+        request = RestartPermitWanted(wanted)
+        if self.participant is None:
+            self._early_permit_request = request
+            return ""
+        if self.participant.closed:
+            return OTHER_PROCESS_HAS_TASKS
+        self._step([request])
         return ""
 
     def _on_run_end(self, start: StartRun, error: EffectError | None) -> None:
@@ -382,7 +392,7 @@
     def tasks_status(self, argument: str) -> tuple[bool, str]:
         """The reply to DUTIES [PAGE]: whether the command is rejected, and the line to answer."""
         if self.participant is None or self.participant.closed:
-            return True, "another process of this gateway has the duties"
+            return True, OTHER_PROCESS_HAS_TASKS
         now_ms = self._system.boottime()
         page = status.page_of(argument)
         return False, status.tasks_reply(self._config.name, self.participant, self._scheduler, now_ms, page)
--- a/plumpick/gateway/hot_restart/sibling.py
+++ b/plumpick/gateway/hot_restart/sibling.py
@@ -85,6 +85,8 @@
     """Apply an operator's command that is in force in the other process. Raises ValueError or TypeError if
     the message is malformed."""
     name, argument = value
+    if name == "UNDRAIN" and context.participant is not None:
+        context.participant.request_restart_permit(False)
     try:
         context.gateway.apply_command(str(name), str(argument))
     except CommandRejectedError as problem:
--- a/tests/gateway/cluster/test_lease_runner.py
+++ b/tests/gateway/cluster/test_lease_runner.py
@@ -149,6 +149,24 @@
     run_alone([], scenario, turns=1)
 
 
+# Guards against a DRAIN FLEET that is confirmed and then forgotten, before the start and after a handover.
+def test_restart_permit_requested_before_the_start_is_acquired_and_after_the_handover_rejected():
+    async def scenario(runner, commands):
+        runner.close()
+        runner.participant = None
+        assert runner.request_restart_permit(True) == ""
+        runner.start()
+        await until(lambda: commands == ["DRAIN"])
+        state = runner.capture()
+        assert runner.request_restart_permit(True) == lease_runner.OTHER_PROCESS_HAS_TASKS
+        runner.participant = None
+        assert runner.request_restart_permit(False) == ""
+        runner.start(state)
+        await until(lambda: commands == ["DRAIN", "UNDRAIN"])
+
+    run_alone([], scenario, turns=1)
+
+
 # Guards against a period's record that lacks what the process that has ended had served, and tells of no gap.
 def test_gateway_that_resumes_reports_only_what_it_counted_since():
     async def scenario(runner, _commands):
