Fix: a budget's burst is a finite number

`burst = nan` and `inf` in the operator's file were accepted, as `burst < 0` is false for both. The other numbers of a budget and of the file are compared with both ends of a range. A concurrency limit that is none raised an error of another kind. The cases of burst and of that limit were red before.

--- a/plumpick/policy/budgets/budget.py
+++ b/plumpick/policy/budgets/budget.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 import zlib
 from dataclasses import dataclass, replace
@@ -45,18 +46,19 @@
     release_delay_ms: float = 0.0
 
     def __post_init__(self) -> None:
-        is_fractional = self.kind is BudgetKind.CONCURRENCY and self.limit != int(self.limit)
-        if not 0 <= self.limit < MAX_LIMIT or is_fractional:
+        is_in_range = 0 <= self.limit < MAX_LIMIT
+        is_fractional = is_in_range and self.kind is BudgetKind.CONCURRENCY and self.limit != int(self.limit)
+        if not is_in_range or is_fractional:
             raise InvalidBudgetError(
                 f"{self.name}: whole: got {self.limit}, expected a number from 0 to below {MAX_LIMIT:.0f}, "
                 "and an integer for a concurrency"
             )
         if not 0 <= self.guaranteed_ratio <= 1:
             raise InvalidBudgetError(f"{self.name}: floor: got {self.guaranteed_ratio}, expected 0 to 1")
-        if self.burst < 0 or self.release_delay_ms < 0:
+        if not (0 <= self.burst < math.inf and 0 <= self.release_delay_ms < math.inf):
             raise InvalidBudgetError(
                 f"{self.name}: burst, outlives_ms: got {self.burst} and {self.release_delay_ms}, "
-                "expected at least 0"
+                "expected a finite number of at least 0"
             )
 
     @property
--- a/tests/gateway/test_operator_config.py
+++ b/tests/gateway/test_operator_config.py
@@ -9,6 +9,37 @@
 from plumpick.gateway.operator_config import parse_operator_config
 
 
+def key_of(text):
+    """The key whose value is left open in a TOML text."""
+    return next(line for line in text.splitlines() if "{}" in line).partition(" ")[0]
+
+
+# Guards against a number that is none, such as `burst = nan`, in force at a gateway.
+@pytest.mark.parametrize("number", ["nan", "inf", "-inf"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[fleet]\nvoters = [0]\nterm_s = {}",
+        "[fleet]\nvoters = [0]\ndrift = {}",
+        "[fleet]\nvoters = [0]\nlongest_term_s = {}",
+        "[fleet]\nvoters = [0]\nshare_s = {}",
+        "[fleet]\nvoters = [0]\n[[fleet.budget]]\nname = 'x'\nwhole = {}\nburst = 5",
+        "[fleet]\nvoters = [0]\n[[fleet.budget]]\nname = 'x'\nwhole = 5\nburst = {}",
+        "[fleet]\nvoters = [0]\n[[fleet.budget]]\nname = 'x'\nwhole = 5\nburst = 5\nfloor = {}",
+        "[fleet]\nvoters = [0]\n[[fleet.duty]]\nname = 'x'\nkind = 'call'\nreceiver = 'http://h:9/x'\n"
+        "fenced = true\nperiod_s = {}",
+        "[fleet]\nvoters = [0]\n[[fleet.duty]]\nname = 'x'\nkind = 'call'\nreceiver = 'http://h:9/x'\n"
+        "fenced = true\nperiod_s = 60\nlimit_s = {}",
+        "[configuration]\naddresses = ['h:9']\nsilent_s = {}",
+    ],
+    ids=lambda text: key_of(text),
+)
+def test_number_that_is_not_finite_is_rejected_with_its_key(text, number):
+    key = key_of(text)
+    with pytest.raises(ConfigError, match=key):
+        parse_operator_config(tomllib.loads(text.format(number)), 3)
+
+
 @pytest.mark.parametrize(
     ("text", "key"),
     [
--- a/tests/policy/budgets/test_budget.py
+++ b/tests/policy/budgets/test_budget.py
@@ -1,5 +1,7 @@
 """The settings of a budget: rejection of invalid values, and the split of the limit."""
 
+import math
+
 import pytest
 
 from plumpick.policy.budgets.budget import Budget, BudgetKind
@@ -18,6 +20,17 @@
         ("guaranteed_ratio", 2, "floor"),
         ("burst", -1, "burst"),
         ("release_delay_ms", -1, "outlives_ms"),
+        # Guards against numbers of TOML with which every comparison, and so every check of a limit, is false.
+        *(
+            (field, value, key)
+            for field, key in (
+                ("limit", "whole"),
+                ("guaranteed_ratio", "floor"),
+                ("burst", "burst"),
+                ("release_delay_ms", "outlives_ms"),
+            )
+            for value in (math.nan, math.inf, -math.inf)
+        ),
     ],
 )
 def test_invalid_budget_is_rejected_with_the_key_in_the_error(field, value, key):
