Tests: run_with_worker and TurnDidNotEndError stand once

They stood alike in three and in two test files. The comment of a constant in controller.py stands on a line above it. No check has changed.

--- a/plumpick/policy/controller.py
+++ b/plumpick/policy/controller.py
@@ -48,9 +48,8 @@
 
 TIMER_NAME = "agenda"  # name of the single timer that the controller sets
 REMOVAL_INTERVAL_MS = 250.0
-MAX_TURNS_WITH_OVERDUE_TIMERS = (
-    100  # number of turns in a row that set timers in the past, from which it is a fault
-)
+# Number of turns in a row that set timers in the past, from which on it is a fault
+MAX_TURNS_WITH_OVERDUE_TIMERS = 100
 WATCH_RETRY_RATIO = 0.25  # delay after a failed endpoint watch, as a fraction of settings.watch_retry_ms
 
 
--- a/tests/gateway/listeners/http/test_connection_closing.py
+++ b/tests/gateway/listeners/http/test_connection_closing.py
@@ -17,23 +17,13 @@
     http_response,
     request,
     run,
+    run_with_worker,
 )
 
 from plumpick.gateway.platform import Platform
 from plumpick.gateway.shutdown import close_listener
 
 
-def run_with_worker(scenario):
-    async def run_scenario():
-        async with (
-            FakeWorker() as worker,
-            RunningGateway(ControllerStub(), known=[entry("w1", worker.port)]) as gate,
-        ):
-            await scenario(worker, gate, await gate.client())
-
-    run(run_scenario())
-
-
 async def exchange(worker, client, extra=""):
     """Have the client send a request and the worker answer it."""
     client.send(request(extra=extra))
--- a/tests/gateway/listeners/http/test_upgrade_offers.py
+++ b/tests/gateway/listeners/http/test_upgrade_offers.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from support.fakes import ControllerStub, FakeWorker, RunningGateway, entry, http_response, request, run
+from support.fakes import http_response, request, run_with_worker
 
 from plumpick.gateway.listeners.http.request_reader import RequestReader
 
@@ -21,17 +21,6 @@
 BODY_LIKE_A_REQUEST = request("00000000000000f1", "/debit", body=b"x")
 
 
-def run_with_worker(scenario):
-    async def run_scenario():
-        async with (
-            FakeWorker() as worker,
-            RunningGateway(ControllerStub(), known=[entry("w1", worker.port)]) as gate,
-        ):
-            await scenario(worker, gate, await gate.client())
-
-    run(run_scenario())
-
-
 async def next_request(worker):
     """The next request that the worker receives, and the writer for its response."""
     message, writer = await worker.next_request()
--- a/tests/gateway/upstream/test_own_shortage.py
+++ b/tests/gateway/upstream/test_own_shortage.py
@@ -16,6 +16,7 @@
     listing,
     request,
     run,
+    run_with_worker,
 )
 
 from plumpick.gateway.config import parse_worker_list
@@ -74,17 +75,6 @@
     run(scenario())
 
 
-def run_with_worker(scenario, controller=None):
-    async def run_scenario():
-        async with (
-            FakeWorker() as worker,
-            RunningGateway(controller or ControllerStub(), known=[entry("w1", worker.port)]) as gate,
-        ):
-            await scenario(worker, gate, await gate.client())
-
-    run(run_scenario())
-
-
 @pytest.mark.parametrize("limit", ["worker", "all"])
 def test_attempt_above_the_limit_on_connections_is_not_started(monkeypatch, limit):
     async def scenario(worker, gate, client):
--- a/tests/policy/test_hostile_settings.py
+++ b/tests/policy/test_hostile_settings.py
@@ -3,7 +3,7 @@
 import math
 
 import pytest
-from support.controllers import FLEET, actions_of
+from support.controllers import FLEET, TurnDidNotEndError, actions_of
 from support.fakes import settings
 
 from plumpick.policy.actions import StartAttempt
@@ -62,10 +62,6 @@
     return value
 
 
-class TurnDidNotEndError(BaseException):
-    """Raised out of a turn that fires too many timers; no step of a turn catches it."""
-
-
 class CountingController(Controller):
     """A controller that limits the number of timers fired in one turn."""
 
--- a/tests/policy/test_turn.py
+++ b/tests/policy/test_turn.py
@@ -3,7 +3,15 @@
 import math
 
 import pytest
-from support.controllers import FLEET, actions_of, completion, gateway, owner_of, request_event
+from support.controllers import (
+    FLEET,
+    TurnDidNotEndError,
+    actions_of,
+    completion,
+    gateway,
+    owner_of,
+    request_event,
+)
 
 from plumpick.policy.actions import FailRequest, RejectRequest, SendPeerMessage, SetTimer, StartAttempt
 from plumpick.policy.concurrency_limit import PERIOD_MS
@@ -183,10 +191,6 @@
     assert not actions_of(StartAttempt, control.handle(1002.0, [PeerMessageReceived(1, b"")]))
 
 
-class TurnDidNotEndError(BaseException):
-    """Raised out of a turn that fires timers without an end; no step of a turn catches it."""
-
-
 @pytest.mark.parametrize("offset_ms", [0.0, -1.0, -1e6], ids=["now", "past", "long past"])
 def test_timer_set_for_the_past_keeps_no_turn_alive(monkeypatch, offset_ms):
     """Guards against a timer that sets itself anew in the past, with which all gateways hung in one turn
--- a/tests/support/controllers.py
+++ b/tests/support/controllers.py
@@ -16,6 +16,10 @@
 FLEET = EndpointsUpdated(tuple(Endpoint(f"s{n}", f"z{n % 2}", n % 4, EndpointState.READY) for n in range(6)))
 
 
+class TurnDidNotEndError(BaseException):
+    """Raised out of a turn that fires too many timers; no step of a turn catches it."""
+
+
 def gateway(**more):
     return Controller(settings(**more), 1)
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -270,6 +270,20 @@
         return message, writer
 
 
+def run_with_worker(scenario, controller=None):
+    """Run `scenario(worker, gate, client)` with one fake worker, w1, a gateway and a client of it.
+    `controller`: the gateway's policy, a ControllerStub if None."""
+
+    async def run_scenario():
+        async with (
+            FakeWorker() as worker,
+            RunningGateway(controller or ControllerStub(), known=[entry("w1", worker.port)]) as gate,
+        ):
+            await scenario(worker, gate, await gate.client())
+
+    run(run_scenario())
+
+
 def http_response(status=200, body=b"done", extra=""):
     """The bytes of an HTTP response; `extra`: further header lines, each with its line end."""
     return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
