Fix: the ids of open requests pass over in a hot restart

A bad client that sent the id of another's open request to the next process of an upgrade got 200 in place of 409, and workers ran the id twice, unsafe requests too: the ids in use were not part of the state.

They are now, 20,000 at most, open ones first, and stay reserved until the predecessor has ended and then as long as any other. An older program sends none. The test by two processes was red before (200).

--- a/plumpick/gateway/hot_restart/exported_state.py
+++ b/plumpick/gateway/hot_restart/exported_state.py
@@ -1,7 +1,8 @@
 """The STATE message of a hot restart: the state with which the successor continues.
 
-It contains the state of the policy, of the cluster participant and of the settings in force. If the policy's
-state cannot be exported, or makes the message too long, the other parts are sent without it."""
+It contains the state of the policy, of the cluster participant and of the settings in force, and the request
+ids in use. If the policy's state cannot be exported, or makes the message too long, the other parts are sent
+without it."""
 
 from __future__ import annotations
 
@@ -14,6 +15,9 @@
 
 PARTICIPANT_KEY = "fleet"
 SETTINGS_KEY = "configuration"
+REQUEST_IDS_KEY = "ids"
+NOT_POLICY_KEYS = (PARTICIPANT_KEY, SETTINGS_KEY, REQUEST_IDS_KEY)
+MAX_REQUEST_IDS = 20_000  # maximum number of request ids that are passed on
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +33,8 @@
     others: dict[str, Any] = {PARTICIPANT_KEY: participant_state}
     if context.settings_source is not None:
         others[SETTINGS_KEY] = context.settings_source.export_state()
+    reserved_ids = context.gateway.requests.ids.export_reserved(MAX_REQUEST_IDS)
+    others[REQUEST_IDS_KEY] = [client_id.decode("latin-1") for client_id in reserved_ids]
     try:
         policy_state = context.gateway.export_state()
         return EncodedState(encode(MessageKind.STATE, {**policy_state, **others}), None)
@@ -38,7 +44,15 @@
 
 def policy_state_of(state: Mapping[str, Any]) -> dict[str, Any]:
     """The policy's part of a received state; empty if the predecessor could not export it."""
-    return {key: value for key, value in state.items() if key not in (PARTICIPANT_KEY, SETTINGS_KEY)}
+    return {key: value for key, value in state.items() if key not in NOT_POLICY_KEYS}
+
+
+def request_ids_of(state: Mapping[str, Any]) -> list[bytes]:
+    """The request ids in use in a received state; none if they are missing or malformed."""
+    client_ids = state.get(REQUEST_IDS_KEY)
+    if not isinstance(client_ids, list):
+        return []
+    return [client_id.encode("latin-1", "replace") for client_id in client_ids if isinstance(client_id, str)]
 
 
 def _encode_or_nothing(value: dict[str, Any]) -> bytes:
--- a/plumpick/gateway/management.py
+++ b/plumpick/gateway/management.py
@@ -107,8 +107,14 @@
         self._gateway.end_takeover()
 
     async def _import_state(self, state: Mapping[str, Any]) -> None:
-        from plumpick.gateway.hot_restart.exported_state import PARTICIPANT_KEY, SETTINGS_KEY, policy_state_of
-
+        from plumpick.gateway.hot_restart.exported_state import (
+            PARTICIPANT_KEY,
+            SETTINGS_KEY,
+            policy_state_of,
+            request_ids_of,
+        )
+
+        self._gateway.requests.ids.inherit(request_ids_of(state))
         self.inherited_leases = state.get(PARTICIPANT_KEY)
         source = self._context.settings_source
         if source is not None and state.get(SETTINGS_KEY) is not None:
@@ -154,8 +160,10 @@
         self._gateway.set_descriptor_limit(max(sockets // 3, sockets - count - OWN_DESCRIPTORS))
 
     def _on_alone(self) -> None:
-        """The predecessor has exited: this process may use all configured descriptors."""
+        """The predecessor has exited: this process may use all configured descriptors, and the ids of the
+        predecessor's requests are no longer in use."""
         self._gateway.set_descriptor_limit(self._config.sockets)
+        self._gateway.requests.ids.release_inherited()
 
     # -- end of the management plane
 
--- a/plumpick/gateway/open_request.py
+++ b/plumpick/gateway/open_request.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import itertools
 import math
+from collections.abc import Iterable
 
 from plumpick.gateway.clock import Timer
 from plumpick.gateway.listeners.interface import DuplicateRequestIdError, IncomingRequest, ResponseSink
@@ -61,10 +63,16 @@
         self._open: set[bytes] = set()
         self._ended: set[bytes] = set()
         self._ended_before: set[bytes] = set()
+        self._inherited: frozenset[bytes] = frozenset()  # reserved by the predecessor of a hot restart
+
+    def _is_reserved(self, client_id: bytes) -> bool:
+        if client_id in self._open or client_id in self._ended:
+            return True
+        return client_id in self._ended_before or client_id in self._inherited
 
     def claim(self, client_id: bytes) -> None:
         """Reserve an id for a new request; raises DuplicateRequestIdError if the id is in use."""
-        if client_id in self._open or client_id in self._ended or client_id in self._ended_before:
+        if self._is_reserved(client_id):
             raise DuplicateRequestIdError(
                 f"x-request-id {client_id.decode()!r} belongs to an open or recently ended request"
             )
@@ -82,4 +90,21 @@
 
     def is_empty(self) -> bool:
         """Whether no id is reserved."""
-        return not self._open and not self._ended and not self._ended_before
+        return not (self._open or self._ended or self._ended_before or self._inherited)
+
+    # -- hot restart
+
+    def export_reserved(self, max_ids: int) -> list[bytes]:
+        """Return the reserved ids for the successor of a hot restart, at most `max_ids`: first those of open
+        requests, then those that ended last."""
+        reserved = itertools.chain(self._open, self._ended, self._ended_before, self._inherited)
+        return list(itertools.islice(dict.fromkeys(reserved), max_ids))
+
+    def inherit(self, client_ids: Iterable[bytes]) -> None:
+        """Reserve the ids that the predecessor exported, until `release_inherited` is called."""
+        self._inherited = frozenset(client_ids)
+
+    def release_inherited(self) -> None:
+        """Mark the inherited ids as ended, because the predecessor's requests have."""
+        self._ended.update(self._inherited)
+        self._inherited = frozenset()
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -44,14 +44,14 @@
         self._timers = timers
         self._turn = turn
         self._streams = streams
-        self._ids = RequestIds()
+        self.ids = RequestIds()
 
     def submit(
         self, sink: ResponseSink, incoming: IncomingRequest, now: float, max_unread_ms: float
     ) -> OpenRequest:
         """Open a request and return it; raises DuplicateRequestIdError. `max_unread_ms`: maximum time for
         which it may have been unread during a stall of this process."""
-        self._ids.claim(incoming.id)
+        self.ids.claim(incoming.id)
         # A pipelined request has also waited for the responses to earlier ones since `received_ms`.
         waited_ms = max_unread_ms + now - incoming.received_ms
         wait_ms = max(incoming.timeout_ms - waited_ms, min(incoming.timeout_ms, 2 * DEADLINE_MARGIN_MS))
@@ -136,7 +136,7 @@
         """Remove a request from the table; returns False if it was closed before."""
         if self.open.pop(request.id, None) is None:
             return False
-        self._ids.release(request.client_id)
+        self.ids.release(request.client_id)
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         self._streams.discard(request)
@@ -196,4 +196,4 @@
     def expire_ids(self) -> None:
         """Forget the ids of requests that ended before the previous call; reschedules itself."""
         self._timers.call_at(self._clock.now() + REQUEST_ID_RETENTION_MS, self.expire_ids)
-        self._ids.expire()
+        self.ids.expire()
--- a/tests/gateway/hot_restart/test_hot_restart.py
+++ b/tests/gateway/hot_restart/test_hot_restart.py
@@ -442,6 +442,33 @@
     run_with_first_process(tmp_path, monkeypatch, scenario)
 
 
+# Guards against a request that runs twice, as the next process takes the id of one that the old one has open.
+def test_id_of_an_open_request_is_rejected_by_the_successor_until_the_request_has_ended(
+    tmp_path, monkeypatch
+):
+    async def scenario(gateway):
+        debit = request(path="/debit", body=b"x")
+        first = (await Client().open(gateway.port)).send(debit)
+        message, writer = await gateway.worker.next_request()
+        assert message.url == b"/debit"
+        await gateway.start()
+        again = await Client().open(gateway.port)
+        assert (await again.send(debit).read_response())[0] == 409
+        writer.write(http_response())
+        assert (await first.read_response())[0] == 200
+        assert (await again.send(debit).read_response())[0] == 409  # as without a hot restart
+        old = gateway.processes[0]
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        serving = asyncio.create_task(answer_all_attempts(gateway.worker))
+        while (status := (await again.send(debit).read_response())[0]) == 409:
+            await asyncio.sleep(0.05)
+        assert status == 200
+        serving.cancel()
+
+    run_with_first_process(tmp_path, monkeypatch, scenario)
+
+
 # Guards against operators' commands that the next process confirms before it takes over, and then forgets.
 def test_commands_confirmed_by_the_successor_before_it_takes_over_hold_in_both_processes(
     tmp_path, monkeypatch
--- a/tests/gateway/test_gatekeeper.py
+++ b/tests/gateway/test_gatekeeper.py
@@ -757,9 +757,9 @@
         assert (await client.read_response())[2] == b"first"
         assert (await other.send(request("00000000000000aa")).read_response())[0] == 409
         assert worker.requests.empty()
-        gate.gateway.requests._ids.expire()
-        gate.gateway.requests._ids.expire()
-        assert gate.gateway.requests._ids.is_empty()
+        gate.gateway.requests.ids.expire()
+        gate.gateway.requests.ids.expire()
+        assert gate.gateway.requests.ids.is_empty()
 
     run_with_one_worker(scenario)
 
