--- a/tests/gateway/dynamic_config/test_config_client.py
+++ b/tests/gateway/dynamic_config/test_config_client.py
@@ -171,6 +171,36 @@
     with_services(1, scenario)
 
 
+# Guards against a new process that serves by its own file, as the service it asks first lacks the version in
+# force: that service was started anew, and got the waiting version alone.
+def test_new_process_gets_the_version_in_force_from_another_service():
+    async def scenario(started_anew, other):
+        waiting = document(2, published_settings(2), other.now_ms() + 60_000.0)
+        await publish(other, document(1, published_settings(1)))
+        for service in (started_anew, other):
+            await publish(service, waiting)
+        gateway = GatewayStub([address_of(started_anew), address_of(other)]).start()
+        async with asyncio.timeout(5.0):
+            await gateway.wait_until_active(1)
+        await gateway.stop()
+
+    with_services(2, scenario)
+
+
+# Guards against a new process that serves by its own file, as the newest version is invalid for it: others
+# have refused that one, and serve by the one before.
+def test_new_process_that_refuses_the_newest_version_gets_the_one_before():
+    async def scenario(service):
+        for number in (1, 2):
+            await publish(service, document(number, published_settings(number)))
+        gateway = GatewayStub([address_of(service)], rejected_weight=2.0).start()
+        async with asyncio.timeout(5.0):
+            await gateway.wait_until_active(1)
+        await gateway.stop()
+
+    with_services(1, scenario)
+
+
 @pytest.mark.parametrize(
     "wrong, expected_key",
     [
