Review: the harness ends its gateways when a script is told to end

Cause: a script that got SIGTERM left its gateways running. Change: review/harness2.py turns SIGTERM into an ordinary end. Measured: after `timeout -s TERM 6` on case 7 no process is left.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -570,8 +570,14 @@
         await asyncio.sleep(0.05)  # lets the transports close
 
 
+def _end(_number: int, _frame: Any) -> None:
+    """End the case on SIGTERM, with all that it started."""
+    raise SystemExit(COULD_NOT_RUN)
+
+
 def main(folder: Path, case: Callable[[Recorder, Platform], Awaitable[int]], limit_s: float = 110.0) -> int:
     """Run a case and return its exit code: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    signal.signal(signal.SIGTERM, _end)
     recorder = Recorder(folder)
     recorder.write(f"trouble: {'on' if TROUBLE else 'off'}")
     try:
