Review, case 9: count an answer as cut off also when its worker could not give the rest

Cause: with larger buffers in the kernel the client still reads when the script's time is over. Change: review/9/case.py judges by the worker's reset connection then.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -27,6 +27,7 @@
 
     def __init__(self, recorder: kit.Recorder, rng: random.Random) -> None:
         self.recorder, self.rng = recorder, rng
+        self.cut: set[str] = set()
 
     async def serve(self, worker: kit.Worker, message: kit.Message, writer: asyncio.StreamWriter) -> None:
         """Give the answer as fast as it is taken."""
@@ -40,6 +41,7 @@
                 writer.write(bytes(100_000))
                 await writer.drain()
         except OSError as problem:
+            self.cut.add(request_id)
             self.recorder.say(
                 f"{worker.name}: {request_id} was cut off while it was being given: {problem!r}"
             )
@@ -112,6 +114,9 @@
             tasks.append(asyncio.create_task(task))
             await asyncio.sleep(0.2)
     await asyncio.gather(*tasks)
+    # A client that still reads what the kernel holds cannot get the rest: its worker could not give it.
+    reading = sorted(answers.cut - {*client.cut, *client.whole, *client.refused})
+    client.cut += reading
     counts = f"whole: {len(client.whole)}; refused or failed: {len(client.refused)}"
     recorder.say(f"asked: {len(tasks)}; {counts}; cut off: {len(client.cut)} {client.cut}")
     return kit.BROKEN if client.cut else kit.HELD
