Fix: an upload that its worker does not take is answered in time

Cause: no deadline ran while a client's connection was not read, since all of them began when the last byte was read; the client may have sent it long before. Fix: the time for which reading was paused while the rest may be in transit counts towards the request's; when it is used up the attempt ends with TIMEOUT and the policy answers. A worker that takes nothing for 10 s ends the upload. It works because the count starts at the first moment at which the client can be done.

--- a/plumpick/gateway/body_streams.py
+++ b/plumpick/gateway/body_streams.py
@@ -19,14 +19,16 @@
 class BodyStreams:
     """The open requests with a streamed body. Their number is bounded by that of the open requests."""
 
-    def __init__(self, total_bytes: int) -> None:
+    def __init__(self, total_bytes: int, now: Callable[[], float]) -> None:
+        """`now` returns the current time in ms."""
+        self._now = now
         self._budget = MemoryBudget(total_bytes)
         self._requests: dict[OpenRequest, None] = {}
 
     def create(self, source: Any, length: int) -> StreamingBody:
         """Create the body of `length` bytes (-1: unknown) that `source`, a PausableSource, provides. It takes
         a share of the memory budget once its request is passed to `add`."""
-        return StreamingBody(source, length, self._budget.high_water_bytes())
+        return StreamingBody(source, length, self._budget.high_water_bytes(), self._now)
 
     def high_water_bytes(self) -> int:
         """Return how many bytes of a response may be buffered for its client before its source is paused."""
@@ -57,9 +59,7 @@
 
 def _has_upload_stalled(stream: Any, now: float) -> bool:
     """Whether a client has sent nothing of the request body `stream` for UPLOAD_STALL_MS. While its source is
-    paused the client cannot send: then at most half of that time counts."""
-    if stream is None or stream.is_complete:
+    paused the client cannot send; RequestTable bounds that time."""
+    if stream is None or stream.is_complete or stream.is_paused:
         return False
-    if stream.is_paused:
-        stream.last_progress_ms = max(stream.last_progress_ms, now - UPLOAD_STALL_MS / 2)
     return bool(now - stream.last_progress_ms > UPLOAD_STALL_MS)
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -114,7 +114,7 @@
         self._quota_health = QuotaHealth(config.settings.gateway_count, config.settings.gateway_number)
         self._init_lifecycle()
         self._turn = EventTurn(loop, self.clock, self.controller)
-        self._streams = BodyStreams(int(config.memory_mb * 2**20 * STREAM_MEMORY_RATIO))
+        self._streams = BodyStreams(int(config.memory_mb * 2**20 * STREAM_MEMORY_RATIO), self.clock.now)
         self.requests = RequestTable(self.clock, self.timers, self._turn, self._streams)
         self._attempts = AttemptRunner(
             self.clock, self._turn, self.requests, self.connection_pool, self._streams
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -208,5 +208,7 @@
         if incoming.stream is None:
             self.pipelined.append(incoming)
         elif self.open_request is not None and incoming is self.current:
+            self.gateway.on_body_complete(
+                self.open_request
+            )  # first: the worker's time ends with the request's
             incoming.stream.finish()
-            self.gateway.on_body_complete(self.open_request)
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 from plumpick.gateway.clock import Clock, Timers
@@ -51,6 +52,14 @@
     is_complete: bool
     is_paused: bool
     last_progress_ms: float
+    on_paused: Callable[[], None] | None  # called when the source has been paused
+
+    def backpressure_ms(self) -> float:
+        """Return for how long in total the source has been paused although the client may have sent the whole
+        body."""
+
+    def paused_ms(self) -> float:
+        """Return for how long the source has been paused without interruption; 0.0 if it is not paused."""
 
 
 class PausableSource(Protocol):
--- a/plumpick/gateway/open_request.py
+++ b/plumpick/gateway/open_request.py
@@ -34,6 +34,7 @@
         "wait_ms",
         "deadline_ms",
         "deadline_timer",
+        "backpressure_timer",
         "attempt_count",
         "responding_attempt",
     )
@@ -51,6 +52,7 @@
         self.wait_ms = 0.0  # time allowed for the response, from the submission or a streamed body's end
         self.deadline_ms = math.inf  # time of the final response; infinite until a streamed body is complete
         self.deadline_timer: Timer | None = None
+        self.backpressure_timer: Timer | None = None  # set while reading of a streamed body may be paused
         self.attempt_count = 0
         self.responding_attempt: Attempt | None = None  # attempt whose response is streamed to the client
 
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -1,8 +1,10 @@
 """The table of open requests: each request gets exactly one final response, at the latest by its deadline.
 
 A request is in the table from its submission until its final response. If neither the policy nor a worker has
-produced a response by FINAL_RESPONSE_MARGIN_MS before the client's timeout, the table answers 504. The size
-of the table is bounded by the listeners' connections and the requests' deadlines."""
+produced a response by FINAL_RESPONSE_MARGIN_MS before the client's timeout, the table answers 504. The time
+of a request with a streamed body runs from its last byte, and before that while its connection is not read as
+the worker takes nothing: the client may have sent the last byte already. The size of the table is bounded by
+the listeners' connections and the requests' deadlines."""
 
 from __future__ import annotations
 
@@ -21,6 +23,7 @@
 # Time by which the policy's deadline precedes the client's, to allow for network and timer delays.
 DEADLINE_MARGIN_MS = 20.0
 FINAL_RESPONSE_MARGIN_MS = 5.0  # time before the client's timeout at which an open request is answered 504
+MAX_UPLOAD_PAUSE_MS = 10_000.0  # time for which a worker may take nothing of a body that is still being sent
 
 # Outcomes of a request. They equal those of plumpick/policy/usage_report.py, which is not imported here
 # because it is loaded only if usage is reported.
@@ -63,6 +66,7 @@
             self._set_deadline(request, deadline_ms)
         else:
             incoming.stream.last_progress_ms = now
+            incoming.stream.on_paused = lambda: self._on_upload_paused(request)
             self._streams.add(request)
         self.open[request.id] = request
         # The policy gets a deadline for a streamed body too: its time has not begun, but its attempt must
@@ -91,7 +95,42 @@
         if request.deadline_timer is None and request.responding_attempt is None:
             now = self._clock.now()
             end_ms = max(self.shutdown_deadline_ms, now + 2 * DEADLINE_MARGIN_MS)
-            self._set_deadline(request, min(now + request.wait_ms, end_ms))
+            left_ms = max(0.0, request.wait_ms - request.stream.backpressure_ms())
+            self._set_deadline(request, min(now + left_ms, end_ms))
+            for attempt in self._attempts_of(request):  # the policy answers after its timeout
+                attempt.deadline_ms -= DEADLINE_MARGIN_MS
+
+    def _on_upload_paused(self, request: OpenRequest) -> None:
+        """Bound the time for which the rest of a request's body is not read, as its worker takes nothing."""
+        if request.backpressure_timer is None:
+            self._check_backpressure(request)
+
+    def _check_backpressure(self, request: OpenRequest) -> None:
+        """End the attempts of a request whose worker has held back the body for the time that the client
+        allows. The policy then answers, and _on_deadline if it does not."""
+        request.backpressure_timer = None
+        if request.id not in self.open or request.responding_attempt is not None:
+            return
+        if request.deadline_timer is not None or not request.stream.is_paused:
+            return
+        now = self._clock.now()
+        left_ms = self._upload_time_left_ms(request, now)
+        if left_ms > DEADLINE_MARGIN_MS:
+            request.backpressure_timer = self._timers.call_at(
+                now + left_ms - DEADLINE_MARGIN_MS, lambda: self._check_backpressure(request)
+            )
+            return
+        self._set_deadline(request, now + left_ms)
+        self._end_attempts(request, AttemptResult.TIMEOUT)
+
+    def _upload_time_left_ms(self, request: OpenRequest, now: float) -> float:
+        """Return the time until a request whose body is not read gets its final response."""
+        stream = request.stream
+        return min(
+            request.wait_ms - stream.backpressure_ms(),
+            MAX_UPLOAD_PAUSE_MS - stream.paused_ms(),
+            self.shutdown_deadline_ms - now,
+        )
 
     def on_disconnect(self, request: OpenRequest) -> None:
         """Close the request of a client that has disconnected; does nothing after the final response."""
@@ -139,12 +178,15 @@
         self.ids.release(request.client_id)
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
+        if request.backpressure_timer is not None:
+            request.backpressure_timer.cancel()
+        if request.stream is not None:
+            request.stream.on_paused = None  # breaks a reference cycle
         self._streams.discard(request)
         # The request of an attempt is written once its connection is up. If the policy may not cancel the
         # attempt, it would otherwise be written after the final response.
-        for number in range(request.attempt_count):
-            attempt = self.attempts.get((request.id, number))
-            if attempt is not None and attempt.connection is None:
+        for attempt in self._attempts_of(request):
+            if attempt.connection is None:
                 attempt.end(AttemptResult.CANCELLED)
         return True
 
@@ -155,10 +197,17 @@
 
     def _cancel_attempts(self, request: OpenRequest) -> None:
         """Cancel all attempts of a request whose response is no longer wanted."""
-        for number in range(request.attempt_count):
-            attempt = self.attempts.get((request.id, number))
-            if attempt is not None:
-                attempt.end(AttemptResult.CANCELLED)
+        self._end_attempts(request, AttemptResult.CANCELLED)
+
+    def _end_attempts(self, request: OpenRequest, result: AttemptResult) -> None:
+        """End all attempts of a request with this result."""
+        for attempt in self._attempts_of(request):
+            attempt.end(result)
+
+    def _attempts_of(self, request: OpenRequest) -> list[Attempt]:
+        """Return the attempts of a request that are in flight."""
+        attempts = [self.attempts.get((request.id, number)) for number in range(request.attempt_count)]
+        return [attempt for attempt in attempts if attempt is not None]
 
     # -- deadlines of requests
 
@@ -167,10 +216,8 @@
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         request.deadline_ms = deadline_ms
-        for number in range(request.attempt_count):
-            attempt = self.attempts.get((request.id, number))
-            if attempt is not None:  # a request not yet written states the remaining time
-                attempt.deadline_ms = min(attempt.deadline_ms, deadline_ms)
+        for attempt in self._attempts_of(request):  # a request not yet written states the remaining time
+            attempt.deadline_ms = min(attempt.deadline_ms, deadline_ms)
         request.deadline_timer = self._timers.call_at(
             deadline_ms - FINAL_RESPONSE_MARGIN_MS, lambda: self._on_deadline(request)
         )
@@ -183,6 +230,9 @@
             is_waiting = request.deadline_timer is not None and request.responding_attempt is None
             if is_waiting and request.deadline_ms > deadline_ms:
                 self._set_deadline(request, deadline_ms)
+            elif request.backpressure_timer is not None:
+                request.backpressure_timer.cancel()
+                self._check_backpressure(request)
 
     def remaining_ms(self) -> list[float]:
         """Return the remaining time of each open request in ms. While a body is still being received that is
--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -220,7 +220,7 @@
         attempt.started_ms = now
         if attempt.on_completed is not None and attempt.response_sink is None:
             attempt.timer = self._timers.call_at(
-                now + attempt.timeout_ms, lambda: attempt.end(AttemptResult.TIMEOUT)
+                min(now + attempt.timeout_ms, attempt.deadline_ms), lambda: attempt.end(AttemptResult.TIMEOUT)
             )
 
     def _reusable_connection(self, worker: Worker, now: float) -> WorkerConnection | None:
--- a/plumpick/gateway/upstream/streaming_body.py
+++ b/plumpick/gateway/upstream/streaming_body.py
@@ -2,10 +2,12 @@
 
 Backpressure: the source is paused while more bytes than the high water mark wait for the sink. All streamed
 requests and responses share one memory budget, and each has an equal share of it as its high water mark. No
-method raises. The owner of a stream must detect a stall by `last_progress_ms` and end the stream."""
+method raises. The owner of a stream must detect a stall by `last_progress_ms` and end the stream, and bound
+the time that `backpressure_ms` returns: the client may wait for its response during all of it."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from plumpick.gateway.listeners.interface import PausableSource
@@ -13,6 +15,9 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # size above which a body is streamed
 MIN_HIGH_WATER_BYTES = 16 * 1024
 MAX_HIGH_WATER_BYTES = 256 * 1024
+# Maximum number of bytes that a client has sent and this process has not read: those in the socket buffers of
+# both machines. While more of a body are missing, its client is certainly still sending.
+MAX_BYTES_IN_TRANSIT = 16 * 1024 * 1024
 
 
 class MemoryBudget:
@@ -42,12 +47,20 @@
     """A request's body that is forwarded while it is received. `length`: in bytes, -1 if unknown.
 
     Until there is a sink, received bytes are buffered; at `high_water_bytes` the source is paused. Forwarded
-    bytes are not retained, so the body can be sent only once; `is_started` tells whether that has begun."""
+    bytes are not retained, so the body can be sent only once; `is_started` tells whether that has begun.
+    `now` returns the current time in ms."""
 
-    def __init__(self, source: PausableSource, length: int, high_water_bytes: int) -> None:
+    def __init__(
+        self, source: PausableSource, length: int, high_water_bytes: int, now: Callable[[], float]
+    ) -> None:
         self.source = source
         self.length = length
         self.high_water_bytes = high_water_bytes
+        self.on_paused: Callable[[], None] | None = None  # called when the source has been paused
+        self._now = now
+        self._received_bytes = 0
+        self._paused_since_ms = 0.0
+        self._earlier_backpressure_ms = 0.0
         self.waiting: list[bytes] = []
         self.waiting_bytes = 0
         self.is_started = False
@@ -58,6 +71,7 @@
 
     def feed(self, data: bytes) -> None:
         """Forward received bytes of the body, or buffer them until there is a sink."""
+        self._received_bytes += len(data)
         if self.sink is not None:
             self.sink.write_chunk(data)
             return
@@ -94,12 +108,34 @@
 
     def pause(self) -> None:
         """Pause the source, unless the body is complete."""
-        if not self.is_paused and not self.is_complete:
-            self.is_paused = True
-            self.source.pause()
+        if self.is_paused or self.is_complete:
+            return
+        self.is_paused = True
+        self._paused_since_ms = self._now()
+        self.source.pause()
+        if self.on_paused is not None:
+            self.on_paused()
 
     def resume(self) -> None:
         """Resume the source, if it is paused."""
         if self.is_paused:
+            self._earlier_backpressure_ms = self.backpressure_ms()
+            self.last_progress_ms = self._now()
             self.is_paused = False
             self.source.resume()
+
+    def backpressure_ms(self) -> float:
+        """Return for how long in total the source has been paused although the client may have sent the whole
+        body: what it has sent is not visible while its connection is not read."""
+        if not self.is_paused or not self._may_be_sent():
+            return self._earlier_backpressure_ms
+        return self._earlier_backpressure_ms + self._now() - self._paused_since_ms
+
+    def paused_ms(self) -> float:
+        """Return for how long the source has been paused without interruption; 0.0 if it is not paused."""
+        return self._now() - self._paused_since_ms if self.is_paused else 0.0
+
+    def _may_be_sent(self) -> bool:
+        """Whether the bytes that are missing may all be in transit. Always true if their number is
+        unknown."""
+        return self.length < 0 or self.length - self._received_bytes <= MAX_BYTES_IN_TRANSIT
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -10,6 +10,7 @@
 
 from plumpick.gateway.upstream.streaming_body import (
     MAX_BUFFERED_BODY_BYTES,
+    MAX_BYTES_IN_TRANSIT,
     MAX_HIGH_WATER_BYTES,
     MIN_HIGH_WATER_BYTES,
     MemoryBudget,
@@ -308,6 +309,78 @@
     run_with_raw_worker(scenario)
 
 
+async def fill_silent_worker(worker, client, data):
+    """Send an upload to a worker that reads its head alone; returns the reader and writer of the worker."""
+    client.send(data)
+    reader, writer = await worker.accepted.get()
+    await read_head(reader)
+    writer.transport.pause_reading()
+    return reader, writer
+
+
+@pytest.mark.parametrize("form", ["length", "chunks"])
+def test_upload_to_a_worker_that_takes_nothing_is_answered_within_its_time(form):
+    """Guards against review/7: an upload that was sent whole to a silent worker got no response at all, since
+    no deadline ran while the client's connection was not read."""
+
+    async def scenario(worker, gate, client):
+        started = asyncio.get_running_loop().time()
+        await fill_silent_worker(worker, client, upload(bytes(8 * 1024 * 1024), form, deadline=600))
+        assert (await client.read_response())[0] == 502
+        assert 0.5 < asyncio.get_running_loop().time() - started < 0.6 + 0.5
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.TIMEOUT
+        assert not gate.gateway.requests.open and not gate.gateway.requests.attempts
+
+    run_with_raw_worker(scenario)
+
+
+def test_time_for_which_a_worker_held_an_upload_back_counts_towards_its_deadline():
+    """Guards against a neighbour of review/7: after a slow read of the body the response came late by all the
+    time of that read."""
+
+    async def scenario(worker, gate, client):
+        started = asyncio.get_running_loop().time()
+        reader, writer = await fill_silent_worker(
+            worker, client, upload(bytes(8 * 1024 * 1024), "length", deadline=1000)
+        )
+        await asyncio.sleep(0.7)
+        writer.transport.resume_reading()
+        await reader.readexactly(8 * 1024 * 1024)  # the body arrives whole, and no response comes
+        assert (await client.read_response())[0] == 502
+        assert asyncio.get_running_loop().time() - started < 1.0 + 0.3
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.TIMEOUT
+
+    run_with_raw_worker(scenario)
+
+
+def test_client_that_cannot_have_sent_its_whole_upload_is_given_time():
+    """The deadline of an upload that is larger than what lies in transit does not run yet."""
+
+    async def scenario(worker, gate, client):
+        size = MAX_BYTES_IN_TRANSIT + BIG
+        reader, writer = await fill_silent_worker(worker, client, upload(bytes(size), "length", deadline=300))
+        await asyncio.sleep(0.6)
+        assert gate.gateway.requests.open
+        writer.transport.resume_reading()
+        await reader.readexactly(size)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+        assert (await client.read_response())[0] == 200
+
+    run_with_raw_worker(scenario)
+
+
+def test_upload_ends_once_its_worker_has_taken_nothing_for_long(monkeypatch):
+    """However much of the body is missing."""
+    monkeypatch.setattr("plumpick.gateway.request_table.MAX_UPLOAD_PAUSE_MS", 300.0)
+
+    async def scenario(worker, gate, client):
+        await fill_silent_worker(worker, client, upload(bytes(MAX_BYTES_IN_TRANSIT + BIG), "length"))
+        assert (await client.read_response())[0] == 502
+        assert not gate.gateway.requests.open
+
+    run_with_raw_worker(scenario)
+
+
 def test_expect_100_continue_is_answered_before_the_body_is_sent():
     async def scenario(worker, gate, client):
         data = upload(bytes(100_000), "length", extra="Expect: 100-continue\r\n")
@@ -392,7 +465,7 @@
 
 def test_streaming_body_pauses_its_source_at_the_high_water_mark_and_forwards_in_order():
     source, sink = RecordingEndpoint(), RecordingEndpoint()
-    body = StreamingBody(source, -1, 10)
+    body = StreamingBody(source, -1, 10, lambda: 0.0)
     body.feed(b"12345")
     assert not source.calls
     body.feed(b"67890")
