Fix: only its own attempt ends a response that is being streamed

Cause: any successful attempt counted as final, also while another one's response was being streamed; with attempts that may not be cancelled, or two responses read in one iteration of the event loop. Evidence: the foreign bytes begin with a status line, and two attempts of the request were in flight. Fix: a success beside a streamed response is reported as not final, and the policy's rejections and failures leave such a request alone. It works because `responding_attempt` is set before the first byte is written.

--- a/plumpick/gateway/attempt_runner.py
+++ b/plumpick/gateway/attempt_runner.py
@@ -1,7 +1,7 @@
 """Runs the attempts that the policy requests: starts them on the connection pool and reports their results.
 
 An attempt that cannot be started completes as NOT_STARTED. The first successful result becomes the request's
-final response. No method raises."""
+final response, unless another attempt's response is being streamed already. No method raises."""
 
 from __future__ import annotations
 
@@ -124,6 +124,8 @@
         request = requests.open.get(attempt.request_id)
         has_response_started = attempt.response_started_ms > 0
         is_decisive = result is AttemptResult.OK or has_response_started
+        if request is not None and request.responding_attempt not in (None, attempt):
+            is_decisive = False  # the client is getting the response of another attempt
         if request is not None and is_decisive:
             requests.close(request)  # a response that is being streamed is final, even if it breaks off
             requests.count(request, SERVED if result is AttemptResult.OK else FAILED)
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -157,18 +157,23 @@
 
     def reject(self, action: RejectRequest) -> None:
         """Answer 503, with Retry-After if the policy gives a time: the policy has rejected the request."""
-        request = self.open.get(action.id)
+        request = self._unanswered(action.id)
         if request is not None and self.close(request):
             self.count(request, REJECTED)
             request.sink.respond(503, retry_after_ms=action.retry_after_ms)
 
     def fail(self, action: FailRequest) -> None:
         """Answer 502: the policy has given up the request after failed attempts."""
-        request = self.open.get(action.id)
+        request = self._unanswered(action.id)
         if request is not None and self.close(request):
             self.count(request, FAILED)
             request.sink.respond(502)
 
+    def _unanswered(self, request_id: int) -> OpenRequest | None:
+        """Return an open request of which no response is being streamed to the client, or None."""
+        request = self.open.get(request_id)
+        return None if request is None or request.responding_attempt is not None else request
+
     # -- end of a request
 
     def close(self, request: OpenRequest) -> bool:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -16,7 +16,14 @@
     MemoryBudget,
     StreamingBody,
 )
-from plumpick.policy.events import AttemptCompleted, AttemptResult, ResponseStarted
+from plumpick.policy.actions import FailRequest, RejectRequest, StartAttempt
+from plumpick.policy.events import (
+    AttemptCompleted,
+    AttemptResult,
+    RequestReceived,
+    ResponseStarted,
+    TimerFired,
+)
 
 BIG = 5 * 1024 * 1024
 
@@ -170,6 +177,56 @@
     run_with_raw_worker(scenario)
 
 
+async def start_streaming(worker, gate, client, actions):
+    """Let the first of the worker's connections begin a response of 150,000 bytes, then have the policy
+    return `actions(request id)`; returns the writer of that connection."""
+    client.send(request())
+    reader, writer = await worker.accepted.get()
+    await read_head(reader)
+    received = await gate.controller.next_event(RequestReceived)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 150000\r\n\r\n" + bytes(100_000))
+    await gate.controller.next_event(ResponseStarted)
+    gate.controller.next_actions = actions(received.id)
+    gate.gateway.post_event(TimerFired("test"))
+    return writer
+
+
+async def assert_streamed_whole(client, writer):
+    writer.write(bytes(50_000))
+    assert await read_response(client.reader) == (200, {"content-length": "150000"}, bytes(150_000), True)
+
+
+def test_response_of_a_second_attempt_does_not_enter_a_response_being_streamed():
+    """Guards against review/8: a client got the whole response of another worker in the middle of its own."""
+
+    async def scenario(worker, gate, client):
+        writer = await start_streaming(
+            worker, gate, client, lambda number: [StartAttempt(number, "w1", 9000.0)]
+        )
+        reader, second = await worker.accepted.get()
+        await read_head(reader)
+        second.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
+        done = await gate.controller.next_event(AttemptCompleted)
+        assert (done.attempt, done.result, done.is_final) == (1, AttemptResult.OK, False)
+        await assert_streamed_whole(client, writer)
+        done = await gate.controller.next_event(AttemptCompleted)
+        assert (done.attempt, done.result, done.is_final) == (0, AttemptResult.OK, True)
+
+    run_with_raw_worker(scenario)
+
+
+@pytest.mark.parametrize("action", [lambda number: RejectRequest(number, 0.0), FailRequest])
+def test_decision_against_a_request_does_not_enter_a_response_being_streamed(action):
+    """Guards against a neighbour of review/8: a 502 or 503 in the middle of a response."""
+
+    async def scenario(worker, gate, client):
+        writer = await start_streaming(worker, gate, client, lambda number: [action(number)])
+        await asyncio.sleep(0.05)
+        await assert_streamed_whole(client, writer)
+
+    run_with_raw_worker(scenario)
+
+
 def test_streamed_response_is_aborted_after_a_stall_but_not_after_its_deadline():
     async def scenario(worker, gate, client):
         client.send(request(deadline=100))
