Fix: a slow client's own backpressure is no stall of its worker

Cause: a response counted as stalled 10 s after the worker's last byte, also while its client's full buffer kept the gateway from reading the worker; the kernel calls such a socket writable some 20 s apart. Evidence: the resets came 10.0 s after the worker's last byte, at a paused connection. Fix: while a client holds a response back, progress is what its machine acknowledges, as told by the kernel. A client that takes nothing for 10 s ends the response, which no longer counts against the worker. The same for a connection that closes after its response.

--- a/plumpick/gateway/body_streams.py
+++ b/plumpick/gateway/body_streams.py
@@ -1,7 +1,8 @@
 """The open requests whose request or response body is streamed: their memory budget and stall detection.
 
-The attempt of a stalled response ends with RESET. A stalled request body is reported to the caller of
-`BodyStreams.sweep`, which must give the request its final response."""
+The attempt of a stalled response ends with RESET if its worker sends nothing and with CANCELLED if its client
+reads nothing. A stalled request body is reported to the caller of `BodyStreams.sweep`, which must give the
+request its final response."""
 
 from __future__ import annotations
 
@@ -9,10 +10,12 @@
 from typing import Any
 
 from plumpick.gateway.open_request import OpenRequest
+from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.streaming_body import MemoryBudget, StreamingBody
 from plumpick.policy.events import AttemptResult
 
 RESPONSE_STALL_MS = 10_000.0  # time without progress after which a streamed response is aborted
+CLIENT_CHECK_INTERVAL_MS = 1000.0  # interval at which a client that holds back a response is looked at
 UPLOAD_STALL_MS = 2500.0  # time without progress after which a streamed request body counts as stalled
 
 
@@ -51,12 +54,25 @@
         for request in list(self._requests):
             attempt = request.responding_attempt
             if attempt is not None:
-                if now - attempt.last_progress_ms > RESPONSE_STALL_MS:
-                    attempt.end(AttemptResult.RESET)
+                _end_if_stalled(request, attempt, now)
             elif _has_upload_stalled(request.stream, now):
                 on_upload_stalled(request)
 
 
+def _end_if_stalled(request: OpenRequest, attempt: Attempt, now: float) -> None:
+    """End the attempt if its streamed response has made no progress for RESPONSE_STALL_MS. While the client's
+    buffers are full the worker cannot send: then progress is what the client takes."""
+    connection = attempt.connection
+    is_held_by_client = connection is not None and connection.is_reading_paused
+    if is_held_by_client and now - attempt.last_progress_ms > CLIENT_CHECK_INTERVAL_MS:
+        undelivered = request.sink.undelivered_bytes()
+        if undelivered != attempt.undelivered_bytes:
+            attempt.undelivered_bytes = undelivered
+            attempt.last_progress_ms = now
+    if now - attempt.last_progress_ms > RESPONSE_STALL_MS:
+        attempt.end(AttemptResult.CANCELLED if is_held_by_client else AttemptResult.RESET)
+
+
 def _has_upload_stalled(stream: Any, now: float) -> bool:
     """Whether a client has sent nothing of the request body `stream` for UPLOAD_STALL_MS. While its source is
     paused the client cannot send; RequestTable bounds that time."""
--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -45,7 +45,7 @@
         self.last_activity_ms = 0.0  # time at which bytes were last received
         self.received_while_closing = False  # whether bytes were received since the last sweep
         self.closing_since_ms = 0.0
-        self.unwritten_at_last_sweep = 0  # number of response bytes not yet handed to the kernel
+        self.undelivered_at_last_sweep = 0  # number of response bytes that the client had not acknowledged
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -67,6 +67,10 @@
         """Return the number of response bytes not yet handed to the kernel."""
         raise NotImplementedError
 
+    def undelivered_bytes(self) -> int:
+        """Return the number of response bytes that the client's machine has not acknowledged."""
+        raise NotImplementedError
+
     def body_time_allowance_ms(self) -> float:
         """Return by how much the body bytes received so far extend the time limit of the request."""
         raise NotImplementedError
@@ -269,9 +273,10 @@
         )
         for connection in [conn for conn, since in self._closing.items() if now - since > linger_ms]:
             unwritten = connection.unwritten_bytes()
-            before = connection.unwritten_at_last_sweep
-            connection.unwritten_at_last_sweep = unwritten
-            if unwritten and unwritten != before:  # the client is still reading
+            undelivered = connection.undelivered_bytes() if unwritten else 0
+            before = connection.undelivered_at_last_sweep
+            connection.undelivered_at_last_sweep = undelivered
+            if unwritten and undelivered != before:  # the client is still reading
                 self._closing[connection] = now
             elif unwritten and now - self._closing[connection] <= unread_timeout_ms:
                 continue
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -22,7 +22,8 @@
     """The listener as its connections use it.
 
     `has_peer_closed` returns whether the peer of a transport has closed it, `has_no_unread_input` whether no
-    received bytes wait unread; both query the operating system."""
+    received bytes wait unread, `unacknowledged_bytes` how many written bytes the kernel still holds; they
+    query the operating system."""
 
     def __init__(
         self,
@@ -30,11 +31,13 @@
         admission: ConnectionAdmission,
         has_peer_closed: Callable[[Any], bool],
         has_no_unread_input: Callable[[Any], bool],
+        unacknowledged_bytes: Callable[[Any], int],
     ) -> None:
         self.gateway = gateway
         self.admission = admission
         self.has_peer_closed = has_peer_closed
         self.has_no_unread_input = has_no_unread_input
+        self.unacknowledged_bytes = unacknowledged_bytes
 
     def on_connected(self, connection: ConnectionState) -> None:
         """Admit a new connection, or close it."""
@@ -98,6 +101,14 @@
         transport = self.transport
         return 0 if transport is None or transport.is_closing() else transport.get_write_buffer_size()
 
+    def undelivered_bytes(self) -> int:
+        """Return the number of response bytes that the client's machine has not acknowledged. It falls while
+        the client reads; `unwritten_bytes` may not for long, as the kernel takes bytes in large portions."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return 0
+        return transport.get_write_buffer_size() + self.listener.unacknowledged_bytes(transport)
+
     def body_time_allowance_ms(self) -> float:
         """Return by how much the body bytes received so far extend the time limit of the request."""
         if self.incoming is None:
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -21,7 +21,7 @@
     """The HTTP connections of all clients; implements the Listener protocol.
 
     `has_peer_closed` returns whether the peer of a transport has closed it, `has_no_unread_input` whether no
-    received bytes wait unread."""
+    received bytes wait unread, `unacknowledged_bytes` how many written bytes the kernel still holds."""
 
     def __init__(
         self,
@@ -30,9 +30,10 @@
         sockets: int,
         has_peer_closed: Callable[[Any], bool],
         has_no_unread_input: Callable[[Any], bool] = lambda _transport: True,
+        unacknowledged_bytes: Callable[[Any], int] = lambda _transport: 0,
     ) -> None:
         admission = ConnectionAdmission(sockets, gateway.clock.now())
-        super().__init__(gateway, admission, has_peer_closed, has_no_unread_input)
+        super().__init__(gateway, admission, has_peer_closed, has_no_unread_input, unacknowledged_bytes)
         self.validator = RequestValidator(settings)
         self._is_eviction_due = False
         self.accepted_connections = 0
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -99,6 +99,9 @@
         """Send the final response: an HTTP status, with 200 also the worker's complete body and its content
         type. A `retry_after_ms` above 0 is sent as Retry-After."""
 
+    def undelivered_bytes(self) -> int:
+        """Return the number of response bytes that the client's machine has not acknowledged."""
+
     def has_disconnected(self) -> bool:
         """Whether the client has disconnected, even if the event loop has not processed that yet."""
 
--- a/plumpick/gateway/platform.py
+++ b/plumpick/gateway/platform.py
@@ -5,10 +5,13 @@
 
 from __future__ import annotations
 
+import fcntl
 import gc
 import os
 import select
 import socket
+import sys
+import termios
 import time
 from typing import Any
 
@@ -80,6 +83,14 @@
         """Whether the peer has closed the connection, even if received bytes are still unread."""
         return _polls(transport, select.POLLRDHUP)
 
+    @staticmethod
+    def unacknowledged_bytes(transport: Any) -> int:
+        """The number of bytes written to the connection that the kernel still holds: those unsent, and those
+        that the peer's machine has not acknowledged."""
+        count = bytearray(4)
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, count)
+        return int.from_bytes(count, sys.byteorder)
+
     def freeze_startup_objects(self) -> None:
         """Exempt the objects created during the start from garbage collection, since they live until exit."""
         gc.collect()
--- a/plumpick/gateway/process.py
+++ b/plumpick/gateway/process.py
@@ -61,6 +61,7 @@
             config.sockets,
             platform.has_peer_closed,
             platform.has_no_unread_input,
+            platform.unacknowledged_bytes,
         )
         self._gateway.add_listener(self._listener)
         self._participant: Any = None
--- a/plumpick/gateway/upstream/attempt.py
+++ b/plumpick/gateway/upstream/attempt.py
@@ -34,6 +34,8 @@
 class AttemptConnection(Protocol):
     """The worker connection that carries an attempt."""
 
+    is_reading_paused: bool  # whether the response is not read, as its client has not taken what was read
+
     def abort(self) -> None:
         """Close the connection at once, even in the middle of a response."""
 
@@ -75,6 +77,7 @@
         "timeout_ms",
         "response_started_ms",
         "last_progress_ms",
+        "undelivered_bytes",
         "on_stream_started",
         "start_by_ms",
         "deadline_ms",
@@ -109,7 +112,9 @@
         self.on_stream_started = on_stream_started
         self.response_sink: ResponseBodySink | None = None
         self.response_started_ms = 0.0  # start of a streamed response; 0.0 if there is none
-        self.last_progress_ms = 0.0  # time at which bytes of a streamed response were last received
+        # Time at which bytes of a streamed response were last received, or taken by its client.
+        self.last_progress_ms = 0.0
+        self.undelivered_bytes = -1  # number that the client had not taken at the latest check; -1 before it
         self.started_ms = 0.0
         self.start_by_ms = math.inf  # latest time at which the request may be written to the worker
         self.connection: AttemptConnection | None = None
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -80,6 +80,7 @@
         self.is_closed = False
         self.has_unsent_bytes = False  # whether the last byte of the request is not with the kernel yet
         self.is_write_buffer_full = False  # whether the event loop has called pause_writing
+        self.is_reading_paused = False  # whether the response is not read, as its client takes nothing
         self.parser: Any = None
         self.head_bytes = 0
         self.status = 0
@@ -163,11 +164,16 @@
     def pause(self) -> None:
         """Stop reading the response."""
         if self.transport is not None and not self.is_closed:
+            self.is_reading_paused = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
         """Continue reading the response."""
+        attempt = self.attempt
+        if attempt is not None:
+            attempt.last_progress_ms = self.pool.now()  # the worker could not send before
         if self.transport is not None and not self.is_closed:
+            self.is_reading_paused = False
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
--- a/plumpick/simulation/world.py
+++ b/plumpick/simulation/world.py
@@ -84,6 +84,10 @@
     def has_peer_closed(transport: Any) -> bool:
         return bool(transport.has_peer_closed())
 
+    @staticmethod
+    def unacknowledged_bytes(transport: Any) -> int:
+        return int(transport.in_flight)
+
     def boottime(self) -> float:
         return self.process.time() * 1000
 
--- a/tests/gateway/listeners/http/test_connection_closing.py
+++ b/tests/gateway/listeners/http/test_connection_closing.py
@@ -20,6 +20,7 @@
     run_with_worker,
 )
 
+from plumpick.gateway.listeners.http.connection_admission import UNREAD_RESPONSE_TIMEOUT_MS
 from plumpick.gateway.platform import Platform
 from plumpick.gateway.shutdown import close_listener
 
@@ -129,9 +130,39 @@
     run_with_worker(scenario)
 
 
+def test_reader_that_empties_only_the_kernels_buffer_is_not_taken_for_a_stopped_one():
+    """Guards against a neighbour of review/9: the rest of a response was dropped after 10 s without a write,
+    though its client was reading what the kernel held."""
+
+    async def scenario(worker, gate, client):
+        client.close()
+        plug = SocketClient(gate.port, receive_buffer_bytes=65536)
+        plug.send(request(path="/look", extra="Connection: close\r\n"))
+        _, writer = await worker.next_request()
+        connection = busy_connection(gate)
+        size = 12 * 2**20
+        connection.pause_writing = lambda: None  # so that the response ends here while most is not delivered
+        writer.write(http_response(body=bytes(size)))
+        while not connection.is_closing:
+            await asyncio.sleep(0.01)
+        unwritten, received = connection.unwritten_bytes(), 0
+        admission, now = gate.listener.admission, gate.gateway.clock.now()
+        for step in range(1, 5):
+            received += len(await plug.receive(2**18))
+            await asyncio.sleep(0.05)
+            admission._end_lingering(now + step * (UNREAD_RESPONSE_TIMEOUT_MS + 100), False)
+        assert connection.unwritten_bytes() == unwritten > 0, "the rest was dropped, or the kernel took more"
+        while data := await plug.receive(2**20):
+            received += len(data)
+        assert received > size
+        plug.close()
+
+    run_with_worker(scenario)
+
+
 def test_connection_whose_client_reads_nothing_is_aborted_after_the_unread_timeout():
     class StuckConnection:
-        closing_since_ms, unwritten_at_last_sweep, received_while_closing = 0.0, 0, False
+        closing_since_ms, undelivered_at_last_sweep, received_while_closing = 0.0, 0, False
 
         def __init__(self):
             self.is_aborted = False
@@ -139,6 +170,9 @@
         def unwritten_bytes(self):
             return 1000
 
+        def undelivered_bytes(self):
+            return 3000
+
         def abort(self):
             self.is_aborted = True
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -5,7 +5,7 @@
 
 import httptools
 import pytest
-from support.fakes import Client, ControllerStub, Message, RunningGateway, entry, request, run
+from support.fakes import Client, ControllerStub, Message, RunningGateway, SocketClient, entry, request, run
 from support.raw_client import RawWorker, read_head, read_response
 
 from plumpick.gateway.upstream.streaming_body import (
@@ -248,6 +248,61 @@
     run_with_raw_worker(scenario)
 
 
+def test_streamed_response_lasts_while_its_client_reads_what_the_kernel_holds():
+    """Guards against review/9: a response was cut off after 10 s without bytes of its worker, though its own
+    client held it back, and read all the time from the kernel's buffers."""
+
+    async def scenario(worker, gate, _client):
+        plug = SocketClient(gate.port, receive_buffer_bytes=65536)
+        plug.send(request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        size = 32 * 2**20
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size))
+        await gate.controller.next_event(ResponseStarted)
+        (attempt,) = gate.gateway.requests.attempts.values()
+        while attempt.connection.transport.is_reading():
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        now, progress_ms = gate.gateway.clock.now(), attempt.last_progress_ms
+        for step in range(1, 6):
+            await plug.receive(2**17)
+            await asyncio.sleep(0.02)
+            gate.gateway._streams.sweep(now + step * 9000.0, gate.gateway.requests.on_upload_stalled)
+            assert gate.gateway.requests.open and not attempt.connection.transport.is_reading()
+        assert attempt.last_progress_ms > progress_ms
+        # Then the client reads no more: it is to blame, not the worker.
+        gate.gateway._streams.sweep(now + 70_000.0, gate.gateway.requests.on_upload_stalled)
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.CANCELLED
+        plug.close()
+
+    run_with_raw_worker(scenario)
+
+
+def test_worker_may_send_again_after_its_client_held_a_response_back():
+    """The time for which the response was not read does not count against the worker."""
+
+    async def scenario(worker, gate, _client):
+        plug = SocketClient(gate.port, receive_buffer_bytes=65536)
+        plug.send(request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * BIG) + bytes(2 * BIG - 1))
+        await gate.controller.next_event(ResponseStarted)
+        (attempt,) = gate.gateway.requests.attempts.values()
+        while attempt.connection.transport.is_reading():
+            await asyncio.sleep(0.01)
+        attempt.last_progress_ms -= 60_000.0
+        while not attempt.connection.transport.is_reading():
+            await plug.receive(2**20)
+            await asyncio.sleep(0)
+        gate.gateway._streams.sweep(gate.gateway.clock.now(), gate.gateway.requests.on_upload_stalled)
+        assert gate.gateway.requests.open
+        plug.close()
+
+    run_with_raw_worker(scenario)
+
+
 def test_head_request_gets_a_response_without_body():
     async def scenario(worker, gate, client):
         client.send(request().replace(b"GET", b"HEAD"))
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -141,6 +141,7 @@
             gateway_config.sockets,
             Platform().has_peer_closed,
             Platform().has_no_unread_input,
+            Platform().unacknowledged_bytes,
         )
         self.gateway.add_listener(self.listener)
         self.gateway.on_worker_list(gateway_config.known)
