Fix: a worker's connection is read again before it is used again

Callers saw: 502 or 503 at the end of their time, though their request had run and been answered. Cause: a connection whose reading was paused for a full client went back to the pool paused, when the read that filled the client's buffer also ended the response. Evidence: the next response lay unread in the kernel. Fix: reading is resumed before the release; nothing else knows of the pause by then. Measured: the new test failed before (504 in place of 200).

--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -361,6 +361,8 @@
         if self.has_excess or not self.may_reuse or stream is not None:
             self.abort()
         else:
+            if self.is_reading_paused:  # for a client whose buffer is still full
+                self.resume()
             self.pool.release(self)
         if status == 200:
             sink = attempt.response_sink
--- a/tests/gateway/listeners/http/test_connection_closing.py
+++ b/tests/gateway/listeners/http/test_connection_closing.py
@@ -1,7 +1,6 @@
 """Closing a client's connection at the moment at which bytes arrive on it."""
 
 import asyncio
-import os
 import socket
 
 import pytest
@@ -18,6 +17,7 @@
     request,
     run,
     run_with_worker,
+    shrink_send_buffer,
 )
 
 from plumpick.gateway.listeners.http.connection_admission import UNREAD_RESPONSE_TIMEOUT_MS
@@ -262,9 +262,3 @@
     """Return the only client connection with an open request."""
     (connection,) = [conn for conn in gate.listener.admission.connections if conn.open_request is not None]
     return connection
-
-
-def shrink_send_buffer(connection):
-    """Reduce the kernel's send buffer of the connection, so that large responses stay partly unwritten."""
-    with socket.socket(fileno=os.dup(connection.transport.get_extra_info("socket").fileno())) as plug:
-        plug.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -5,7 +5,17 @@
 
 import httptools
 import pytest
-from support.fakes import Client, ControllerStub, Message, RunningGateway, SocketClient, entry, request, run
+from support.fakes import (
+    Client,
+    ControllerStub,
+    Message,
+    RunningGateway,
+    SocketClient,
+    entry,
+    request,
+    run,
+    shrink_send_buffer,
+)
 from support.raw_client import RawWorker, read_head, read_response
 
 from plumpick.gateway.upstream.streaming_body import (
@@ -279,6 +289,34 @@
     run_with_raw_worker(scenario)
 
 
+def test_worker_connection_is_read_again_after_its_response_filled_the_clients_buffer(monkeypatch):
+    """Guards against a connection that went back to the pool with its reading paused: nobody read the
+    response to the next request on it."""
+    monkeypatch.setattr("plumpick.gateway.upstream.connection_pool.REUSE_DELAY_MS", 0.0)
+    monkeypatch.setattr("plumpick.gateway.upstream.streaming_body.MAX_HIGH_WATER_BYTES", 80_000)
+
+    async def scenario(worker, gate, client):
+        plug = SocketClient(gate.port, receive_buffer_bytes=4096)
+        plug.send(request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        (connection,) = [one for one in gate.listener.admission.connections if one.open_request is not None]
+        shrink_send_buffer(connection)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + bytes(70_000))
+        while connection.unwritten_bytes() < 50_000:
+            await asyncio.sleep(0.01)
+        writer.write(bytes(30_000))  # its read both fills the client's buffer and ends the response
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.OK
+        assert connection.unwritten_bytes()
+        client.send(request(deadline=1000))
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext")
+        assert (await client.read_response())[::2] == (200, b"next")
+        plug.close()
+
+    run_with_raw_worker(scenario)
+
+
 def test_worker_may_send_again_after_its_client_held_a_response_back():
     """The time for which the response was not read does not count against the worker."""
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -390,3 +390,9 @@
 
     def close(self):
         self.connection.close()
+
+
+def shrink_send_buffer(connection):
+    """Reduce the kernel's send buffer of the connection, so that large responses stay partly unwritten."""
+    with socket.socket(fileno=os.dup(connection.transport.get_extra_info("socket").fileno())) as plug:
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
