Fix: a response of unknown length is streamed before its deadline cuts it off

Cause: without a Content-Length the first 64 KiB are held back; slowly written, they had not come when the policy gave the request up. Fix: shortly before the policy's decision the response begins to be streamed with what has come, so its first bytes are in time and the policy knows before it decides.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -63,6 +63,7 @@
     TimerFired,
 )
 from plumpick.policy.health_status import QuotaHealth
+from plumpick.policy.request_lifecycle import DEADLINE_TICKS
 
 # Share of the descriptor limit that connections to workers may use. Clients may use up to 0.46 of it
 # (listeners/http/connection_admission.py). The remainder (30 descriptors at the smallest limit of 256) is for
@@ -99,6 +100,7 @@
             connect_timeout_ms=config.connect_timeout_ms,
             max_connections=int(config.sockets * UPSTREAM_DESCRIPTOR_RATIO),
             load_report_fields=config.settings.load_report_fields,
+            decision_margin_ms=DEADLINE_TICKS * config.settings.tick_ms,
             has_no_unread_input=platform.has_no_unread_input,
             was_transport_reset=platform.was_reset,
         )
@@ -215,7 +217,10 @@
         self.config = config
         self.settings = config.settings
         self.connection_pool.reconfigure(
-            config.worker_idle_timeout_ms, config.connect_timeout_ms, config.settings.load_report_fields
+            config.worker_idle_timeout_ms,
+            config.connect_timeout_ms,
+            config.settings.load_report_fields,
+            DEADLINE_TICKS * config.settings.tick_ms,
         )
         for listener in self._listeners:
             listener.reconfigure(config.settings)
--- a/plumpick/gateway/upstream/attempt.py
+++ b/plumpick/gateway/upstream/attempt.py
@@ -70,6 +70,7 @@
         "connect_task",
         "timer",
         "connect_timer",
+        "streaming_timer",
         "stream",
         "on_large_response",
         "response_sink",
@@ -121,6 +122,7 @@
         self.connect_task: asyncio.Task[Any] | None = None
         self.timer: Timer | None = None
         self.connect_timer: Timer | None = None
+        self.streaming_timer: Timer | None = None  # start of streaming of a response of unknown length
 
     def end(
         self,
@@ -135,7 +137,7 @@
         self.on_completed = None
         if on_completed is None:
             return
-        for timer in (self.timer, self.connect_timer):
+        for timer in (self.timer, self.connect_timer, self.streaming_timer):
             if timer is not None:
                 timer.cancel()
         if self.connect_task is not None:
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -34,6 +34,11 @@
         """Return the current time in ms."""
         raise NotImplementedError
 
+    def stream_before_deadline(self, attempt: Attempt, start: Callable[[Attempt], None]) -> None:
+        """Call `start(attempt)` shortly before the policy gives up the request, unless the attempt has
+        ended."""
+        raise NotImplementedError
+
     def on_request_written(self, attempt: Attempt) -> None:
         """Start the worker's time: the last byte of a streamed request has been written."""
         raise NotImplementedError
@@ -281,6 +286,20 @@
                 self.is_invalid = True  # the body of an error is not forwarded, so it is not worth streaming
             else:
                 self._start_streaming()
+        elif attempt.streaming_timer is None and self._is_of_unknown_length():
+            self.pool.stream_before_deadline(attempt, self._stream_incomplete_response)
+
+    def _is_of_unknown_length(self) -> bool:
+        return self.content_length < 0 and bool(self.parser.get_status_code() == 200)
+
+    def _stream_incomplete_response(self, attempt: Attempt) -> None:
+        """Stream a response of unknown length that is still being received although its time is nearly over:
+        it may be too large to be complete by then, and its first bytes are in time."""
+        if self.attempt is not attempt or attempt.response_sink is not None:
+            return
+        self._start_streaming()
+        if self.is_invalid:
+            self._fail(AttemptResult.ERROR)
 
     def _start_streaming(self) -> None:
         """Forward a response that is too large to be buffered to its client while it is received."""
--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -36,6 +36,8 @@
 MAX_RESTING_CONNECTIONS = 8
 # Connection errors that are not the worker's fault: this machine has no descriptor, port or memory left.
 LOCAL_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM)
+# Time by which the streaming of an incomplete response precedes the policy's decision on the overdue request.
+STREAMING_LEAD_MS = 10.0
 MAX_LOAD_VALUE = 1e6  # maximum value of a field of a load report; reports above it are ignored
 
 log = logging.getLogger(__name__)
@@ -55,6 +57,7 @@
         connect_timeout_ms: float,
         max_connections: int,
         load_report_fields: tuple[str, ...],
+        decision_margin_ms: float,
         has_no_unread_input: Callable[[Any], bool],
         was_transport_reset: Callable[[Any], bool] = lambda _transport: False,
     ) -> None:
@@ -64,16 +67,22 @@
         self._clock = clock
         self._timers = timers
         self._max_connections = max_connections
-        self.reconfigure(idle_timeout_ms, connect_timeout_ms, load_report_fields)
+        self.reconfigure(idle_timeout_ms, connect_timeout_ms, load_report_fields, decision_margin_ms)
         self._workers: dict[str, Worker] = {}
         self._connection_count = 0
         timers.call_at(clock.now() + SWEEP_INTERVAL_MS, self._sweep)
 
     def reconfigure(
-        self, idle_timeout_ms: float, connect_timeout_ms: float, load_report_fields: tuple[str, ...]
+        self,
+        idle_timeout_ms: float,
+        connect_timeout_ms: float,
+        load_report_fields: tuple[str, ...],
+        decision_margin_ms: float,
     ) -> None:
-        """Change the timeouts (`idle_timeout_ms`: that of the workers) and the fields of load reports. A
-        connection that is being opened keeps its timeout."""
+        """Change the timeouts (`idle_timeout_ms`: that of the workers), the fields of load reports, and the
+        time before an attempt's deadline at which the policy gives up its request. A connection that is being
+        opened keeps its timeout."""
+        self._decision_margin_ms = decision_margin_ms
         self._idle_timeout_ms = idle_timeout_ms * IDLE_TIMEOUT_RATIO
         self._connect_timeout_ms = connect_timeout_ms
         self._load_report_fields = load_report_fields
@@ -214,6 +223,13 @@
         """Return the current time in ms."""
         return self._clock.now()
 
+    def stream_before_deadline(self, attempt: Attempt, start: Callable[[Attempt], None]) -> None:
+        """Call `start(attempt)` shortly before the policy gives up the request, unless the attempt has
+        ended."""
+        due_ms = attempt.deadline_ms - self._decision_margin_ms - STREAMING_LEAD_MS
+        if due_ms < math.inf:
+            attempt.streaming_timer = self._timers.call_at(due_ms, lambda: start(attempt))
+
     def on_request_written(self, attempt: Attempt) -> None:
         """Start the worker's time and the timeout: the last byte of a streamed request has been written."""
         now = self._clock.now()
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -341,6 +341,54 @@
     run_with_raw_worker(scenario)
 
 
+@pytest.mark.parametrize("form", ["chunks", "end"])
+@pytest.mark.parametrize("has_policy", [True, False], ids=["policy", "stub"])
+def test_response_of_unknown_length_that_is_still_being_written_at_the_deadline_is_streamed(form, has_policy):
+    """Guards against picture (d) of the operators' letter: an answer of 140 to 210 kB, of unknown length and
+    slowly written, was cut off by a 502 or 503 at the deadline, as its first 64 KiB were still held back."""
+    part = bytes(range(250)) * 40
+    framing = {"chunks": b"Transfer-Encoding: chunked", "end": b"Connection: close"}[form]
+
+    async def scenario():
+        controller = None if has_policy else ControllerStub()
+        async with (
+            RawWorker() as worker,
+            RunningGateway(controller, known=[entry("w1", worker.port)]) as gate,
+        ):
+            client = await gate.client()
+            client.send(request(deadline=400))
+            reader, writer = await worker.accepted.get()
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+            started = asyncio.get_running_loop().time()
+            response = asyncio.ensure_future(read_response(client.reader))
+            for _ in range(15):  # 150,000 bytes in 1.8 s
+                writer.write(b"%x\r\n%s\r\n" % (len(part), part) if form == "chunks" else part)
+                await asyncio.sleep(0.12)
+            writer.write(b"0\r\n\r\n" if form == "chunks" else b"")
+            writer.write_eof()
+            status, _, body, is_complete = await response
+            assert (status, body, is_complete) == (200, part * 15, True)
+            assert asyncio.get_running_loop().time() - started < 3.0  # nothing is held back
+
+    run(scenario())
+
+
+def test_slow_response_of_known_small_length_is_given_up_at_the_deadline():
+    """Up to 64 KiB the last byte is timed, not the first."""
+
+    async def scenario():
+        async with RawWorker() as worker, RunningGateway(known=[entry("w1", worker.port)]) as gate:
+            client = await gate.client()
+            client.send(request(deadline=300))
+            reader, writer = await worker.accepted.get()
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + bytes(30_000))
+            assert (await client.read_response())[0] in (502, 503)
+
+    run(scenario())
+
+
 def test_head_request_gets_a_response_without_body():
     async def scenario(worker, gate, client):
         client.send(request().replace(b"GET", b"HEAD"))
