Fix: hundreds of slow streams stay within the memory budget

Cause: a read of up to 256 KiB is passed on whole to a connection that is full; the shares of the budget were dealt out one by one, several budgets together; and they were released while the client's buffer was full. Fix: all connections are read into one buffer of 64 KiB (16 KiB with many streams); a stream reserves its share from what is left and keeps it until delivered. It works because both bounds hold for each stream. The test of high water marks now also bounds their sum.

--- a/plumpick/gateway/attempt_runner.py
+++ b/plumpick/gateway/attempt_runner.py
@@ -102,12 +102,11 @@
         request.responding_attempt = attempt
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
-        self._streams.add(request)
+        share_bytes = self._streams.next_share_bytes()
+        self._streams.add(request, share_bytes)
         self._turn.post(ResponseStarted(attempt.request_id, attempt.number, attempt.worker_id))
         assert attempt.connection is not None
-        request.sink.start_response(
-            length, content_type, attempt.connection, self._streams.high_water_bytes()
-        )
+        request.sink.start_response(length, content_type, attempt.connection, share_bytes)
         return request.sink
 
     def _on_completed(
--- a/plumpick/gateway/body_streams.py
+++ b/plumpick/gateway/body_streams.py
@@ -9,9 +9,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from plumpick.gateway.listeners.interface import ResponseSink
 from plumpick.gateway.open_request import OpenRequest
+from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
-from plumpick.gateway.upstream.streaming_body import MemoryBudget, StreamingBody
+from plumpick.gateway.upstream.streaming_body import MIN_HIGH_WATER_BYTES, MemoryBudget, StreamingBody
 from plumpick.policy.events import AttemptResult
 
 RESPONSE_STALL_MS = 10_000.0  # time without progress after which a streamed response is aborted
@@ -24,33 +26,59 @@
 
     def __init__(self, total_bytes: int, now: Callable[[], float]) -> None:
         """`now` returns the current time in ms."""
+        self.read_buffer = ReadBuffer()
         self._now = now
         self._budget = MemoryBudget(total_bytes)
-        self._requests: dict[OpenRequest, None] = {}
+        self._requests: dict[OpenRequest, int] = {}  # reserved shares of the budget
+        # Reserved shares of ended requests, by the clients that have not taken the response yet.
+        self._undelivered: dict[ResponseSink, int] = {}
 
     def create(self, source: Any, length: int) -> StreamingBody:
-        """Create the body of `length` bytes (-1: unknown) that `source`, a PausableSource, provides. It takes
-        a share of the memory budget once its request is passed to `add`."""
-        return StreamingBody(source, length, self._budget.high_water_bytes(), self._now)
+        """Create the body of `length` bytes (-1: unknown) that `source`, a PausableSource, provides. Its
+        share of the memory budget is reserved once its request is passed to `add`."""
+        return StreamingBody(source, length, self._budget.next_share_bytes(), self._now)
 
-    def high_water_bytes(self) -> int:
+    def next_share_bytes(self) -> int:
         """Return how many bytes of a response may be buffered for its client before its source is paused."""
-        return self._budget.high_water_bytes()
+        return self._budget.next_share_bytes()
 
-    def add(self, request: OpenRequest) -> None:
-        """Register a request whose request or response body is now streamed."""
-        if request not in self._requests:
-            self._requests[request] = None
-            self._budget.stream_count += 1
+    def add(self, request: OpenRequest, share_bytes: int) -> None:
+        """Register a request whose request or response body is now streamed, with its share of the budget."""
+        share_bytes += self._release(request)
+        self._requests[request] = share_bytes
+        self._budget.reserve(share_bytes)
+        self.read_buffer.set_stream_count(self._budget.stream_count)
 
     def discard(self, request: OpenRequest) -> None:
-        """Remove a request that has ended; does nothing if it has no streamed body."""
-        if request in self._requests:
-            del self._requests[request]
-            self._budget.stream_count -= 1
+        """Remove a request that has ended; does nothing if it has no streamed body. Its share stays reserved
+        until its client has taken the response."""
+        if request not in self._requests:
+            return
+        share_bytes = self._release(request)
+        sink = request.sink
+        if request.responding_attempt is not None and sink.unwritten_bytes() >= MIN_HIGH_WATER_BYTES:
+            share_bytes += self._undelivered.pop(sink, 0)
+            self._undelivered[sink] = share_bytes
+            self._budget.reserved_bytes += share_bytes
+        self.read_buffer.set_stream_count(self._budget.stream_count)
+
+    def _release(self, request: OpenRequest) -> int:
+        """Release the share of a request and return it; 0 if it has none."""
+        share_bytes = self._requests.pop(request, None)
+        if share_bytes is None:
+            return 0
+        self._budget.release(share_bytes)
+        return share_bytes
+
+    def _release_delivered(self) -> None:
+        """Release the shares of ended requests whose clients have taken the response or disconnected."""
+        for sink in list(self._undelivered):
+            if sink.unwritten_bytes() < MIN_HIGH_WATER_BYTES:
+                self._budget.reserved_bytes -= self._undelivered.pop(sink)
 
     def sweep(self, now: float, on_upload_stalled: Callable[[OpenRequest], None]) -> None:
         """End the attempts of stalled responses, and call `on_upload_stalled` for stalled request bodies."""
+        self._release_delivered()
         for request in list(self._requests):
             attempt = request.responding_attempt
             if attempt is not None:
--- a/plumpick/gateway/compiled.py
+++ b/plumpick/gateway/compiled.py
@@ -56,6 +56,7 @@
     "plumpick/gateway/event_turn.py",
     "plumpick/gateway/gateway.py",
     "plumpick/gateway/open_request.py",
+    "plumpick/gateway/read_buffer.py",
     "plumpick/gateway/operator_commands.py",
     "plumpick/gateway/request_table.py",
     "plumpick/gateway/stall_detector.py",
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -92,18 +92,9 @@
         self.timers = Timers(loop, self.clock)
         # The policy's controller, which tests replace.
         self.controller: Any = controller or Controller(config.settings, config.seed)
-        self.connection_pool = ConnectionPool(
-            loop,
-            self.clock,
-            self.timers,
-            idle_timeout_ms=config.worker_idle_timeout_ms,
-            connect_timeout_ms=config.connect_timeout_ms,
-            max_connections=int(config.sockets * UPSTREAM_DESCRIPTOR_RATIO),
-            load_report_fields=config.settings.load_report_fields,
-            decision_margin_ms=DEADLINE_TICKS * config.settings.tick_ms,
-            has_no_unread_input=platform.has_no_unread_input,
-            was_transport_reset=platform.was_reset,
-        )
+        self._streams = BodyStreams(int(config.memory_mb * 2**20 * STREAM_MEMORY_RATIO), self.clock.now)
+        self.read_buffer = self._streams.read_buffer
+        self.connection_pool = self._create_connection_pool(loop, platform)
         self.peers = Peers(config, self.on_peer_message, platform.create_datagram_socket)
         # Callbacks besides the listeners' sweeps, called every SWEEP_INTERVAL_MS.
         self.sweeps: list[Callable[[float], None]] = []
@@ -116,7 +107,6 @@
         self._quota_health = QuotaHealth(config.settings.gateway_count, config.settings.gateway_number)
         self._init_lifecycle()
         self._turn = EventTurn(loop, self.clock, self.controller)
-        self._streams = BodyStreams(int(config.memory_mb * 2**20 * STREAM_MEMORY_RATIO), self.clock.now)
         self.requests = RequestTable(self.clock, self.timers, self._turn, self._streams)
         self._attempts = AttemptRunner(
             self.clock, self._turn, self.requests, self.connection_pool, self._streams
@@ -128,6 +118,22 @@
         self.timers.call_at(self.clock.now() + SWEEP_INTERVAL_MS, self._sweep)
         self.timers.call_at(self.clock.now() + REQUEST_ID_RETENTION_MS, self.requests.expire_ids)
 
+    def _create_connection_pool(self, loop: asyncio.AbstractEventLoop, platform: Platform) -> ConnectionPool:
+        config = self.config
+        return ConnectionPool(
+            loop,
+            self.clock,
+            self.timers,
+            self.read_buffer,
+            idle_timeout_ms=config.worker_idle_timeout_ms,
+            connect_timeout_ms=config.connect_timeout_ms,
+            max_connections=int(config.sockets * UPSTREAM_DESCRIPTOR_RATIO),
+            load_report_fields=config.settings.load_report_fields,
+            decision_margin_ms=DEADLINE_TICKS * config.settings.tick_ms,
+            has_no_unread_input=platform.has_no_unread_input,
+            was_transport_reset=platform.was_reset,
+        )
+
     def _init_lifecycle(self) -> None:
         self.is_ready = False  # readiness that listeners report; derived from the fields below
         self.is_draining = False  # whether each response closes its connection; derived from the fields below
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -20,10 +20,10 @@
 
 
 class ClientConnection(RequestReader):
-    """One connection of a client. It has the methods of asyncio.Protocol but does not derive from it, since a
-    compiled class cannot have an uncompiled base class. Its requests are answered one at a time, in order of
-    arrival. While a request is open, requests read together with it are queued and no further ones are
-    read."""
+    """One connection of a client. It has the methods of asyncio.BufferedProtocol but does not derive from it,
+    since a compiled class cannot have an uncompiled base class. Its requests are answered one at a time, in
+    order of arrival. While a request is open, requests read together with it are queued and no further ones
+    are read."""
 
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -38,7 +38,15 @@
         answered yet or the request is rejected."""
         raise NotImplementedError
 
-    # -- the transport's callback
+    # -- the transport's callbacks
+
+    def get_buffer(self, _size_hint: int) -> Any:
+        """Return the buffer for the next read."""
+        return self.gateway.read_buffer.view
+
+    def buffer_updated(self, size: int) -> None:
+        """Process the `size` bytes that were read into the buffer."""
+        self.data_received(self.gateway.read_buffer.take(size))
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, check the limits and serve the requests that are complete."""
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from plumpick.gateway.clock import Clock, Timers
+from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.policy.draining import AdmissionState
 from plumpick.policy.settings import RequestClass, Settings
 
@@ -48,6 +49,7 @@
     """A request's body that is forwarded while it is received (upstream/streaming_body.py)."""
 
     length: int
+    high_water_bytes: int
     is_started: bool
     is_complete: bool
     is_paused: bool
@@ -99,6 +101,9 @@
         """Send the final response: an HTTP status, with 200 also the worker's complete body and its content
         type. A `retry_after_ms` above 0 is sent as Retry-After."""
 
+    def unwritten_bytes(self) -> int:
+        """Return the number of response bytes not yet handed to the kernel; 0 if the client has gone."""
+
     def undelivered_bytes(self) -> int:
         """Return the number of response bytes that the client's machine has not acknowledged."""
 
@@ -148,6 +153,7 @@
     is_ready: bool  # readiness reported at `/up`
     is_draining: bool  # whether each response closes its connection
     admission_state: AdmissionState  # stage of draining, which determines further connections to close
+    read_buffer: ReadBuffer  # buffer into which connections are read
 
     def spare_descriptors(self) -> int:
         """Return how many descriptors reserved for workers may be used for clients now."""
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -67,7 +67,7 @@
         else:
             incoming.stream.last_progress_ms = now
             incoming.stream.on_paused = lambda: self._on_upload_paused(request)
-            self._streams.add(request)
+            self._streams.add(request, incoming.stream.high_water_bytes)
         self.open[request.id] = request
         # The policy gets a deadline for a streamed body too: its time has not begun, but its attempt must
         # start soon.
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -13,6 +13,7 @@
 import httptools
 
 from plumpick.gateway.config import WorkerEntry
+from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.request_encoding import encode_message
 from plumpick.gateway.upstream.streaming_body import MAX_BUFFERED_BODY_BYTES, StreamingBody
@@ -27,6 +28,7 @@
 class ConnectionOwner:
     """The connection pool as its connections use it; ConnectionPool derives from this class."""
 
+    read_buffer: ReadBuffer  # buffer into which connections are read
     has_no_unread_input: Callable[[Any], bool]  # whether neither bytes nor a close wait unread in the kernel
     was_transport_reset: Callable[[Any], bool]  # whether the peer reset the connection
 
@@ -73,8 +75,9 @@
 
 
 class WorkerConnection:
-    """One connection to a worker, which carries one attempt at a time. It has the methods of asyncio.Protocol
-    but does not derive from it, since a compiled class cannot have an uncompiled base class."""
+    """One connection to a worker, which carries one attempt at a time. It has the methods of
+    asyncio.BufferedProtocol but does not derive from it, since a compiled class cannot have an uncompiled
+    base class."""
 
     def __init__(self, pool: ConnectionOwner, worker: Worker) -> None:
         self.pool = pool
@@ -181,6 +184,14 @@
             self.is_reading_paused = False
             self.transport.resume_reading()
 
+    def get_buffer(self, _size_hint: int) -> Any:
+        """Return the buffer for the next read."""
+        return self.pool.read_buffer.view
+
+    def buffer_updated(self, size: int) -> None:
+        """Process the `size` bytes that were read into the buffer."""
+        self.data_received(self.pool.read_buffer.take(size))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; ends the attempt once its response is complete or invalid."""
         if self.attempt is None or self.is_closed:
--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -18,6 +18,7 @@
 
 from plumpick.gateway.clock import Clock, Timers
 from plumpick.gateway.config import WorkerEntry, WorkerList
+from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.connection import ConnectionOwner, Worker, WorkerConnection
 from plumpick.policy.events import AttemptResult, EndpointState
@@ -52,6 +53,7 @@
         loop: asyncio.AbstractEventLoop,
         clock: Clock,
         timers: Timers,
+        read_buffer: ReadBuffer,
         *,
         idle_timeout_ms: float,
         connect_timeout_ms: float,
@@ -61,6 +63,7 @@
         has_no_unread_input: Callable[[Any], bool],
         was_transport_reset: Callable[[Any], bool] = lambda _transport: False,
     ) -> None:
+        self.read_buffer = read_buffer
         self.has_no_unread_input = has_no_unread_input
         self.was_transport_reset = was_transport_reset
         self._loop = loop
--- a/plumpick/gateway/upstream/streaming_body.py
+++ b/plumpick/gateway/upstream/streaming_body.py
@@ -1,8 +1,8 @@
 """Streaming of request bodies that are too large to be buffered: they are forwarded while they are received.
 
 Backpressure: the source is paused while more bytes than the high water mark wait for the sink. All streamed
-requests and responses share one memory budget, and each has an equal share of it as its high water mark. No
-method raises. The owner of a stream must detect a stall by `last_progress_ms` and end the stream, and bound
+requests and responses share one memory budget, of which each has a share as its high water mark. No method
+raises. The owner of a stream must detect a stall by `last_progress_ms` and end the stream, and bound
 the time that `backpressure_ms` returns: the client may wait for its response during all of it."""
 
 from __future__ import annotations
@@ -15,27 +15,45 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # size above which a body is streamed
 MIN_HIGH_WATER_BYTES = 16 * 1024
 MAX_HIGH_WATER_BYTES = 256 * 1024
+MAX_SHARE_RATIO = 0.125  # maximum share of one stream in the part of the memory budget that is not reserved
 # Maximum number of bytes that a client has sent and this process has not read: those in the socket buffers of
 # both machines. While more of a body are missing, its client is certainly still sending.
 MAX_BYTES_IN_TRANSIT = 16 * 1024 * 1024
 
 
 class MemoryBudget:
-    """The number of bytes that all streams together may buffer, `total_bytes`, divided among them."""
+    """The number of bytes that all streams together may buffer, `total_bytes`.
+
+    Each stream reserves a share of it, its high water mark, until its bytes have been delivered. A share is
+    at most MAX_SHARE_RATIO of what is not reserved, so that something is left for later streams, and at least
+    MIN_HIGH_WATER_BYTES, by which the budget may be exceeded for each stream."""
 
     def __init__(self, total_bytes: int) -> None:
         self.total_bytes = max(MIN_HIGH_WATER_BYTES, total_bytes)
+        self.reserved_bytes = 0
         self.stream_count = 0
 
-    def high_water_bytes(self) -> int:
-        """Return the high water mark for one more stream."""
-        share_bytes = self.total_bytes // (self.stream_count + 1)
+    def next_share_bytes(self) -> int:
+        """Return the share of one more stream."""
+        share_bytes = int((self.total_bytes - self.reserved_bytes) * MAX_SHARE_RATIO)
         return max(MIN_HIGH_WATER_BYTES, min(MAX_HIGH_WATER_BYTES, share_bytes))
 
+    def reserve(self, share_bytes: int) -> None:
+        """Count the share of a new stream."""
+        self.reserved_bytes += share_bytes
+        self.stream_count += 1
+
+    def release(self, share_bytes: int) -> None:
+        """No longer count the share of a stream."""
+        self.reserved_bytes -= share_bytes
+        self.stream_count -= 1
+
 
 class BodySink(Protocol):
     """The receiver of a streamed request body: the connection to a worker."""
 
+    is_write_buffer_full: bool  # whether the sink can't take more bytes now
+
     def write_chunk(self, data: bytes) -> None:
         """Write the next bytes of the body."""
 
@@ -97,7 +115,7 @@
             sink.write_chunk(data)
         if self.is_complete:
             sink.finish()
-        elif self.sink is sink:
+        elif self.sink is sink and not sink.is_write_buffer_full:
             self.resume()
 
     def detach(self, sink: BodySink) -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -645,6 +645,8 @@
 class RecordingEndpoint:
     """A source or sink of a body that records the calls it gets."""
 
+    is_write_buffer_full = False
+
     def __init__(self):
         self.calls = []
 
@@ -678,12 +680,19 @@
     budget = MemoryBudget(16 * 2**20)
     high_water_marks = []
     for _ in range(100):
-        high_water_marks.append(budget.high_water_bytes())
-        budget.stream_count += 1
+        high_water_marks.append(budget.next_share_bytes())
+        budget.reserve(high_water_marks[-1])
     assert high_water_marks[0] == MAX_HIGH_WATER_BYTES
     assert all(mark * count <= 16 * 2**20 for count, mark in enumerate(high_water_marks, 1))
-    budget.stream_count = 10**6
-    assert budget.high_water_bytes() == MIN_HIGH_WATER_BYTES and MAX_BUFFERED_BODY_BYTES == 65536
+    assert budget.reserved_bytes == sum(high_water_marks) <= 16 * 2**20 + 100 * MIN_HIGH_WATER_BYTES
+    for _ in range(10**4):
+        high_water_marks.append(budget.next_share_bytes())
+        budget.reserve(high_water_marks[-1])
+    assert high_water_marks[-1] == MIN_HIGH_WATER_BYTES and MAX_BUFFERED_BODY_BYTES == 65536
+    assert sum(high_water_marks) <= 16 * 2**20 + len(high_water_marks) * MIN_HIGH_WATER_BYTES
+    for mark in high_water_marks:
+        budget.release(mark)
+    assert budget.reserved_bytes == budget.stream_count == 0
 
 
 def test_concurrent_large_responses_share_the_memory_budget():
