Fix: a client that takes no response is served no further request

Cause: a full write buffer paused only the source of a streamed response; buffered responses were added to it without a bound, and no limit of time applied. Evidence: the unwritten bytes of such a connection grew with each request. The order and completeness of the responses is kept for a client that reads on.

--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -52,14 +52,15 @@
     # -- serving of pipelined requests in order
 
     def serve_next(self) -> None:
-        """Serve pipelined requests until one is open, the connection closes or reading is paused.
+        """Serve pipelined requests until one is open, the connection closes, reading is paused or the client
+        does not take the responses.
 
         While reading is suspended, a disconnect of the client is not read. So it is checked first, and the
         requests of a client that has disconnected are dropped."""
         if self.is_reading_suspended and self.pipelined and self.has_disconnected():
             self.abort()
             return
-        while self.open_request is None and not self.is_closing and not self.is_paused:
+        while self.open_request is None and not self._is_serving_suspended():
             if not self.pipelined:
                 if self._stream_incoming():
                     continue
@@ -77,6 +78,9 @@
                 self._submit(parsed)
         self.update_reading()
 
+    def _is_serving_suspended(self) -> bool:
+        return self.is_closing or self.is_paused or self.is_response_unread
+
     def _stream_incoming(self) -> bool:
         """Start to stream the request being read if its body is too large to be buffered. Returns whether it
         was submitted and accepted."""
@@ -97,7 +101,7 @@
     def start_stream(self, parsed: ParsedRequest) -> bool:
         """Submit a request whose body is too large to be buffered. Returns False if earlier requests are not
         answered yet or the request is rejected."""
-        if self.open_request is not None or self.pipelined or self.is_closing or self.is_paused:
+        if self.open_request is not None or self.pipelined or self._is_serving_suspended():
             return False
         if parsed.error_status:
             return False
@@ -150,13 +154,14 @@
     # -- flow control of reading
 
     def update_reading(self) -> None:
-        """Suspend reading while requests wait behind an open one, otherwise resume it."""
+        """Suspend reading while requests wait behind an open one or the client does not take the responses,
+        otherwise resume it."""
         transport = self.transport
         if transport is None or self.is_closing or self.is_paused or transport.is_closing():
             return
         next_incoming = self.incoming if self.incoming is not self.current else None
         has_next = bool(self.pipelined) or next_incoming is not None
-        must_suspend = self.open_request is not None and has_next
+        must_suspend = self.is_response_unread or self.open_request is not None and has_next
         if must_suspend and not self.is_reading_suspended:
             self.is_reading_suspended = True
             transport.pause_reading()
--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -1,8 +1,9 @@
 """Admission and eviction of client connections: limits on their number, their idle time and their requests.
 
-A connection is in one of three tables: awaiting a request (it is new, or a request is partly received), idle
-after a response, or closing. While one of its requests is open it is in none of them. Each table is ordered
-by time. No method raises; a connection that exceeds a limit is closed."""
+A connection is in one of four tables: awaiting a request (it is new, or a request is partly received), idle
+after a response, unread (its client does not take the responses), or closing. While one of its requests is
+open it is in none of them. Each table is ordered by time. No method raises; a connection that exceeds a limit
+is closed."""
 
 from __future__ import annotations
 
@@ -88,6 +89,8 @@
         self.connections: dict[AdmittedConnection, None] = {}  # all open connections in order of arrival
         self._awaiting_request: dict[AdmittedConnection, float] = {}  # start of the time limit by connection
         self._idle: dict[AdmittedConnection, float] = {}  # time of the latest response by connection
+        # Start of a full write buffer, or time of the latest progress, by connection.
+        self._unread: dict[AdmittedConnection, float] = {}
         # Start of closing, or time of the latest progress, by connection.
         self._closing: dict[AdmittedConnection, float] = {}
         self._last_sweep_ms = now  # time of the last sweep; below 0 until the first sweep
@@ -138,9 +141,12 @@
         self._remove_from_tables(connection)
 
     def _remove_from_tables(self, connection: AdmittedConnection) -> None:
-        for table in (self._awaiting_request, self._idle, self._closing):
+        for table in self._tables():
             table.pop(connection, None)
 
+    def _tables(self) -> tuple[dict[AdmittedConnection, float], ...]:
+        return self._awaiting_request, self._idle, self._unread, self._closing
+
     def on_request_started(self, connection: AdmittedConnection, now: float) -> None:
         """Start the time limit of a request whose first byte was received. For the first request of a
         connection it already runs from the connection's arrival."""
@@ -161,6 +167,14 @@
         """Record a connection as idle after a response."""
         self._idle[connection] = now
 
+    def on_response_unread(self, connection: AdmittedConnection, now: float) -> None:
+        """Record a connection whose client does not take its responses: the write buffer is full."""
+        self._unread[connection] = now
+
+    def on_response_read(self, connection: AdmittedConnection) -> None:
+        """Remove a connection from the unread ones: its client has taken the responses."""
+        self._unread.pop(connection, None)
+
     def on_closing(self, connection: AdmittedConnection, now: float) -> None:
         """Record a connection as closing: this side of it has been shut down."""
         self._remove_from_tables(connection)
@@ -195,7 +209,7 @@
         new = [conn for conn in unstarted if now - self._awaiting_request[conn] <= NEW_CONNECTION_MS]
         stopped = [conn for conn in started if now - conn.last_activity_ms > STOPPED_SENDING_MS]
         sending = [conn for conn in started if now - conn.last_activity_ms <= STOPPED_SENDING_MS]
-        eviction_order = [*self._closing, *old, *self._idle, *stopped, *new, *sending]
+        eviction_order = [*self._closing, *self._unread, *old, *self._idle, *stopped, *new, *sending]
         for connection in eviction_order[:excess]:
             self.remove(connection)
             connection.abort()
@@ -226,12 +240,13 @@
         stalled_ms = self.sweep_delay_ms(now)
         self._last_sweep_ms = now
         if stalled_ms > STALL_THRESHOLD_MS:
-            for table in (self._awaiting_request, self._idle, self._closing):
+            for table in self._tables():
                 for connection in table:
                     table[connection] += stalled_ms
             return
         self._time_out_requests(now, SHUTDOWN_REQUEST_TIMEOUT_MS if is_shutting_down else REQUEST_TIMEOUT_MS)
         self._close_idle(now)
+        self._end_unread(now, is_shutting_down)
         self._end_lingering(now, is_shutting_down)
 
     def _time_out_requests(self, now: float, timeout_ms: float) -> None:
@@ -264,19 +279,23 @@
         for connection in idle:
             connection.close_if_idle()
 
+    def _end_unread(self, now: float, is_shutting_down: bool) -> None:
+        """Close the connections whose client has stopped taking its responses."""
+        timeout_ms = _unread_timeout_ms(is_shutting_down)
+        for connection in [conn for conn, since in self._unread.items() if now - since > LINGER_MS]:
+            if _is_still_reading(connection):
+                self._unread[connection] = now
+            elif now - self._unread[connection] > timeout_ms:
+                connection.abort()
+
     def _end_lingering(self, now: float, is_shutting_down: bool) -> None:
         """Close the half-closed connections whose client has read its response and sends nothing more, sends
         for too long, or has stopped reading."""
         linger_ms = SHUTDOWN_LINGER_MS if is_shutting_down else LINGER_MS
-        unread_timeout_ms = (
-            SHUTDOWN_UNREAD_RESPONSE_TIMEOUT_MS if is_shutting_down else UNREAD_RESPONSE_TIMEOUT_MS
-        )
+        unread_timeout_ms = _unread_timeout_ms(is_shutting_down)
         for connection in [conn for conn, since in self._closing.items() if now - since > linger_ms]:
             unwritten = connection.unwritten_bytes()
-            undelivered = connection.undelivered_bytes() if unwritten else 0
-            before = connection.undelivered_at_last_sweep
-            connection.undelivered_at_last_sweep = undelivered
-            if unwritten and undelivered != before:  # the client is still reading
+            if unwritten and _is_still_reading(connection):
                 self._closing[connection] = now
             elif unwritten and now - self._closing[connection] <= unread_timeout_ms:
                 continue
@@ -289,3 +308,15 @@
     @staticmethod
     def _may_linger_on(connection: AdmittedConnection, now: float) -> bool:
         return connection.received_while_closing and now - connection.closing_since_ms < MAX_LINGER_MS
+
+
+def _unread_timeout_ms(is_shutting_down: bool) -> float:
+    return SHUTDOWN_UNREAD_RESPONSE_TIMEOUT_MS if is_shutting_down else UNREAD_RESPONSE_TIMEOUT_MS
+
+
+def _is_still_reading(connection: AdmittedConnection) -> bool:
+    """Whether the client has taken response bytes since the latest call."""
+    undelivered = connection.undelivered_bytes()
+    before = connection.undelivered_at_last_sweep
+    connection.undelivered_at_last_sweep = undelivered
+    return undelivered != before
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -77,6 +77,9 @@
         self.is_unreadable = False  # whether further input cannot be parsed, after a malformed request
         self.is_paused = False  # whether reading pauses after a bad request
         self.is_reading_suspended = False  # whether reading is suspended for an open request or its body
+        self.is_write_buffer_full = False  # whether the event loop has called pause_writing
+        # Whether the next request waits until the client has taken earlier responses.
+        self.is_response_unread = False
         # Whether the connection was transferred by the predecessor of a hot restart.
         self.is_inherited = False
 
--- a/plumpick/gateway/listeners/http/response_writer.py
+++ b/plumpick/gateway/listeners/http/response_writer.py
@@ -95,6 +95,11 @@
         if close:
             self.close_gracefully()
             return
+        if self.is_write_buffer_full:  # otherwise a client that reads nothing would fill the memory
+            self.is_response_unread = True
+            self.listener.admission.on_response_unread(self, self.gateway.clock.now())
+            self.update_reading()
+            return
         if self.pipelined or self.incoming is not None:
             self.request_started = True
             self.listener.on_request_started(self)
@@ -158,13 +163,21 @@
     def pause_writing(self) -> None:
         """Pause the source of a streamed response, as the write buffer is full. If the client reads nothing,
         the sweep closes the connection."""
+        self.is_write_buffer_full = True
         if self.response_source is not None:
             self.response_source.pause()
 
     def resume_writing(self) -> None:
-        """Resume the source of a streamed response, as the write buffer has room again."""
+        """Resume the source of a streamed response, or go on with the next request, as the write buffer has
+        room again."""
+        self.is_write_buffer_full = False
         if self.response_source is not None:
             self.response_source.resume()
+        if self.is_response_unread:
+            self.is_response_unread = False
+            if not self.is_closing:
+                self.listener.admission.on_response_read(self)
+                self._on_response_written(close=False)
 
     # -- closing the connection
 
--- a/tests/gateway/listeners/http/test_connection_closing.py
+++ b/tests/gateway/listeners/http/test_connection_closing.py
@@ -130,6 +130,80 @@
     run_with_worker(scenario)
 
 
+async def close_and_wait(gate, client):
+    client.close()
+    while gate.listener.admission.connections:
+        await asyncio.sleep(0.01)
+
+
+PIPELINED = 12
+
+
+async def pipeline_without_reading(worker, gate, body):
+    """Let a client write PIPELINED requests one by one and read nothing, and a worker answer each with
+    `body`; returns the client, its connection and the tasks of client and worker."""
+    plug = SocketClient(gate.port, receive_buffer_bytes=4096)
+    while not gate.listener.admission.connections:
+        await asyncio.sleep(0.01)
+    (connection,) = gate.listener.admission.connections
+    shrink_send_buffer(connection)
+
+    async def write():
+        plug.connection.setblocking(False)
+        for _ in range(PIPELINED):
+            await asyncio.get_running_loop().sock_sendall(plug.connection, request(deadline=20_000))
+            await asyncio.sleep(0.02)
+
+    async def answer():
+        while True:
+            _, writer = await worker.next_request()
+            writer.write(http_response(body=body))
+
+    return plug, connection, [asyncio.ensure_future(write()), asyncio.ensure_future(answer())]
+
+
+def test_client_that_reads_no_response_is_served_no_further_request():
+    """Guards against picture (b) of the operators' letter: memory grew without end for a client that sent on
+    and on and read nothing, as each response was added to the unwritten ones."""
+
+    async def scenario(worker, gate, client):
+        await close_and_wait(gate, client)
+        body = bytes(60_000)
+        plug, connection, tasks = await pipeline_without_reading(worker, gate, body)
+        await asyncio.sleep(1.5)
+        assert 0 < connection.unwritten_bytes() <= 3 * len(body)
+        received = 0
+        while received < PIPELINED * len(body):  # then it reads, and gets every response
+            data = await plug.receive(2**20)
+            assert data
+            received += len(data)
+        for task in tasks:
+            task.cancel()
+        plug.close()
+
+    run_with_worker(scenario)
+
+
+def test_client_that_reads_no_response_for_long_is_disconnected():
+    async def scenario(worker, gate, client):
+        await close_and_wait(gate, client)
+        plug, connection, tasks = await pipeline_without_reading(worker, gate, bytes(60_000))
+        admission = gate.listener.admission
+        while not admission._unread:
+            await asyncio.sleep(0.01)
+        now = gate.gateway.clock.now()
+        admission._end_unread(now + 5000.0, False)
+        admission._end_unread(now + 5000.0 + UNREAD_RESPONSE_TIMEOUT_MS - 100.0, False)
+        assert not connection.is_closing
+        admission._end_unread(now + 5000.0 + UNREAD_RESPONSE_TIMEOUT_MS + 100.0, False)
+        assert connection.is_closing
+        for task in tasks:
+            task.cancel()
+        plug.close()
+
+    run_with_worker(scenario)
+
+
 def test_reader_that_empties_only_the_kernels_buffer_is_not_taken_for_a_stopped_one():
     """Guards against a neighbour of review/9: the rest of a response was dropped after 10 s without a write,
     though its client was reading what the kernel held."""
