Fix: one connection at full speed no longer holds the event loop

Cause: the event loop reads a connection up to 32 times before the others while its reads are full, and each chunk of a streamed body was forwarded by a write of its own. Fix: after a full read a connection waits for the next iteration; a read's part of a body is forwarded in one piece, for requests and responses.

--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -22,6 +22,7 @@
 )
 from plumpick.gateway.listeners.http.response_writer import ResponseWriter
 from plumpick.gateway.listeners.http.upgrade_offer import FRAMING_HEADERS, feed_parser
+from plumpick.gateway.read_buffer import yield_reading
 
 
 class RequestReader(ResponseWriter):
@@ -30,6 +31,7 @@
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
         self.parser: Any = httptools.HttpRequestParser(self)
+        self.stream_parts: list[bytes] = []  # parts of a streamed body that the current read contained
 
     # -- implemented by ClientConnection
 
@@ -46,7 +48,18 @@
 
     def buffer_updated(self, size: int) -> None:
         """Process the `size` bytes that were read into the buffer."""
-        self.data_received(self.gateway.read_buffer.take(size))
+        buffer = self.gateway.read_buffer
+        is_filled = buffer.is_filled_by(size)
+        self.data_received(buffer.take(size))
+        if is_filled and self._may_read():
+            yield_reading(self.transport, self._may_read)  # type: ignore[arg-type]
+
+    def _may_read(self) -> bool:
+        """Whether neither flow control nor the end of the connection forbids reading."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        return not self.is_reading_suspended and not self.is_paused
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, check the limits and serve the requests that are complete."""
@@ -59,6 +72,8 @@
         except httptools.HttpParserError:
             self._reject_unparsable()
         incoming = self.incoming
+        if incoming is not None and incoming.stream is not None:
+            self._forward_stream_parts(incoming)
         if incoming is not None and not incoming.error_status:
             incoming.raw_bytes += len(data)
             if incoming.in_head and incoming.raw_bytes > MAX_HEAD_BYTES:
@@ -184,14 +199,22 @@
             return
         incoming.body_received_bytes += len(part)
         if incoming.stream is not None:
-            incoming.stream.last_progress_ms = self.gateway.clock.now()
-            if self.open_request is not None:
-                incoming.stream.feed(part)
+            self.stream_parts.append(part)
             return
         incoming.body += part
         if len(incoming.body) > MAX_BUFFERED_BODY_BYTES:
             self.start_stream(incoming)
 
+    def _forward_stream_parts(self, incoming: ParsedRequest) -> None:
+        """Forward what a read contained of a streamed body: in one piece, however small its chunks are."""
+        parts = self.stream_parts
+        if not parts:
+            return
+        self.stream_parts = []
+        incoming.stream.last_progress_ms = self.gateway.clock.now()
+        if self.open_request is not None:
+            incoming.stream.feed(parts[0] if len(parts) == 1 else b"".join(parts))
+
     def framing_fields(self) -> bytes | None:
         """Return the header lines that delimit the body of the request being read; None if it has been
         rejected."""
@@ -215,8 +238,9 @@
         incoming.received_ms = self.gateway.clock.now()
         if incoming.stream is None:
             self.pipelined.append(incoming)
-        elif self.open_request is not None and incoming is self.current:
-            self.gateway.on_body_complete(
-                self.open_request
-            )  # first: the worker's time ends with the request's
+            return
+        self._forward_stream_parts(incoming)
+        if self.open_request is not None and incoming is self.current:
+            # Before the stream ends: the worker's time, which begins then, ends with that of the request.
+            self.gateway.on_body_complete(self.open_request)
             incoming.stream.finish()
--- a/plumpick/gateway/read_buffer.py
+++ b/plumpick/gateway/read_buffer.py
@@ -4,6 +4,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+
 MAX_READ_BYTES = 64 * 1024
 CROWDED_READ_BYTES = 16 * 1024
 CROWDED_STREAMS = 64  # number of streams above which a read is limited to CROWDED_READ_BYTES
@@ -22,6 +25,23 @@
         if len(self.view) != size:
             self.view = self._memory[:size]
 
+    def is_filled_by(self, size: int) -> bool:
+        """Whether a read of `size` bytes has filled the buffer, so that more bytes probably wait."""
+        return size >= len(self.view)
+
     def take(self, size: int) -> bytes:
         """Return a copy of the first `size` bytes, which a read has filled."""
         return bytes(self._memory[:size])
+
+
+def yield_reading(transport: asyncio.Transport, may_resume: Callable[[], bool]) -> None:
+    """Stop reading a connection until the next iteration of the event loop, which would otherwise read it up
+    to 32 times before any other. Then it is read again if `may_resume()`, which tells whether nobody else has
+    suspended reading meanwhile."""
+
+    def resume() -> None:
+        if may_resume():
+            transport.resume_reading()
+
+    transport.pause_reading()
+    asyncio.get_running_loop().call_soon(resume)
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -13,7 +13,7 @@
 import httptools
 
 from plumpick.gateway.config import WorkerEntry
-from plumpick.gateway.read_buffer import ReadBuffer
+from plumpick.gateway.read_buffer import ReadBuffer, yield_reading
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.request_encoding import encode_message
 from plumpick.gateway.upstream.streaming_body import MAX_BUFFERED_BODY_BYTES, StreamingBody
@@ -190,7 +190,15 @@
 
     def buffer_updated(self, size: int) -> None:
         """Process the `size` bytes that were read into the buffer."""
-        self.data_received(self.pool.read_buffer.take(size))
+        buffer = self.pool.read_buffer
+        is_filled = buffer.is_filled_by(size)
+        self.data_received(buffer.take(size))
+        if is_filled and self._may_read():
+            yield_reading(self.transport, self._may_read)  # type: ignore[arg-type]
+
+    def _may_read(self) -> bool:
+        """Whether neither flow control nor the end of the connection forbids reading."""
+        return self.transport is not None and not self.is_closed and not self.is_reading_paused
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; ends the attempt once its response is complete or invalid."""
@@ -206,6 +214,7 @@
                 self._fail(AttemptResult.ERROR)
                 return
             self.has_excess = True
+        self._forward_chunks()
         if not self._is_busy():  # the attempt was cancelled while its response was being parsed
             return
         if self.is_response_complete and not self.is_invalid:
@@ -287,11 +296,9 @@
         if self.is_response_complete or self.is_invalid or attempt is None:
             return
         self.body_bytes += len(chunk)
+        self.chunks.append(chunk)
         if attempt.response_sink is not None:
-            attempt.last_progress_ms = self.pool.now()
-            attempt.response_sink.write_chunk(chunk)
             return
-        self.chunks.append(chunk)
         if self.body_bytes > MAX_BUFFERED_BODY_BYTES:
             if self.parser.get_status_code() != 200:
                 self.is_invalid = True  # the body of an error is not forwarded, so it is not worth streaming
@@ -329,10 +336,18 @@
         attempt.last_progress_ms = now
         if attempt.timer is not None:  # from now on the attempt has no timeout, only stall detection
             attempt.timer.cancel()
+        self._forward_chunks()
+
+    def _forward_chunks(self) -> None:
+        """Forward what has been received of a streamed response: in one piece, however small its chunks
+        are."""
+        attempt = self.attempt
         chunks = self.chunks
+        if attempt is None or attempt.response_sink is None or not chunks:
+            return
         self.chunks = []
-        for chunk in chunks:
-            sink.write_chunk(chunk)
+        attempt.last_progress_ms = self.pool.now()
+        attempt.response_sink.write_chunk(chunks[0] if len(chunks) == 1 else b"".join(chunks))
 
     def on_message_begin(self) -> None:
         """Parser callback: a response begins. A second response to the same request is excess."""
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -18,6 +18,8 @@
 )
 from support.raw_client import RawWorker, read_head, read_response
 
+from plumpick.gateway.listeners.http.connection import ClientConnection
+from plumpick.gateway.upstream.connection import WorkerConnection
 from plumpick.gateway.upstream.streaming_body import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_BYTES_IN_TRANSIT,
@@ -642,6 +644,68 @@
 # -- units
 
 
+def count_reads_by_iteration(monkeypatch, kind, loop):
+    """Count the reads of connections of this class in each iteration of the event loop; returns the counts."""
+    counts = [0]
+    original = kind.buffer_updated
+
+    def next_iteration():
+        counts.append(0)
+        loop.call_soon(next_iteration)
+
+    def counted(connection, size):
+        counts[-1] += 1
+        original(connection, size)
+
+    monkeypatch.setattr(kind, "buffer_updated", counted)
+    loop.call_soon(next_iteration)
+    return counts
+
+
+@pytest.mark.parametrize("kind", [ClientConnection, WorkerConnection])
+def test_connection_with_many_bytes_is_read_once_in_an_iteration_of_the_event_loop(kind, monkeypatch):
+    """Guards against picture (b) of the operators' letter: beside one client that sent an upload in chunks
+    of one byte at full speed others waited for 2 s, as its connection was read 32 times before theirs."""
+
+    async def scenario(worker, gate, _client):
+        counts = count_reads_by_iteration(monkeypatch, kind, asyncio.get_running_loop())
+        client = await gate.client()
+        client.send(upload(bytes(BIG), "length"))
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        await reader.readexactly(BIG)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BIG + bytes(BIG))
+        assert await read_response(client.reader) == (200, {"content-length": str(BIG)}, bytes(BIG), True)
+        assert sum(counts) > 20 and max(counts) <= 2
+
+    run_with_raw_worker(scenario)
+
+
+@pytest.mark.parametrize("direction", ["request", "response"])
+def test_chunks_of_one_byte_are_forwarded_in_one_piece_for_each_read(direction):
+    """Guards against picture (b) of the operators' letter: each chunk of one byte was a write of its own."""
+    tiny = b"".join(b"1\r\n%c\r\n" % (number % 250) for number in range(100_000)) + b"0\r\n\r\n"
+    head = (
+        request(path="/debit", body=b"x").split(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+
+    async def scenario(worker, gate, client):
+        client.send(head + tiny if direction == "request" else request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        if direction == "response":
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + tiny)
+            reader = client.reader
+            assert " 200 " in await read_head(reader)
+        pieces, body = 0, b""
+        while size := int(await reader.readline(), 16):
+            pieces += 1
+            body += (await reader.readexactly(size + 2))[:-2]
+        assert body == bytes(number % 250 for number in range(100_000)) and pieces < 200
+
+    run_with_raw_worker(scenario)
+
+
 class RecordingEndpoint:
     """A source or sink of a body that records the calls it gets."""
 
