Fix: nothing is sent on for a client that left while it was not read

Cause: a connection that is not read does not tell of its close; an upload held back by its worker, what is read after a pause, and an attempt that connects late did not ask the operating system. Evidence: the worker got all 8,388,608 bytes of an upload whose client had left.

--- a/plumpick/gateway/attempt_runner.py
+++ b/plumpick/gateway/attempt_runner.py
@@ -72,6 +72,7 @@
             request.is_head,
             self._on_large_response,
             self._on_stream_started,
+            request.sink,
         )
         attempt.start_by_ms = self._turn.started_ms + action.start_within_ms
         requests.attempts[request.id, number] = attempt
--- a/plumpick/gateway/body_streams.py
+++ b/plumpick/gateway/body_streams.py
@@ -76,6 +76,12 @@
             if sink.unwritten_bytes() < MIN_HIGH_WATER_BYTES:
                 self._budget.reserved_bytes -= self._undelivered.pop(sink)
 
+    def paused_uploads(self) -> list[OpenRequest]:
+        """Return the requests whose client is not read because their worker takes nothing."""
+        return [
+            request for request in self._requests if request.stream is not None and request.stream.is_paused
+        ]
+
     def sweep(self, now: float, on_upload_stalled: Callable[[OpenRequest], None]) -> None:
         """End the attempts of stalled responses, and call `on_upload_stalled` for stalled request bodies."""
         self._release_delivered()
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -318,6 +318,7 @@
         if line:
             log.warning(line)
         self.timers.call_at(now + SWEEP_INTERVAL_MS, self._sweep)
+        self.requests.end_abandoned_uploads()
         self._streams.sweep(now, self.requests.on_upload_stalled)
         for listener in self._listeners:
             listener.sweep(now, self.is_closing_connections)
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -141,6 +141,7 @@
         )
         transport.pause_reading()
         self.is_paused = True
+        self.has_backlog = True
         pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(self.rejected_requests, MAX_PAUSE_DOUBLINGS))
         self.rejected_requests += 1
         self.gateway.timers.call_at(self.gateway.clock.now() + pause_ms, self._end_pause)
@@ -164,6 +165,7 @@
         must_suspend = self.is_response_unread or self.open_request is not None and has_next
         if must_suspend and not self.is_reading_suspended:
             self.is_reading_suspended = True
+            self.has_backlog = True
             transport.pause_reading()
         elif self.is_reading_suspended and not must_suspend and not self._is_stream_paused():
             self.is_reading_suspended = False
@@ -180,6 +182,7 @@
         """Stop reading, as the source of a streamed body."""
         if self.transport is not None and not self.is_closing:
             self.is_reading_suspended = True
+            self.has_backlog = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -77,6 +77,8 @@
         self.is_unreadable = False  # whether further input cannot be parsed, after a malformed request
         self.is_paused = False  # whether reading pauses after a bad request
         self.is_reading_suspended = False  # whether reading is suspended for an open request or its body
+        # Whether bytes may have waited unread since reading was suspended, while the client left.
+        self.has_backlog = False
         self.is_write_buffer_full = False  # whether the event loop has called pause_writing
         # Whether the next request waits until the client has taken earlier responses.
         self.is_response_unread = False
@@ -84,12 +86,14 @@
         self.is_inherited = False
 
     def has_disconnected(self) -> bool:
-        """Whether the client has disconnected. While reading is suspended or paused, or after a stall of this
-        process, a disconnect may not have been read yet: then the operating system is queried."""
+        """Whether the client has disconnected. While reading is suspended or paused, until all that came
+        meanwhile has been read, and after a stall of this process, a disconnect may not have been read yet:
+        then the operating system is queried."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return True
-        if self.is_reading_suspended or self.is_paused or self.gateway.has_stalled():
+        is_read = not self.is_reading_suspended and not self.is_paused and not self.has_backlog
+        if not is_read or self.gateway.has_stalled():
             return self.listener.has_peer_closed(transport)
         return False
 
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -66,6 +66,8 @@
         if self.is_closing or self.is_unreadable:
             self.received_while_closing = True
             return
+        if self.has_backlog and not self._is_backlog_wanted():
+            return
         self.last_activity_ms = self.gateway.clock.now()
         try:
             feed_parser(self, data)
@@ -87,6 +89,16 @@
                 self._reject_incoming(incoming, 413)
         self.serve_next()
 
+    def _is_backlog_wanted(self) -> bool:
+        """Whether the client is still there, of which bytes are read that may have waited for long. If not,
+        the connection is closed: its requests must not be sent on."""
+        transport = self.transport
+        if self.listener.has_peer_closed(transport):
+            self.abort()
+            return False
+        self.has_backlog = not self.listener.has_no_unread_input(transport)
+        return True
+
     def _reject_unparsable(self) -> None:
         """Reject malformed input with status 400 after the responses to earlier requests."""
         incoming = self.incoming
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -139,6 +139,13 @@
             if request.stream is not None or request.responding_attempt is not None:
                 self._cancel_attempts(request)
 
+    def end_abandoned_uploads(self) -> None:
+        """Close the requests whose clients have disconnected while they were not read."""
+        for request in self._streams.paused_uploads():
+            if request.sink.has_disconnected():
+                self.on_disconnect(request)
+                request.sink.abort()
+
     def _on_deadline(self, request: OpenRequest) -> None:
         """Answer 504: the client is about to time out, or this process to exit, without a response."""
         if self.close(request):
--- a/plumpick/gateway/upstream/attempt.py
+++ b/plumpick/gateway/upstream/attempt.py
@@ -31,6 +31,13 @@
         """Break off the response: the rest of its body is lost."""
 
 
+class AttemptClient(Protocol):
+    """The client whose request an attempt executes."""
+
+    def has_disconnected(self) -> bool:
+        """Whether the client has disconnected, even if the event loop has not processed that yet."""
+
+
 class AttemptConnection(Protocol):
     """The worker connection that carries an attempt."""
 
@@ -75,6 +82,7 @@
         "on_large_response",
         "response_sink",
         "is_head",
+        "client",
         "timeout_ms",
         "response_started_ms",
         "last_progress_ms",
@@ -98,6 +106,7 @@
         is_head: bool = False,
         on_large_response: Callable[[Attempt, int, bytes], ResponseBodySink | None] | None = None,
         on_stream_started: Callable[[Attempt], None] | None = None,
+        client: AttemptClient | None = None,
     ) -> None:
         self.request_id = request_id
         self.number = number
@@ -108,6 +117,7 @@
         self.deadline_ms = deadline_ms
         self.stream = stream
         self.is_head = is_head
+        self.client = client
         self.on_completed: OnCompleted | None = on_completed
         self.on_large_response = on_large_response
         self.on_stream_started = on_stream_started
--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -273,7 +273,8 @@
         if attempt.connect_timer is not None:
             attempt.connect_timer.cancel()
         is_up = not task.cancelled() and problem is None and not connection.is_closed
-        if is_up and self._may_send(worker, attempt):
+        is_wanted = attempt.client is None or not attempt.client.has_disconnected()
+        if is_up and is_wanted and self._may_send(worker, attempt):
             connection.send(attempt)
             return
         connection.abort()  # no byte of the request was written
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -12,8 +12,10 @@
     RunningGateway,
     SocketClient,
     entry,
+    http_response,
     request,
     run,
+    run_with_worker,
     shrink_send_buffer,
 )
 from support.raw_client import RawWorker, read_head, read_response
@@ -581,6 +583,77 @@
     run_with_raw_worker(scenario)
 
 
+def test_client_that_leaves_while_its_upload_is_held_back_is_noticed():
+    """Guards against picture (c) of the operators' letter: a client closed its connection with much still
+    unread, and its request was sent on afterwards (review/7: 45 s later)."""
+
+    async def scenario(worker, gate, client):
+        client.close()
+        plug = SocketClient(gate.port)
+        data = upload(bytes(8 * 1024 * 1024), "length", deadline=10_000)
+        plug.connection.setblocking(False)
+        sending = asyncio.ensure_future(asyncio.get_running_loop().sock_sendall(plug.connection, data))
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        writer.transport.pause_reading()
+        await sending  # all of it, most of which nobody has read
+        await asyncio.sleep(0.1)
+        plug.close()
+        await asyncio.sleep(0.1)
+        writer.transport.resume_reading()
+        received = 0
+        try:
+            while part := await reader.read(2**18):
+                received += len(part)
+        except ConnectionError:
+            pass
+        assert received < 8 * 1024 * 1024, "the worker got the whole request of a client that had left"
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.CANCELLED
+        assert not gate.gateway.requests.open
+
+    run_with_raw_worker(scenario)
+
+
+def test_pipelined_requests_of_a_client_that_has_left_are_not_sent_on():
+    """Guards against picture (c) of the operators' letter: requests that had waited unread in the kernel were
+    sent on after their client had closed its connection."""
+
+    async def scenario(worker, gate, client):
+        client.close()
+        plug = SocketClient(gate.port)
+        plug.send(request("a1") + request("a2"))  # reading is suspended for the second
+        _, first = await worker.next_request()
+        await asyncio.sleep(0.05)
+        plug.send(request("a3") + request("a4"))
+        first.write(http_response())
+        _, second = await worker.next_request()
+        second.write(http_response())  # reading is resumed, in an iteration of the event loop after this one
+        plug.close()
+        await asyncio.sleep(0.3)
+        assert worker.requests.empty()
+        assert not gate.gateway.requests.open
+
+    run_with_worker(scenario)
+
+
+def test_request_that_waited_behind_an_invalid_one_is_not_sent_on_after_its_client_left():
+    """Guards against picture (c) of the operators' letter: while reading paused after an invalid request, a
+    valid one came and its client left; the request was sent on."""
+
+    async def scenario(worker, gate, client):
+        client.close()
+        plug = SocketClient(gate.port)
+        plug.send(request(path="/unknown"))
+        assert b" 404 " in await plug.receive()
+        plug.connection.setblocking(True)
+        plug.send(request())
+        plug.close()
+        await asyncio.sleep(0.3)
+        assert worker.requests.empty()
+
+    run_with_worker(scenario)
+
+
 def test_expect_100_continue_is_answered_before_the_body_is_sent():
     async def scenario(worker, gate, client):
         data = upload(bytes(100_000), "length", extra="Expect: 100-continue\r\n")
@@ -645,7 +718,7 @@
 
 
 def count_reads_by_iteration(monkeypatch, kind, loop):
-    """Count the reads of connections of this class in each iteration of the event loop; returns the counts."""
+    """Count the reads of connections of this class by iterations of the event loop; returns the counts."""
     counts = [0]
     original = kind.buffer_updated
 
