Fix: the id of a request stays reserved until its deadline if its client left

Cause: the id was free 2 to 4 s after the client's close, while a worker may execute it until the deadline, also after its attempt was cancelled. Evidence: with the same id 4 s later a second attempt was sent. Fix: once an attempt has begun the id is held until the deadline; clients' retries have ids of their own.

--- a/plumpick/gateway/open_request.py
+++ b/plumpick/gateway/open_request.py
@@ -85,6 +85,10 @@
         self._open.discard(client_id)
         self._ended.add(client_id)
 
+    def hold(self, client_id: bytes) -> None:
+        """Keep an id reserved after the end of its request, until it is released again."""
+        self._open.add(client_id)
+
     def expire(self) -> None:
         """Forget the ids released before the previous call; to be called every REQUEST_ID_RETENTION_MS."""
         self._ended_before = self._ended
@@ -106,6 +110,10 @@
         """Reserve the ids that the predecessor exported, until `release_inherited` is called."""
         self._inherited = frozenset(client_ids)
 
+    def inherit_one(self, client_id: bytes) -> None:
+        """Reserve an id that the predecessor has claimed since its export."""
+        self._inherited |= {client_id}
+
     def release_inherited(self) -> None:
         """Mark the inherited ids as ended, because the predecessor's requests have."""
         self._ended.update(self._inherited)
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -135,10 +135,19 @@
     def on_disconnect(self, request: OpenRequest) -> None:
         """Close the request of a client that has disconnected; does nothing after the final response."""
         if self.close(request):
+            self._hold_id(request)
             self._turn.post(ClientDisconnected(request.id))
             if request.stream is not None or request.responding_attempt is not None:
                 self._cancel_attempts(request)
 
+    def _hold_id(self, request: OpenRequest) -> None:
+        """Reserve the id of a request without a response until its deadline: a worker may still execute it,
+        even after its attempt was cancelled."""
+        if request.attempt_count and self._clock.now() < request.deadline_ms < math.inf:
+            client_id = request.client_id
+            self.ids.hold(client_id)
+            self._timers.call_at(request.deadline_ms, lambda: self.ids.release(client_id))
+
     def end_abandoned_uploads(self) -> None:
         """Close the requests whose clients have disconnected while they were not read."""
         for request in self._streams.paused_uploads():
--- a/tests/gateway/test_gatekeeper.py
+++ b/tests/gateway/test_gatekeeper.py
@@ -764,6 +764,36 @@
     run_with_one_worker(scenario)
 
 
+def test_id_of_a_request_whose_client_has_left_stays_reserved_until_its_deadline():
+    """Guards against picture (c) of the operators' letter: an id ran twice when it came again some seconds
+    after its client had left, while its worker was still busy with it."""
+
+    async def scenario(worker, gate, client):
+        debit = request("00000000000000aa", "/debit", body=b"x", deadline=1000)
+        client.send(debit)
+        await worker.next_request()
+        client.close()
+        await gate.controller.next_event(ClientDisconnected)
+        ids = gate.gateway.requests.ids
+        other = await gate.client()
+        for _ in range(2):  # the time for which ended ids are reserved
+            ids.expire()
+            assert (await other.send(debit).read_response())[0] == 409
+        while ids._open:
+            await asyncio.sleep(0.05)
+        ids.expire()
+        ids.expire()
+        other = await gate.client()
+        other.send(debit)
+        message, writer = await worker.next_request()
+        while message is None:  # the connection of the cancelled attempt has ended
+            message, writer = await worker.next_request()
+        writer.write(http_response())
+        assert (await other.read_response())[0] == 200
+
+    run_with_one_worker(scenario)
+
+
 INVALID_REQUESTS = {
     "unknown class": (request(path="/looks"), 404),
     "unknown plan": (request().replace(b"basic", b"golden"), 400),
