Fix: the next process hears of ids that the old one takes after the hand-over

Cause: ids are passed on at the hand-over; a partly received request claims its id later. Evidence: by processes, with the last byte sent after the hand-over. Fix: the old process reports each id it takes from then on. Measured: the new test failed before (502 from the second run in place of 409), and passes.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -281,7 +281,10 @@
     def submit(self, sink: ResponseSink, incoming: IncomingRequest) -> OpenRequest:
         """Open a request, which then gets exactly one final response; raises DuplicateRequestIdError."""
         now = self.clock.now()
-        return self.requests.submit(sink, incoming, now, self._stalls.max_unread_ms(now))
+        request = self.requests.submit(sink, incoming, now, self._stalls.max_unread_ms(now))
+        if self.has_handed_over and self.sibling is not None:
+            self.sibling.on_request_id_claimed(incoming.id)
+        return request
 
     def on_body_complete(self, request: OpenRequest) -> None:
         """Start the request's deadline: the last byte of its streamed body has been received."""
--- a/plumpick/gateway/hot_restart/message.py
+++ b/plumpick/gateway/hot_restart/message.py
@@ -31,6 +31,7 @@
     DESCRIPTOR_COUNT = "held"  # value: number of descriptors that the predecessor still holds
     PEER_MESSAGE = "heard"  # value: [sender's number, datagram in hex] that the other process received
     OWN_MESSAGE = "said"  # value: datagram in hex that the policy sent to its own gateway's number
+    REQUEST_ID = "claimed"  # value: id of a request that the predecessor has opened since its handover
     OPERATOR_COMMAND = "ordered"  # value: [name, argument] of an operator's command
     USAGE_ROW = "counted"  # value: [plan, outcome, units] of a request, for the successor's usage counts
 
--- a/plumpick/gateway/hot_restart/sibling.py
+++ b/plumpick/gateway/hot_restart/sibling.py
@@ -55,6 +55,10 @@
         """Forward a message that the policy sent to this gateway's own number."""
         self._channel.send(MessageKind.OWN_MESSAGE, data.hex())
 
+    def on_request_id_claimed(self, client_id: bytes) -> None:
+        """Forward the id of a request that this process has opened since its handover."""
+        self._channel.send(MessageKind.REQUEST_ID, client_id.decode("latin-1"))
+
     def on_operator_command(self, name: str, argument: str) -> None:
         """Forward an operator's command that is in force in this process."""
         self._channel.send(MessageKind.OPERATOR_COMMAND, [name, argument])
@@ -69,6 +73,8 @@
             context.gateway.on_relayed_message(int(sender), bytes.fromhex(data))
         elif kind == MessageKind.OWN_MESSAGE:
             context.gateway.on_relayed_message(context.number, bytes.fromhex(value))
+        elif kind == MessageKind.REQUEST_ID:
+            context.gateway.requests.ids.inherit_one(str(value).encode("latin-1"))
         elif kind == MessageKind.OPERATOR_COMMAND:
             _execute_command(context, value)
         elif kind == MessageKind.USAGE_ROW:
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -196,6 +196,9 @@
     def on_own_message(self, data: bytes) -> None:
         """Forward a message that this process's policy has sent to its own gateway number."""
 
+    def on_request_id_claimed(self, client_id: bytes) -> None:
+        """Report the id of a request that this process, the predecessor, has opened since its handover."""
+
     def on_operator_command(self, name: str, argument: str) -> None:
         """Forward an operator's command that this process has executed."""
 
--- a/tests/gateway/hot_restart/test_hot_restart.py
+++ b/tests/gateway/hot_restart/test_hot_restart.py
@@ -278,6 +278,25 @@
     assert snapshot.FORMAT_VERSION == 2
 
 
+# Guards against picture (c) of the operators' letter: an id ran twice, at both processes of an upgrade.
+def test_id_that_the_predecessor_takes_after_its_handover_is_rejected_by_the_successor(tmp_path, monkeypatch):
+    async def scenario(gateway):
+        debit = request(path="/debit", body=b"x")
+        first = (await Client().open(gateway.port)).send(debit[:-1])  # the last byte is missing
+        await asyncio.sleep(0.1)
+        await gateway.start()
+        first.send(debit[-1:])
+        message, writer = await gateway.worker.next_request()
+        assert message.url == b"/debit"
+        again = await Client().open(gateway.port)
+        assert (await again.send(debit).read_response())[0] == 409
+        writer.write(http_response())
+        assert (await first.read_response())[0] == 200
+        assert gateway.worker.requests.empty()
+
+    run_with_first_process(tmp_path, monkeypatch, scenario)
+
+
 # -- the program
 
 
