Fix: an address belongs to the worker that started last, however the list is ordered

Cause: the holder of an address was the last entry of the update; an old worker listed after its successor was in service beside it. Evidence: both stood in the pool, and requests for the old one were sent. Fix: of the workers in service with one address the one that started last holds it.

--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -139,21 +139,26 @@
             self._workers[entry.server.id] = Worker(entry)
 
     def _retire_displaced(self, workers: WorkerList) -> list[WorkerEntry]:
-        """Retire the workers whose address now belongs to another worker; returns their entries."""
-        successors = {
-            entry.address: entry.server
-            for entry in workers.entries
-            if entry.server.state is EndpointState.READY
-        }
-        displaced = []
-        for worker_id, worker in list(self._workers.items()):
-            successor = successors.get(worker.entry.address)
-            if successor is None or successor.id == worker_id:
-                continue
-            if successor.started_ms >= worker.entry.server.started_ms:
-                self._retire(self._workers.pop(worker_id))
-                displaced.append(worker.entry)
-        return displaced
+        """Retire the workers whose address now belongs to another worker; returns their entries. Of workers
+        with the same address the one that started last is there, whatever the order in which they were
+        listed; of several that started at the same time the one listed last."""
+        positions = {entry.server.id: position for position, entry in enumerate(workers.entries)}
+
+        def recency(worker: Worker) -> tuple[float, int]:
+            server = worker.entry.server
+            return server.started_ms, positions.get(server.id, -1)
+
+        addresses = {entry.address for entry in workers.entries}
+        candidates = [worker for worker in self._workers.values() if worker.entry.address in addresses]
+        latest: dict[tuple[str, int], Worker] = {}
+        for worker in candidates:
+            rival = latest.get(worker.entry.address)
+            if rival is None or recency(worker) >= recency(rival):
+                latest[worker.entry.address] = worker
+        displaced = [worker for worker in candidates if latest[worker.entry.address] is not worker]
+        for worker in displaced:
+            self._retire(self._workers.pop(worker.entry.server.id))
+        return [worker.entry for worker in displaced]
 
     def _retire(self, worker: Worker) -> None:
         """Stop sending to a worker. Attempts in flight may still get their response."""
--- a/tests/gateway/test_gatekeeper.py
+++ b/tests/gateway/test_gatekeeper.py
@@ -490,6 +490,33 @@
     run_with_one_worker(scenario)
 
 
+@pytest.mark.parametrize("is_snapshot", [True, False], ids=["snapshot", "delta"])
+def test_old_worker_listed_after_its_successor_at_the_same_address_gets_no_request(is_snapshot):
+    """Guards against picture (e) of the operators' letter: a new process at the address of one that had gone
+    was taken for the old one, if the old one was listed after it."""
+
+    async def scenario(worker, gate, client):
+        new, old = entry("w2", worker.port, since_ms=5000), entry("w1", worker.port, since_ms=1000)
+        if is_snapshot:
+            lists = [listing(new, old, index=2)]
+        else:
+            lists = [listing(new, index=2, snapshot=False), listing(old, index=3, snapshot=False)]
+        for value in lists:
+            gate.gateway.on_worker_list(parse_worker_list(value, "list"))
+            assert list(gate.gateway.connection_pool._workers) == ["w2"]
+        await asyncio.sleep(0.01)
+        states = [
+            (one.id, one.state)
+            for event in gate.controller.events
+            if isinstance(event, EndpointsUpdated)
+            for one in event.endpoints
+        ]
+        assert states[-1] == ("w1", EndpointState.GONE)
+        assert (await client.send(request()).read_response())[0] == 502  # the stub still chooses w1
+
+    run_with_one_worker(scenario)
+
+
 async def exchange_one_request(worker, client):
     """Send a request of the client and the worker's response to it; return the writer of the worker's
     connection."""
