Fix: a retry started as its client leaves is completed under its own number

Cause: for a request that had ended the gateway answered each StartAttempt for attempt 0; a retry started in the turn in which its client left was never completed, and stayed in flight in the policy. Evidence: attempt (1, 1) stood in the policy's books with nothing open. Fix: the action carries the attempt's number.

--- a/plumpick/gateway/attempt_runner.py
+++ b/plumpick/gateway/attempt_runner.py
@@ -39,7 +39,7 @@
         requests = self._requests
         request = requests.open.get(action.id)
         if request is None:
-            self._post_not_started(action, 0, True)
+            self._post_not_started(action, action.number, True)
             return
         number = request.attempt_count
         request.attempt_count += 1
--- a/plumpick/policy/actions.py
+++ b/plumpick/policy/actions.py
@@ -16,6 +16,7 @@
     """Send a request to an endpoint. The attempts of a request are numbered from 0, in the order of these
     actions. The caller answers by an AttemptCompleted, at the latest when the timeout expires.
 
+    `number`: number of the attempt, by which it is completed even if its request has ended meanwhile.
     `start_within_ms`: time from now within which the first byte must be sent, or the attempt must not be sent
     at all. A retry has to arrive while the workers of its deduplication group remember the first attempt."""
 
@@ -23,6 +24,7 @@
     endpoint: str
     timeout_ms: float
     start_within_ms: float = math.inf
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/plumpick/policy/attempt_lifecycle.py
+++ b/plumpick/policy/attempt_lifecycle.py
@@ -69,7 +69,9 @@
         start_within_ms = math.inf
         if request.unproven_attempts:
             start_within_ms = retry.deduplication_time_left_ms(now_ms, request, self.state.settings)
-        action = StartAttempt(request.received.id, tracked.endpoint.id, timeout_ms, start_within_ms)
+        action = StartAttempt(
+            request.received.id, tracked.endpoint.id, timeout_ms, start_within_ms, request.attempt_count
+        )
         self.turn.actions.append(action)
 
     def _record_start(self, request: Request, tracked: TrackedEndpoint) -> None:
