--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -22,7 +22,6 @@
 )
 from plumpick.gateway.listeners.http.response_writer import ResponseWriter
 from plumpick.gateway.listeners.http.upgrade_offer import FRAMING_HEADERS, feed_parser
-from plumpick.gateway.read_buffer import yield_reading
 
 
 class RequestReader(ResponseWriter):
@@ -52,7 +51,7 @@
         is_filled = buffer.is_filled_by(size)
         self.data_received(buffer.take(size))
         if is_filled and self._may_read():
-            yield_reading(self.transport, self._may_read)  # type: ignore[arg-type]
+            buffer.yield_reading(self.transport, self._may_read)  # type: ignore[arg-type]
 
     def _may_read(self) -> bool:
         """Whether neither flow control nor the end of the connection forbids reading."""
--- a/plumpick/gateway/read_buffer.py
+++ b/plumpick/gateway/read_buffer.py
@@ -33,15 +33,15 @@
         """Return a copy of the first `size` bytes, which a read has filled."""
         return bytes(self._memory[:size])
 
-
-def yield_reading(transport: asyncio.Transport, may_resume: Callable[[], bool]) -> None:
-    """Stop reading a connection until the next iteration of the event loop, which would otherwise read it up
-    to 32 times before any other. Then it is read again if `may_resume()`, which tells whether nobody else has
-    suspended reading meanwhile."""
-
-    def resume() -> None:
-        if may_resume():
-            transport.resume_reading()
-
-    transport.pause_reading()
-    asyncio.get_running_loop().call_soon(resume)
+    @staticmethod
+    def yield_reading(transport: asyncio.Transport, may_resume: Callable[[], bool]) -> None:
+        """Stop reading a connection until the next iteration of the event loop, which would otherwise read it
+        up to 32 times before any other. Then it is read again if `may_resume()`, which tells whether nobody
+        else has suspended reading meanwhile."""
+
+        def resume() -> None:
+            if may_resume():
+                transport.resume_reading()
+
+        transport.pause_reading()
+        asyncio.get_running_loop().call_soon(resume)
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -13,7 +13,7 @@
 import httptools
 
 from plumpick.gateway.config import WorkerEntry
-from plumpick.gateway.read_buffer import ReadBuffer, yield_reading
+from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.request_encoding import encode_message
 from plumpick.gateway.upstream.streaming_body import MAX_BUFFERED_BODY_BYTES, StreamingBody
@@ -194,7 +194,7 @@
         is_filled = buffer.is_filled_by(size)
         self.data_received(buffer.take(size))
         if is_filled and self._may_read():
-            yield_reading(self.transport, self._may_read)  # type: ignore[arg-type]
+            buffer.yield_reading(self.transport, self._may_read)  # type: ignore[arg-type]
 
     def _may_read(self) -> bool:
         """Whether neither flow control nor the end of the connection forbids reading."""
