--- a/plumpick/gateway/open_request.py
+++ b/plumpick/gateway/open_request.py
@@ -63,6 +63,7 @@
 
     def __init__(self) -> None:
         self._open: set[bytes] = set()
+        self._held: dict[bytes, float] = {}  # ends of the times for which ids in `_open` are held
         self._ended: set[bytes] = set()
         self._ended_before: set[bytes] = set()
         self._inherited: frozenset[bytes] = frozenset()  # reserved by the predecessor of a hot restart
@@ -85,14 +86,19 @@
         self._open.discard(client_id)
         self._ended.add(client_id)
 
-    def hold(self, client_id: bytes) -> None:
-        """Keep an id reserved after the end of its request, until it is released again."""
+    def hold(self, client_id: bytes, until_ms: float) -> None:
+        """Keep the id of a request that has ended reserved as if it were open until `until_ms`."""
         self._open.add(client_id)
+        self._held[client_id] = until_ms
 
-    def expire(self) -> None:
-        """Forget the ids released before the previous call; to be called every REQUEST_ID_RETENTION_MS."""
+    def expire(self, now_ms: float) -> None:
+        """Forget the ids released before the previous call, and release those held until now; to be called
+        every REQUEST_ID_RETENTION_MS."""
         self._ended_before = self._ended
         self._ended = set()
+        for client_id in [held for held, until_ms in self._held.items() if until_ms <= now_ms]:
+            del self._held[client_id]
+            self.release(client_id)
 
     def is_empty(self) -> bool:
         """Whether no id is reserved."""
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -144,9 +144,7 @@
         """Reserve the id of a request without a response until its deadline: a worker may still execute it,
         even after its attempt was cancelled."""
         if request.attempt_count and self._clock.now() < request.deadline_ms < math.inf:
-            client_id = request.client_id
-            self.ids.hold(client_id)
-            self._timers.call_at(request.deadline_ms, lambda: self.ids.release(client_id))
+            self.ids.hold(request.client_id, request.deadline_ms)
 
     def end_abandoned_uploads(self) -> None:
         """Close the requests whose clients have disconnected while they were not read."""
@@ -266,5 +264,6 @@
 
     def expire_ids(self) -> None:
         """Forget the ids of requests that ended before the previous call; reschedules itself."""
-        self._timers.call_at(self._clock.now() + REQUEST_ID_RETENTION_MS, self.expire_ids)
-        self.ids.expire()
+        now = self._clock.now()
+        self._timers.call_at(now + REQUEST_ID_RETENTION_MS, self.expire_ids)
+        self.ids.expire(now)
