In a crowd a client that still reads its response goes after idle ones

Cause: read once more: connections whose client has not taken its response yet were evicted before idle ones; most of them are only slow. Measured: the tests of eviction, crowds and closing pass.

--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -209,7 +209,7 @@
         new = [conn for conn in unstarted if now - self._awaiting_request[conn] <= NEW_CONNECTION_MS]
         stopped = [conn for conn in started if now - conn.last_activity_ms > STOPPED_SENDING_MS]
         sending = [conn for conn in started if now - conn.last_activity_ms <= STOPPED_SENDING_MS]
-        eviction_order = [*self._closing, *self._unread, *old, *self._idle, *stopped, *new, *sending]
+        eviction_order = [*self._closing, *old, *self._idle, *self._unread, *stopped, *new, *sending]
         for connection in eviction_order[:excess]:
             self.remove(connection)
             connection.abort()
