Fix: a worker is not blamed for a large response that nobody waits for

Callers saw: nothing at once; the worker was counted as failing after an answer that was sound. Cause: a response too large to be buffered that began after its request had ended, or beside another attempt's response, had no sink. WorkerConnection took that for an invalid response: it reset the connection in the middle of the response and reported ERROR, which outlier detection counts. Change: it is discarded as one whose client has left, within the same bounds. Why it works: there is always a sink, or the attempt has been cancelled, which says nothing about its worker. Measured: tests of streams, upstream and structure pass.

--- a/plumpick/gateway/attempt_runner.py
+++ b/plumpick/gateway/attempt_runner.py
@@ -11,6 +11,7 @@
 from plumpick.gateway.clock import Clock
 from plumpick.gateway.event_turn import EventTurn
 from plumpick.gateway.request_table import FAILED, SERVED, RequestTable
+from plumpick.gateway.response_discarder import ResponseDiscarder
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.connection_pool import ConnectionPool
 from plumpick.policy.actions import CancelAttempt, StartAttempt
@@ -27,12 +28,14 @@
         requests: RequestTable,
         pool: ConnectionPool,
         streams: BodyStreams,
+        discarder: ResponseDiscarder,
     ) -> None:
         self._clock = clock
         self._turn = turn
         self._requests = requests
         self._pool = pool
         self._streams = streams
+        self._discarder = discarder
 
     def start(self, action: StartAttempt) -> None:
         """Start an attempt for a request, unless the request has ended or its client has disconnected."""
@@ -96,11 +99,11 @@
         self._turn.post(ResponseStarted(attempt.request_id, attempt.number, attempt.worker_id, False))
 
     def _on_large_response(self, attempt: Attempt, length: int, content_type: bytes) -> Any:
-        """Start to stream a response too large to be buffered; returns its sink, or None if the request has
-        ended or another attempt's response is already being streamed."""
+        """Start to stream a response too large to be buffered; returns its sink. The response is discarded if
+        the request has ended or another attempt's response is already being streamed."""
         request = self._requests.open.get(attempt.request_id)
         if request is None or request.responding_attempt is not None:
-            return None
+            return self._discarder.discard(attempt)
         request.responding_attempt = attempt
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -113,7 +113,7 @@
         )
         self.requests = RequestTable(self.clock, self.timers, self._turn, self._streams, self._discarder)
         self._attempts = AttemptRunner(
-            self.clock, self._turn, self.requests, self.connection_pool, self._streams
+            self.clock, self._turn, self.requests, self.connection_pool, self._streams, self._discarder
         )
         self._commands = OperatorCommands(self, self._turn)
         self._state_transfer = StateTransfer(self._turn)
--- a/plumpick/gateway/response_discarder.py
+++ b/plumpick/gateway/response_discarder.py
@@ -16,7 +16,7 @@
 
 from plumpick.gateway.body_streams import RESPONSE_STALL_MS
 from plumpick.gateway.clock import Clock
-from plumpick.gateway.upstream.attempt import Attempt, AttemptConnection
+from plumpick.gateway.upstream.attempt import Attempt, AttemptConnection, ResponseBodySink
 from plumpick.policy.events import AttemptResult
 
 MAX_DISCARDED_BYTES = 32 * 1024 * 1024  # maximum rest of a response: workers' responses reach 32 MB
@@ -82,19 +82,20 @@
     def __len__(self) -> int:
         return len(self._responses)
 
-    def discard(self, attempt: Attempt) -> None:
-        """Read the rest of the response of an attempt and drop it, or cancel the attempt if the rest is too
-        large or too many responses are discarded already."""
+    def discard(self, attempt: Attempt) -> ResponseBodySink | None:
+        """Read the rest of the response of an attempt and drop it. Returns its new sink, or None if the
+        attempt was cancelled: the rest is too large, or too many responses are discarded already."""
         connection = attempt.connection
         if connection is None or not self._may_discard(connection):
             attempt.end(AttemptResult.CANCELLED)
-            return
+            return None
         now = self._clock.now()
         response = DiscardedResponse(self, attempt, connection, now)
         attempt.response_sink = response
         attempt.last_progress_ms = now  # the worker could not send while its client held the response back
         self._responses[response] = None
         self._wait_for_turn(response)
+        return response
 
     def _may_discard(self, connection: AttemptConnection) -> bool:
         is_small_enough = connection.missing_response_bytes() <= MAX_DISCARDED_BYTES
--- a/plumpick/gateway/upstream/attempt.py
+++ b/plumpick/gateway/upstream/attempt.py
@@ -65,7 +65,7 @@
     being received gets all of `timeout_ms`.
     `stream`: body that is forwarded after the message while it is received.
     `on_large_response(attempt, length, content_type)`: called when a response too large to be buffered
-    begins; returns the sink of its body, or None if it is no longer wanted.
+    begins; returns the sink of its body, or None if the attempt was cancelled.
     `on_stream_started(attempt)`: called when the first byte of `stream` is forwarded. Forwarded bytes are not
     retained, so no other attempt can send them."""
 
--- a/tests/gateway/test_discarded_responses.py
+++ b/tests/gateway/test_discarded_responses.py
@@ -353,6 +353,119 @@
     run_with_raw_worker(scenario)
 
 
+# -- responses that begin when nobody waits for them
+
+
+@pytest.mark.parametrize("client_first", [True, False])
+def test_client_that_leaves_in_the_turn_in_which_its_response_begins(client_first):
+    async def scenario(worker, gate):
+        client = SocketClient(gate.port)
+        client.send(request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        if client_first:
+            client.close()
+        send_now(writer, head_of("length", 2 * PIECE) + bytes(100_000))
+        if not client_first:
+            client.close()
+        await gate.controller.next_event(ClientDisconnected)
+        writer.write(bytes(2 * PIECE - 100_000))
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.OK
+        assert_nothing_open(gate)
+
+    run_with_raw_worker(scenario)
+
+
+@pytest.mark.parametrize("form", ["length", "chunks", "end"])
+def test_large_response_that_begins_after_its_client_has_left_is_not_its_workers_fault(form):
+    """Guards against a neighbour of review/9: where attempts may not be cancelled, such a response was cut
+    off at its head, and counted as an error of its worker."""
+
+    async def scenario(worker, gate):
+        client = SocketClient(gate.port)
+        client.send(request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        client.close()
+        await gate.controller.next_event(ClientDisconnected)
+        writer.write(head_of(form, 4 * PIECE))
+        await write_pieces(writer, form, 4)
+        writer.write(b"0\r\n\r\n" if form == "chunks" else b"")
+        if form == "end":
+            writer.write_eof()
+        done = await gate.controller.next_event(AttemptCompleted)
+        assert (done.result, done.is_final) == (AttemptResult.OK, True)
+        assert not [one for one in gate.controller.events if isinstance(one, ResponseStarted)]
+        assert_nothing_open(gate)
+
+    run_with_raw_worker(scenario)
+
+
+def test_large_response_of_a_second_attempt_is_discarded_beside_the_one_being_streamed():
+    """Guards against a neighbour of review/9: the response of the slower of two attempts was cut off at its
+    head, and counted as an error of its worker."""
+
+    async def scenario(worker, gate):
+        client = SocketClient(gate.port)
+        _, writer = await begin_response(worker, client, size=2 * PIECE)
+        received = await gate.controller.next_event(RequestReceived)
+        await gate.controller.next_event(ResponseStarted)
+        gate.controller.next_actions = [StartAttempt(received.id, "w1", 9000.0)]
+        gate.gateway.post_event(TimerFired("hedge"))
+        reader, second = await worker.accepted.get()
+        await read_head(reader)
+        second.write(head_of("length", 4 * PIECE))
+        await write_pieces(second, "length", 4)
+        done = await gate.controller.next_event(AttemptCompleted)
+        assert (done.attempt, done.result, done.is_final) == (1, AttemptResult.OK, False)
+        writer.write(bytes(PIECE))
+        done = await gate.controller.next_event(AttemptCompleted)
+        assert (done.attempt, done.result, done.is_final) == (0, AttemptResult.OK, True)
+        count = 0
+        while count < 2 * PIECE - 4096:
+            count += len(await client.receive())
+        assert_nothing_open(gate)
+
+    run_with_raw_worker(scenario)
+
+
+def test_response_of_unknown_length_goes_on_at_the_deadline_after_its_client_has_left():
+    """Guards against a neighbour of review/9: a slowly written response, of which no byte had been streamed
+    yet, was counted as an error of its worker at the deadline."""
+
+    async def scenario(worker, gate):
+        client = SocketClient(gate.port)
+        client.send(request(deadline=300))
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        writer.write(head_of("chunks") + piece_of("chunks", 1000))
+        await asyncio.sleep(0.05)
+        client.close()
+        await gate.controller.next_event(ClientDisconnected)
+        await asyncio.sleep(0.5)
+        writer.write(piece_of("chunks", 1000) + b"0\r\n\r\n")
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.OK
+        assert_nothing_open(gate)
+
+    run_with_raw_worker(scenario)
+
+
+def test_large_response_for_nobody_is_cancelled_without_blame_if_it_exceeds_the_maximum():
+    async def scenario(worker, gate):
+        client = SocketClient(gate.port)
+        client.send(request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        client.close()
+        await gate.controller.next_event(ClientDisconnected)
+        writer.write(head_of("length", MAX_DISCARDED_BYTES + 1) + bytes(1000))
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.CANCELLED
+        assert await has_ended(reader)
+        assert_nothing_open(gate)
+
+    run_with_raw_worker(scenario)
+
+
 # -- bounds
 
 
