Fix: a response is read to its end after its client stopped reading

Callers saw: nothing new; a client that takes nothing for 10 s loses its connection, as before. Its worker's connection was reset in the middle of the response. Why it works: the same bounds hold as for a client that has left, and the request is counted once. One older test asked for CANCELLED, which is what the fault reported. It asks for more now: the worker has given all and is not blamed, the request is closed, and the client's response ends short. Evidence: the new test is red on the commit before (the client is never reported; the attempt is cancelled). Measured: tests of streams, upstream and structure pass.

--- a/plumpick/gateway/body_streams.py
+++ b/plumpick/gateway/body_streams.py
@@ -1,13 +1,12 @@
 """The open requests whose request or response body is streamed: their memory budget and stall detection.
 
-The attempt of a stalled response ends with RESET if its worker sends nothing and with CANCELLED if its client
-reads nothing. A stalled request body is reported to the caller of `BodyStreams.sweep`, which must give the
-request its final response."""
+The attempt of a stalled response ends with RESET if its worker sends nothing. A response that its client does
+not read and a stalled request body are reported to a StalledRequests, which must end the request."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from plumpick.gateway.listeners.interface import ResponseSink
 from plumpick.gateway.open_request import OpenRequest
@@ -21,6 +20,16 @@
 UPLOAD_STALL_MS = 2500.0  # time without progress after which a streamed request body counts as stalled
 
 
+class StalledRequests(Protocol):
+    """Ends the requests whose client makes no progress."""
+
+    def on_response_unread(self, request: OpenRequest) -> None:
+        """End a request whose client has stopped reading its response."""
+
+    def on_upload_stalled(self, request: OpenRequest) -> None:
+        """End a request whose client has stopped sending its body."""
+
+
 class BodyStreams:
     """The open requests with a streamed body. Their number is bounded by that of the open requests."""
 
@@ -82,20 +91,20 @@
             request for request in self._requests if request.stream is not None and request.stream.is_paused
         ]
 
-    def sweep(self, now: float, on_upload_stalled: Callable[[OpenRequest], None]) -> None:
-        """End the attempts of stalled responses, and call `on_upload_stalled` for stalled request bodies."""
+    def sweep(self, now: float, stalled: StalledRequests) -> None:
+        """End the streamed responses that have stalled, and report the requests whose client has."""
         self._release_delivered()
         for request in list(self._requests):
             attempt = request.responding_attempt
             if attempt is not None:
-                _end_if_stalled(request, attempt, now)
+                _end_if_stalled(request, attempt, now, stalled)
             elif _has_upload_stalled(request.stream, now):
-                on_upload_stalled(request)
+                stalled.on_upload_stalled(request)
 
 
-def _end_if_stalled(request: OpenRequest, attempt: Attempt, now: float) -> None:
-    """End the attempt if its streamed response has made no progress for RESPONSE_STALL_MS. While the client's
-    buffers are full the worker cannot send: then progress is what the client takes."""
+def _end_if_stalled(request: OpenRequest, attempt: Attempt, now: float, stalled: StalledRequests) -> None:
+    """End a streamed response that has made no progress for RESPONSE_STALL_MS. While the client's buffers are
+    full the worker cannot send: then progress is what the client takes."""
     connection = attempt.connection
     is_held_by_client = connection is not None and connection.is_reading_paused
     if is_held_by_client and now - attempt.last_progress_ms > CLIENT_CHECK_INTERVAL_MS:
@@ -103,8 +112,12 @@
         if undelivered != attempt.undelivered_bytes:
             attempt.undelivered_bytes = undelivered
             attempt.last_progress_ms = now
-    if now - attempt.last_progress_ms > RESPONSE_STALL_MS:
-        attempt.end(AttemptResult.CANCELLED if is_held_by_client else AttemptResult.RESET)
+    if now - attempt.last_progress_ms <= RESPONSE_STALL_MS:
+        return
+    if is_held_by_client:
+        stalled.on_response_unread(request)
+    else:
+        attempt.end(AttemptResult.RESET)
 
 
 def _has_upload_stalled(stream: Any, now: float) -> bool:
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -326,7 +326,7 @@
             log.warning(line)
         self.timers.call_at(now + SWEEP_INTERVAL_MS, self._sweep)
         self.requests.end_abandoned_uploads()
-        self._streams.sweep(now, self.requests.on_upload_stalled)
+        self._streams.sweep(now, self.requests)
         self._discarder.sweep(now)
         for listener in self._listeners:
             listener.sweep(now, self.is_closing_connections)
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -178,6 +178,12 @@
             if request.stream is not None:
                 self._cancel_attempts(request)
 
+    def on_response_unread(self, request: OpenRequest) -> None:
+        """Disconnect a client that has stopped reading the response that is being streamed to it."""
+        self.count(request, FAILED)
+        self.on_disconnect(request)
+        request.sink.abort()
+
     def on_upload_stalled(self, request: OpenRequest) -> None:
         """Answer 408 and cancel the attempts: the client has stopped sending the request's body."""
         if self.close(request):
--- a/tests/gateway/test_discarded_responses.py
+++ b/tests/gateway/test_discarded_responses.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+from types import SimpleNamespace
 
 import pytest
 from support.fakes import (
@@ -21,6 +22,7 @@
 
 from plumpick.gateway.body_streams import RESPONSE_STALL_MS
 from plumpick.gateway.config import WorkerList
+from plumpick.gateway.request_table import FAILED
 from plumpick.gateway.response_discarder import (
     MAX_DISCARDED_BYTES,
     MIN_RATE_BYTES_PER_MS,
@@ -466,6 +468,37 @@
     run_with_raw_worker(scenario)
 
 
+# -- a client that stops reading
+
+
+def test_response_is_read_to_its_end_after_its_client_has_stopped_reading():
+    """Guards against a neighbour of review/9: the worker's connection was reset in the middle of its response
+    once the client had taken nothing for 10 s."""
+
+    async def scenario(worker, gate):
+        counted = []
+        gate.gateway.requests.participant = SimpleNamespace(
+            usage=SimpleNamespace(count=lambda *one: counted.append(one))
+        )
+        client = SocketClient(gate.port, receive_buffer_bytes=65536)
+        _, writer = await begin_response(worker, client)
+        await gate.controller.next_event(ResponseStarted)
+        written = 1 + await fill_buffers(writer)
+        now = gate.gateway.clock.now()
+        for second in range(0, 13):  # it takes nothing from the first look on
+            gate.gateway._streams.sweep(now + second * 1000.0, gate.gateway.requests)
+        await gate.controller.next_event(ClientDisconnected)
+        assert not gate.gateway.requests.open and gate.gateway.requests.attempts
+        await write_pieces(writer, "length", SIZE // PIECE - written)
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.OK
+        assert [outcome for _plan, outcome, _units in counted] == [FAILED]
+        while not await gate_has_closed(client):
+            pass
+        assert_nothing_open(gate)
+
+    run_with_raw_worker(scenario)
+
+
 # -- bounds
 
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -250,10 +250,10 @@
         await client.reader.readexactly(70_000)
         now = gate.gateway.clock.now()
         gate.gateway._streams.sweep(
-            now + 5000.0, gate.gateway.requests.on_upload_stalled
+            now + 5000.0, gate.gateway.requests
         )  # long after the request's deadline, but before the stall timeout
         assert gate.gateway.requests.open
-        gate.gateway._streams.sweep(now + 60_000.0, gate.gateway.requests.on_upload_stalled)
+        gate.gateway._streams.sweep(now + 60_000.0, gate.gateway.requests)
         assert (
             not gate.gateway.requests.open
             and (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.RESET
@@ -282,12 +282,18 @@
         for step in range(1, 6):
             await plug.receive(2**17)
             await asyncio.sleep(0.02)
-            gate.gateway._streams.sweep(now + step * 9000.0, gate.gateway.requests.on_upload_stalled)
+            gate.gateway._streams.sweep(now + step * 9000.0, gate.gateway.requests)
             assert gate.gateway.requests.open and not attempt.connection.transport.is_reading()
         assert attempt.last_progress_ms > progress_ms
-        # Then the client reads no more: it is to blame, not the worker.
-        gate.gateway._streams.sweep(now + 70_000.0, gate.gateway.requests.on_upload_stalled)
-        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.CANCELLED
+        # Then the client reads no more: it is to blame, not the worker, which is not cut off.
+        gate.gateway._streams.sweep(now + 70_000.0, gate.gateway.requests)
+        assert not gate.gateway.requests.open
+        assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.OK
+        assert not writer.transport.get_write_buffer_size()  # the worker has written all of the response
+        received = 5 * 2**17
+        while part := await plug.receive(2**20):
+            received += len(part)
+        assert received < size  # the client's connection has ended before
         plug.close()
 
     run_with_raw_worker(scenario)
@@ -338,7 +344,7 @@
         while not attempt.connection.transport.is_reading():
             await plug.receive(2**20)
             await asyncio.sleep(0)
-        gate.gateway._streams.sweep(gate.gateway.clock.now(), gate.gateway.requests.on_upload_stalled)
+        gate.gateway._streams.sweep(gate.gateway.clock.now(), gate.gateway.requests)
         assert gate.gateway.requests.open
         plug.close()
 
@@ -487,9 +493,7 @@
         reader, writer = await worker.accepted.get()
         await read_head(reader)
         await reader.readexactly(900_000)
-        gate.gateway._streams.sweep(
-            gate.gateway.clock.now() + 5000.0, gate.gateway.requests.on_upload_stalled
-        )
+        gate.gateway._streams.sweep(gate.gateway.clock.now() + 5000.0, gate.gateway.requests)
         assert (await client.read_response())[0] == 408
         assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.CANCELLED
 
