Fix: a late second response is not taken for that to the next request

Cause: a connection is used again 20 ms after a response, or after 2 ms where eight rest; second responses of a busy worker came 21 to 35 ms late. Each wrong response left its own behind, for the next request: chains. Change: all connections rest 20 ms. A worker that has sent bytes that belong to no response rests its connections for 250 ms, until it has sent none for 60 s. Why it works: the second response arrives while the connection rests, and closes it; so does the response that is owed after a wrong one. A test asked for the 2 ms, which is the fault; two stricter ones stand in its place.

--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -61,13 +62,14 @@
 class Worker:
     """One incarnation of a worker, as listed by discovery, and the connections to it."""
 
-    __slots__ = ("entry", "idle", "connection_count", "connecting")
+    __slots__ = ("entry", "idle", "connection_count", "connecting", "last_excess_ms")
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
         self.idle: list[WorkerConnection] = []  # idle connections, the most recently used last
         self.connection_count = 0  # number of connections that are open or being opened
         self.connecting: list[Attempt] = []  # attempts that wait for their connection to be established
+        self.last_excess_ms = -math.inf  # time at which bytes were last received that belong to no response
 
     def is_same_incarnation(self, entry: WorkerEntry) -> bool:
         """Whether an entry of a later list denotes this incarnation of the worker, not its replacement."""
@@ -207,6 +209,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; ends the attempt once its response is complete or invalid."""
         if self.attempt is None or self.is_closed:
+            if not self.is_closed:
+                self.worker.last_excess_ms = self.pool.now()
             self.abort()  # bytes without an open request belong to no response
             return
         if self.is_in_head:
@@ -407,6 +411,8 @@
         self.stream = None
         if stream is not None:
             stream.detach(self)
+        if self.has_excess:
+            self.worker.last_excess_ms = self.pool.now()
         if self.has_excess or not self.may_reuse or stream is not None:
             self.abort()
         else:
--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -29,12 +29,12 @@
 MAX_IDLE_PER_WORKER = 24
 SWEEP_INTERVAL_MS = 1000.0  # interval at which idle connections are checked
 # Time between a response and the reuse of its connection. Excess bytes that follow a response some
-# milliseconds late are detected by then; after the next request they would be taken for its response. If
-# MAX_RESTING_CONNECTIONS to one worker are idle, the shorter time applies: otherwise a busy gateway would
-# keep opening connections.
+# milliseconds late are detected by then; after the next request they would be taken for its response.
 REUSE_DELAY_MS = 20.0
-MIN_REUSE_DELAY_MS = 2.0
-MAX_RESTING_CONNECTIONS = 8
+# The delay for a worker that has sent excess bytes in the latest EXCESS_MEMORY_MS: it may send further ones,
+# and later ones while it is busy.
+EXCESS_REUSE_DELAY_MS = 250.0
+EXCESS_MEMORY_MS = 60_000.0
 # Connection errors that are not the worker's fault: this machine has no descriptor, port or memory left.
 LOCAL_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM)
 # Time by which the streaming of an incomplete response precedes the policy's decision on the overdue request.
@@ -250,10 +250,10 @@
     def _reusable_connection(self, worker: Worker, now: float) -> WorkerConnection | None:
         """Return the most recently used idle connection that has been idle for the reuse delay and has no
         unread input, or None. Connections found to have unread input are closed."""
-        reusable = [conn for conn in reversed(worker.idle) if now - conn.idle_since_ms >= REUSE_DELAY_MS]
-        if not reusable and len(worker.idle) >= MAX_RESTING_CONNECTIONS:
-            reusable = [conn for conn in worker.idle if now - conn.idle_since_ms >= MIN_REUSE_DELAY_MS]
-        for connection in reusable:
+        has_sent_excess = now - worker.last_excess_ms < EXCESS_MEMORY_MS
+        delay_ms = EXCESS_REUSE_DELAY_MS if has_sent_excess else REUSE_DELAY_MS
+        rested = [conn for conn in reversed(worker.idle) if now - conn.idle_since_ms >= delay_ms]
+        for connection in rested:
             if connection.has_no_unread_input():
                 worker.idle.remove(connection)
                 return connection
--- a/tests/gateway/test_gatekeeper.py
+++ b/tests/gateway/test_gatekeeper.py
@@ -28,8 +28,9 @@
 from plumpick.gateway.listeners.http.parsed_request import MAX_PIPELINED_REQUESTS
 from plumpick.gateway.platform import Platform
 from plumpick.gateway.upstream.connection_pool import (
-    MAX_RESTING_CONNECTIONS,
-    MIN_REUSE_DELAY_MS,
+    EXCESS_MEMORY_MS,
+    EXCESS_REUSE_DELAY_MS,
+    MAX_IDLE_PER_WORKER,
     REUSE_DELAY_MS,
 )
 from plumpick.policy.actions import CancelAttempt, RejectRequest, SetTimer, StartAttempt
@@ -427,26 +428,91 @@
     run_with_one_worker(scenario)
 
 
-def test_longest_idle_connection_is_reused_early_when_many_are_idle():
+async def leave_connections_idle(worker, gate, client, count):
+    """Have `count` requests answered at one time; returns the worker's connections, which are idle then, and
+    its writers by these connections."""
+    clients = [client] + [await gate.client() for _ in range(count - 1)]
+    for one in clients:
+        one.send(request())
+    writers = [(await worker.next_request())[1] for _ in clients]
+    for writer in writers:
+        writer.write(http_response())
+    for one in clients:
+        assert (await one.read_response())[0] == 200
+    idle = gate.gateway.connection_pool._workers["w1"].idle
+    ports = {writer.get_extra_info("peername")[1]: writer for writer in writers}
+    return list(idle), {one: ports[one.transport.get_extra_info("sockname")[1]] for one in idle}
+
+
+@pytest.mark.parametrize("count", [1, 7, 8, 9, MAX_IDLE_PER_WORKER])
+def test_connections_rest_for_the_whole_reuse_delay_however_many_are_idle(count):
+    """Guards against review/10: with eight idle connections to a worker, one of them was used again after
+    2 ms."""
+
     async def scenario(worker, gate, client):
-        clients = [client] + [await gate.client() for _ in range(MAX_RESTING_CONNECTIONS - 1)]
-        for one in clients:
-            one.send(request())
-        writers = [(await worker.next_request())[1] for _ in clients]
-        for writer in writers:
-            writer.write(http_response())
-        for one in clients:
-            assert (await one.read_response())[0] == 200
+        idle, _ = await leave_connections_idle(worker, gate, client, count)
         pool = gate.gateway.connection_pool
         pooled_worker, now = pool._workers["w1"], gate.gateway.clock.now()
-        for place, one in enumerate(pooled_worker.idle):
-            one.idle_since_ms = now - 10.0 + place
-        oldest = pooled_worker.idle[0]
-        assert pool._reusable_connection(pooled_worker, now) is oldest
-        oldest.idle_since_ms = now - MIN_REUSE_DELAY_MS / 2
-        pooled_worker.idle[:] = [oldest] * MAX_RESTING_CONNECTIONS
-        assert pool._reusable_connection(pooled_worker, now) is None  # below the minimum reuse delay
-        pooled_worker.idle[:] = []
+        assert len(idle) == count
+        for connection in idle:
+            connection.idle_since_ms = now - REUSE_DELAY_MS + 0.1
+        assert pool._reusable_connection(pooled_worker, now) is None
+        assert pool._reusable_connection(pooled_worker, now + 0.2) is idle[-1]  # the most recently used
+
+    run_with_one_worker(scenario)
+
+
+@pytest.mark.parametrize("is_in_one_read", [True, False])
+def test_connections_of_a_worker_that_has_sent_excess_bytes_rest_longer(is_in_one_read):
+    """Guards against review/10: the duplicates of a busy worker came 20 to 40 ms late, and each response on
+    the connection from then on was taken for that to the next request."""
+
+    async def scenario(worker, gate, client):
+        idle, writers = await leave_connections_idle(worker, gate, client, 2)
+        pool = gate.gateway.connection_pool
+        pooled_worker = pool._workers["w1"]
+        if is_in_one_read:
+            idle[0].idle_since_ms -= REUSE_DELAY_MS
+            client.send(request())
+            _, writer = await worker.next_request()
+            assert writer is writers[idle[0]]
+            writer.write(http_response() * 2)
+            assert (await client.read_response())[0] == 200
+        else:
+            writers[idle[0]].write(http_response())
+        while len(pooled_worker.idle) != 1:
+            await asyncio.sleep(0)
+        now = gate.gateway.clock.now()
+        idle[1].idle_since_ms = now
+        assert pool._reusable_connection(pooled_worker, now + REUSE_DELAY_MS + 1.0) is None
+        assert pool._reusable_connection(pooled_worker, now + EXCESS_REUSE_DELAY_MS - 1.0) is None
+        assert pool._reusable_connection(pooled_worker, now + EXCESS_REUSE_DELAY_MS) is idle[1]
+        now += EXCESS_MEMORY_MS + 1.0
+        idle[1].idle_since_ms = now
+        pooled_worker.idle.append(idle[1])
+        assert pool._reusable_connection(pooled_worker, now + REUSE_DELAY_MS) is idle[1]
+
+    run_with_one_worker(scenario)
+
+
+def test_late_duplicate_among_many_idle_connections_is_not_taken_for_next_response():
+    """Guards against review/10: a client got the response to another request, whose duplicate came 3 to 10 ms
+    behind it on a connection that was in use again."""
+
+    async def scenario(worker, gate, client):
+        idle, writers = await leave_connections_idle(worker, gate, client, 9)
+        now = gate.gateway.clock.now()
+        for connection in idle:
+            connection.idle_since_ms = now - 10.0
+        client.send(request())
+        message, own = await worker.next_request()
+        assert message is not None
+        for connection in idle:
+            writers[connection].write(http_response(body=b"twice"))
+        while not all(connection.is_closed for connection in idle):
+            await asyncio.sleep(0)
+        own.write(http_response(body=b"own"))
+        assert (await client.read_response())[2] == b"own"
 
     run_with_one_worker(scenario)
 
