Clean-up: attempts of a request in one pass, one name for one thing

Change: one loop; BodyStreams.remove; one place; tests/support/read_counts.py. No behaviour, no check.

--- a/plumpick/gateway/body_streams.py
+++ b/plumpick/gateway/body_streams.py
@@ -58,7 +58,7 @@
         self._budget.reserve(share_bytes)
         self.read_buffer.set_stream_count(self._budget.stream_count)
 
-    def discard(self, request: OpenRequest) -> None:
+    def remove(self, request: OpenRequest) -> None:
         """Remove a request that has ended; does nothing if it has no streamed body. Its share stays reserved
         until its client has taken the response."""
         if request not in self._requests:
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -223,7 +223,7 @@
             request.backpressure_timer.cancel()
         if request.stream is not None:
             request.stream.on_paused = None  # breaks a reference cycle
-        self._streams.discard(request)
+        self._streams.remove(request)
         # The request of an attempt is written once its connection is up. If the policy may not cancel the
         # attempt, it would otherwise be written after the final response.
         for attempt in self._attempts_of(request):
@@ -247,8 +247,12 @@
 
     def _attempts_of(self, request: OpenRequest) -> list[Attempt]:
         """Return the attempts of a request that are in flight."""
-        attempts = [self.attempts.get((request.id, number)) for number in range(request.attempt_count)]
-        return [attempt for attempt in attempts if attempt is not None]
+        attempts = []
+        for number in range(request.attempt_count):
+            attempt = self.attempts.get((request.id, number))
+            if attempt is not None:
+                attempts.append(attempt)
+        return attempts
 
     # -- deadlines of requests
 
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -138,7 +138,6 @@
         self.is_write_buffer_full = False
         self.has_unsent_bytes = stream is not None and not stream.is_complete
         if stream is not None:
-            stream.last_progress_ms = self.pool.now()
             stream.resume()
 
     # -- streamed request: methods of BodySink
--- a/tests/gateway/test_discarded_responses.py
+++ b/tests/gateway/test_discarded_responses.py
@@ -18,6 +18,7 @@
 )
 from support.processes import wait_until_ready
 from support.raw_client import RawWorker, read_head
+from support.read_counts import count_reads_by_iteration
 from support.shutdown import run_served_gateway
 
 from plumpick.gateway.body_streams import RESPONSE_STALL_MS
@@ -242,6 +243,18 @@
 # -- other attempts, small responses, uploads
 
 
+async def start_second_attempt(worker, gate):
+    """Have the policy start another attempt of the request whose response is being streamed; returns the
+    request's id and the second worker connection's reader and writer."""
+    received = await gate.controller.next_event(RequestReceived)
+    await gate.controller.next_event(ResponseStarted)
+    gate.controller.next_actions = [StartAttempt(received.id, "w1", 9000.0)]
+    gate.gateway.post_event(TimerFired("hedge"))
+    reader, writer = await worker.accepted.get()
+    await read_head(reader)
+    return received.id, reader, writer
+
+
 def test_attempt_without_a_response_is_cancelled_beside_one_whose_response_is_discarded():
     """The policy cancels both attempts of a client that has left; a response that has begun is not
     withdrawn."""
@@ -249,13 +262,8 @@
     async def scenario(worker, gate):
         client = SocketClient(gate.port, receive_buffer_bytes=65536)
         _, writer = await begin_response(worker, client, size=2 * PIECE)
-        received = await gate.controller.next_event(RequestReceived)
-        await gate.controller.next_event(ResponseStarted)
-        gate.controller.next_actions = [StartAttempt(received.id, "w1", 9000.0)]
-        gate.gateway.post_event(TimerFired("hedge"))
-        reader, second = await worker.accepted.get()
-        await read_head(reader)
-        gate.controller.next_actions = [CancelAttempt(received.id, 0), CancelAttempt(received.id, 1)]
+        request_id, reader, second = await start_second_attempt(worker, gate)
+        gate.controller.next_actions = [CancelAttempt(request_id, 0), CancelAttempt(request_id, 1)]
         leave_by_reset(client)
         done = await gate.controller.next_event(AttemptCompleted)
         assert (done.attempt, done.result) == (1, AttemptResult.CANCELLED)
@@ -274,12 +282,7 @@
     async def scenario(worker, gate):
         client = SocketClient(gate.port, receive_buffer_bytes=65536)
         _, writer = await begin_response(worker, client, size=2 * PIECE)
-        received = await gate.controller.next_event(RequestReceived)
-        await gate.controller.next_event(ResponseStarted)
-        gate.controller.next_actions = [StartAttempt(received.id, "w1", 9000.0)]
-        gate.gateway.post_event(TimerFired("hedge"))
-        reader, second = await worker.accepted.get()
-        await read_head(reader)
+        request_id, reader, second = await start_second_attempt(worker, gate)
         leave_by_reset(client)
         await gate.controller.next_event(ClientDisconnected)
         second.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
@@ -410,12 +413,7 @@
     async def scenario(worker, gate):
         client = SocketClient(gate.port)
         _, writer = await begin_response(worker, client, size=2 * PIECE)
-        received = await gate.controller.next_event(RequestReceived)
-        await gate.controller.next_event(ResponseStarted)
-        gate.controller.next_actions = [StartAttempt(received.id, "w1", 9000.0)]
-        gate.gateway.post_event(TimerFired("hedge"))
-        reader, second = await worker.accepted.get()
-        await read_head(reader)
+        request_id, reader, second = await start_second_attempt(worker, gate)
         second.write(head_of("length", 4 * PIECE))
         await write_pieces(second, "length", 4)
         done = await gate.controller.next_event(AttemptCompleted)
@@ -606,28 +604,16 @@
 
 def test_one_of_all_discarded_responses_is_read_in_an_iteration_of_the_event_loop(monkeypatch):
     """Guards against clients that ask for large responses and leave: nothing else slows their workers."""
-    original = WorkerConnection.buffer_updated
-    reads = [0]
 
     async def scenario(worker, gate):
-        loop = asyncio.get_running_loop()
-
-        def next_iteration():
-            reads.append(0)
-            loop.call_soon(next_iteration)
-
-        def counted(connection, size):
-            reads[-1] += 1
-            original(connection, size)
-
-        monkeypatch.setattr(WorkerConnection, "buffer_updated", counted)
+        counts = count_reads_by_iteration(monkeypatch, WorkerConnection, asyncio.get_running_loop())
         writers = [(await begin_discarding(worker, gate, size=4 * 2**20))[1] for _ in range(20)]
-        reads.clear()
-        next_iteration()
+        first = len(counts)
         for writer in writers:
             writer.write(bytes(4 * 2**20 - PIECE))
         for _ in writers:
             assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.OK
+        reads = counts[first:]
         # Each of them may have been resumed before its bytes came.
         assert sum(reads) > 20 * 40 and max(reads[25:]) <= 20
         assert sum(count > 2 for count in reads) <= 20
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -19,6 +19,7 @@
     shrink_send_buffer,
 )
 from support.raw_client import RawWorker, read_head, read_response
+from support.read_counts import count_reads_by_iteration
 
 from plumpick.gateway.listeners.http.connection import ClientConnection
 from plumpick.gateway.upstream.connection import WorkerConnection
@@ -721,24 +722,6 @@
 # -- units
 
 
-def count_reads_by_iteration(monkeypatch, kind, loop):
-    """Count the reads of connections of this class by iterations of the event loop; returns the counts."""
-    counts = [0]
-    original = kind.buffer_updated
-
-    def next_iteration():
-        counts.append(0)
-        loop.call_soon(next_iteration)
-
-    def counted(connection, size):
-        counts[-1] += 1
-        original(connection, size)
-
-    monkeypatch.setattr(kind, "buffer_updated", counted)
-    loop.call_soon(next_iteration)
-    return counts
-
-
 @pytest.mark.parametrize("kind", [ClientConnection, WorkerConnection])
 def test_connection_with_many_bytes_is_read_once_in_an_iteration_of_the_event_loop(kind, monkeypatch):
     """Guards against picture (b) of the operators' letter: beside one client that sent an upload in chunks
