In a crowd the oldest discarded responses are cancelled after 2 s

Change: above 1/32 of the connections to workers those that have lasted 2 s are cancelled, the oldest first. The new test fails without the change (RESET after 10 s of its silent workers for CANCELLED).

--- a/plumpick/gateway/response_discarder.py
+++ b/plumpick/gateway/response_discarder.py
@@ -4,10 +4,10 @@
 worker still sends. So if its client has disconnected, or does not wait for it, the rest is read and dropped.
 The attempt stays in flight until then, since its worker is busy with it.
 
-Bounds: on the bytes of a response, on its pace, and on the number of responses that are discarded at once. An
-attempt that exceeds a bound ends with CANCELLED, which says nothing about its worker. One of the responses is
-read in each iteration of the event loop, so that they delay other connections by one read, however many they
-are. No method raises."""
+Bounds: on the bytes of a response, on its pace, on the number of responses that are discarded at once, and in
+a crowd of them on the time of each. An attempt that exceeds a bound ends with CANCELLED, which says nothing
+about its worker. One of the responses is read in each iteration of the event loop, so that they delay other
+connections by one read, however many they are. No method raises."""
 
 from __future__ import annotations
 
@@ -25,6 +25,10 @@
 # Maximum number of discarded responses, as a share of the connections to workers. Fewer than 500 of them are
 # each read faster than MIN_RATE_BYTES_PER_MS, as a read may take at least 16 KiB.
 MAX_CONNECTIONS_RATIO = 0.25
+# Share of the connections to workers above which the responses that have been discarded for longer than
+# CROWDED_TIME_MS are cancelled, the oldest first: they would take the place of requests with a client.
+CROWDED_RATIO = 1 / 32
+CROWDED_TIME_MS = 2000.0
 
 
 class DiscardedResponse:
@@ -73,11 +77,13 @@
         self._waiting: dict[DiscardedResponse, None] = {}  # those to be read next, in this order
         self._is_read_scheduled = False
         self._max_responses = 0
+        self._crowded_responses = 0
         self.set_max_connections(max_connections)
 
     def set_max_connections(self, max_connections: int) -> None:
         """Adapt the maximum number of discarded responses to that of the connections to workers."""
         self._max_responses = max(1, int(max_connections * MAX_CONNECTIONS_RATIO))
+        self._crowded_responses = max(1, int(max_connections * CROWDED_RATIO))
 
     def __len__(self) -> int:
         return len(self._responses)
@@ -114,12 +120,15 @@
         self._waiting.pop(response, None)
 
     def sweep(self, now: float) -> None:
-        """End the attempts whose workers have stopped sending the response, or send it too slowly."""
-        for response in list(self._responses):
+        """End the attempts whose workers have stopped sending the response or send it too slowly, and the
+        oldest ones of a crowd."""
+        excess = len(self._responses) - self._crowded_responses
+        for response in list(self._responses):  # in the order of their start
             if now - response.attempt.last_progress_ms > RESPONSE_STALL_MS:
                 response.attempt.end(AttemptResult.RESET)
-            elif response.is_too_slow(now):
+            elif response.is_too_slow(now) or excess > 0 and now - response.started_ms > CROWDED_TIME_MS:
                 response.attempt.end(AttemptResult.CANCELLED)
+                excess -= 1
 
     # -- turns of reading
 
--- a/tests/gateway/test_discarded_responses.py
+++ b/tests/gateway/test_discarded_responses.py
@@ -25,6 +25,7 @@
 from plumpick.gateway.config import WorkerList
 from plumpick.gateway.request_table import FAILED
 from plumpick.gateway.response_discarder import (
+    CROWDED_TIME_MS,
     MAX_DISCARDED_BYTES,
     MIN_RATE_BYTES_PER_MS,
     ResponseDiscarder,
@@ -602,6 +603,30 @@
     run_with_raw_worker(scenario)
 
 
+def test_oldest_discarded_responses_are_cancelled_in_a_crowd():
+    """Guards against clients that leave slow workers' responses behind and take the places of others: with
+    256 descriptors three such responses may last longer than 2 s."""
+
+    async def scenario(worker, gate):
+        for _ in range(5):
+            await begin_discarding(worker, gate)
+        discarder = gate.gateway._discarder
+        oldest = list(discarder._responses)[:2]
+        discarder.sweep(oldest[0].started_ms + CROWDED_TIME_MS)
+        assert len(discarder) == 5
+        now = gate.gateway.clock.now()
+        discarder.sweep(now + CROWDED_TIME_MS + 1.0)
+        done = [await gate.controller.next_event(AttemptCompleted) for _ in oldest]
+        assert {one.result for one in done} == {AttemptResult.CANCELLED}
+        assert [one.id for one in done] == [one.attempt.request_id for one in oldest]
+        discarder.sweep(now + RESPONSE_STALL_MS - 1000.0)
+        assert len(discarder) == 3 and not any(
+            isinstance(one, AttemptCompleted) for one in gate.controller.events
+        )
+
+    run_with_raw_worker(scenario)
+
+
 def test_one_of_all_discarded_responses_is_read_in_an_iteration_of_the_event_loop(monkeypatch):
     """Guards against clients that ask for large responses and leave: nothing else slows their workers."""
 
@@ -667,6 +692,6 @@
 
 def test_maximum_number_of_discarded_responses_follows_the_descriptor_limit():
     discarder = ResponseDiscarder(None, None, 400)
-    assert discarder._max_responses == 100
+    assert (discarder._max_responses, discarder._crowded_responses) == (100, 12)
     discarder.set_max_connections(107)
-    assert discarder._max_responses == 26
+    assert (discarder._max_responses, discarder._crowded_responses) == (26, 3)
