A crowd of discarded responses is counted as it is

Change: the number is looked at for each; two conditions have a name, and so has the ratio. Measured: the tests of discarded responses and of the structure pass.

--- a/plumpick/gateway/response_discarder.py
+++ b/plumpick/gateway/response_discarder.py
@@ -24,7 +24,7 @@
 MIN_RATE_BYTES_PER_MS = 32.0
 # Maximum number of discarded responses, as a share of the connections to workers. Fewer than 500 of them are
 # each read faster than MIN_RATE_BYTES_PER_MS, as a read may take at least 16 KiB.
-MAX_CONNECTIONS_RATIO = 0.25
+MAX_DISCARDED_RATIO = 0.25
 # Share of the connections to workers above which the responses that have been discarded for longer than
 # CROWDED_TIME_MS are cancelled, the oldest first: they would take the place of requests with a client.
 CROWDED_RATIO = 1 / 32
@@ -62,6 +62,10 @@
         """Whether the worker sends the response at less than the minimum rate."""
         return now - self.started_ms > RESPONSE_STALL_MS + self.received_bytes / MIN_RATE_BYTES_PER_MS
 
+    def has_lasted(self, now: float) -> bool:
+        """Whether the response has been discarded for longer than it may be in a crowd."""
+        return now - self.started_ms > CROWDED_TIME_MS
+
 
 class ResponseDiscarder:
     """Reads the discarded responses in turn, and ends the attempts of those that exceed a bound."""
@@ -82,7 +86,7 @@
 
     def set_max_connections(self, max_connections: int) -> None:
         """Adapt the maximum number of discarded responses to that of the connections to workers."""
-        self._max_responses = max(1, int(max_connections * MAX_CONNECTIONS_RATIO))
+        self._max_responses = max(1, int(max_connections * MAX_DISCARDED_RATIO))
         self._crowded_responses = max(1, int(max_connections * CROWDED_RATIO))
 
     def __len__(self) -> int:
@@ -122,13 +126,14 @@
     def sweep(self, now: float) -> None:
         """End the attempts whose workers have stopped sending the response or send it too slowly, and the
         oldest ones of a crowd."""
-        excess = len(self._responses) - self._crowded_responses
         for response in list(self._responses):  # in the order of their start
             if now - response.attempt.last_progress_ms > RESPONSE_STALL_MS:
                 response.attempt.end(AttemptResult.RESET)
-            elif response.is_too_slow(now) or excess > 0 and now - response.started_ms > CROWDED_TIME_MS:
+            elif response.is_too_slow(now) or self._is_crowded() and response.has_lasted(now):
                 response.attempt.end(AttemptResult.CANCELLED)
-                excess -= 1
+
+    def _is_crowded(self) -> bool:
+        return len(self._responses) > self._crowded_responses
 
     # -- turns of reading
 
