--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -1,4 +1,4 @@
-"""The memory of a gateway process beside many clients and workers that are slow with large bodies."""
+"""The memory of a gateway process beside crowds of clients and workers that are slow or misuse it."""
 
 import asyncio
 import contextlib
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from support import crowds
 from support.fakes import HOST, FakeDiscovery, SocketClient, config, entry, request, run
 from support.ports import free_port
 from support.processes import send_endpoint_list, start_program, wait_until_ready
@@ -16,6 +17,8 @@
 BODY = 4 * 2**20
 PIECE = 32 * 1024
 WATCHED_S = 4.0
+CROWD_MEMORY_MB = 64
+CROWD_S = 8.0  # time for which a crowd plays; benchmarks/memory plays for longer
 
 
 def peak_memory_mb(process):
@@ -91,3 +94,56 @@
                 server.close()
 
     run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def running_process(path, server_count, worker, **limits):
+    """A gateway process in front of `server_count` workers; yields the process and its port."""
+    async with FakeDiscovery() as discovery:
+        servers = [await worker.start() for _ in range(server_count)]
+        listed = [
+            entry(f"w{number}", server.sockets[0].getsockname()[1]) for number, server in enumerate(servers)
+        ]
+        port = free_port()
+        path.write_text(json.dumps(config(discovery.port, port, listed, limits=limits)))
+        process = await start_program(path)
+        try:
+            await send_endpoint_list(discovery, *listed)
+            await wait_until_ready(port)
+            yield process, port
+        finally:
+            process.kill()
+            await process.communicate()
+            for server in servers:
+                server.close()
+
+
+CROWDS = {
+    "uploads that stop": ((crowds.stop_within_upload,), crowds.SlowWorker()),
+    "uploads that break off": ((crowds.leave_within_upload,), crowds.SlowWorker()),
+    "buffered bodies to slow workers": ((crowds.send_buffered_body,), crowds.SlowWorker(delay_s=6.0)),
+    "bodies without their last byte": ((crowds.stop_within_buffered_body,), crowds.SlowWorker()),
+    "unread responses": (
+        (crowds.pipeline_unread_responses,),
+        crowds.SlowWorker(response_bytes=crowds.BUFFERED),
+    ),
+    "pipelined bodies": ((crowds.pipeline_bodies,), crowds.SlowWorker()),
+    "all kinds": (crowds.MIXED, crowds.SlowWorker(response_bytes=crowds.LARGE)),
+}
+
+
+@pytest.mark.parametrize("crowd", CROWDS)
+def test_memory_limit_holds_beside_a_crowd_that_comes_again(crowd, tmp_path):
+    """Guards against report fc118f: hundreds of clients that came again when they were closed drove a process
+    over its memory limit within seconds, or within half a minute."""
+    behaviours, worker = CROWDS[crowd]
+
+    async def scenario():
+        async with running_process(
+            tmp_path / "config.json", 9, worker, sockets=SOCKETS, memory_mb=CROWD_MEMORY_MB
+        ) as (process, port):
+            await crowds.play_crowd(port, behaviours, CLIENTS, CROWD_S)
+            assert process.returncode is None
+            assert peak_memory_mb(process) <= CROWD_MEMORY_MB
+
+    run(scenario())
