Fix: an ended upload is freed at once, with its connection and its bytes

Cause: connection -> current request -> streamed body -> its source, which is the connection. Change: a body whose request has ended releases its bytes and its source; a closed connection refers to nothing that its requests used; bytes that no sink will take are dropped instead of kept. Why it works: the cycle is cut at both of its ends, whichever comes first, in every way in which a request ends.

--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -42,13 +42,22 @@
     def connection_lost(self, _problem: Exception | None) -> None:
         """Report the closed connection, and a request open on it, to the listener."""
         self.is_closing = True
-        self.parser = None  # breaks a reference cycle, which would wait for the garbage collector
-        self.response_source = None
-        self.pipelined.clear()
         request = self.open_request
-        self.open_request = None
+        self._drop_references()
         self.listener.on_disconnected(self, request)
 
+    def _drop_references(self) -> None:
+        """Drop what the closed connection refers to: objects that others still refer to must not keep each
+        other alive, or the memory that its requests used."""
+        self.parser = None
+        self.transport = None
+        self.response_source = None
+        self.open_request = None
+        self.incoming = None
+        self.current = None
+        self.pipelined.clear()
+        self.stream_parts.clear()
+
     # -- serving of pipelined requests in order
 
     def serve_next(self) -> None:
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -100,6 +100,8 @@
         try:
             handle = self.gateway.submit(connection, request)  # type: ignore[arg-type]
         except DuplicateRequestIdError as problem:
+            if parsed.stream is not None:
+                parsed.stream.release()
             raise BadRequestError(str(problem), 409) from problem
         self.admission.on_request_received(connection)
         return handle
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -63,6 +63,9 @@
     def paused_ms(self) -> float:
         """Return for how long the source has been paused without interruption; 0.0 if it is not paused."""
 
+    def release(self) -> None:
+        """Drop the buffered bytes and the reference to the source: the request has ended."""
+
 
 class PausableSource(Protocol):
     """The connection that provides a streamed body."""
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -222,7 +222,7 @@
         if request.backpressure_timer is not None:
             request.backpressure_timer.cancel()
         if request.stream is not None:
-            request.stream.on_paused = None  # breaks a reference cycle
+            request.stream.release()
         self._streams.remove(request)
         # The request of an attempt is written once its connection is up. If the policy may not cancel the
         # attempt, it would otherwise be written after the final response.
--- a/plumpick/gateway/upstream/streaming_body.py
+++ b/plumpick/gateway/upstream/streaming_body.py
@@ -71,7 +71,7 @@
     def __init__(
         self, source: PausableSource, length: int, high_water_bytes: int, now: Callable[[], float]
     ) -> None:
-        self.source = source
+        self.source: PausableSource | None = source  # None once the request has ended
         self.length = length
         self.high_water_bytes = high_water_bytes
         self.on_paused: Callable[[], None] | None = None  # called when the source has been paused
@@ -88,11 +88,15 @@
         self.sink: BodySink | None = None
 
     def feed(self, data: bytes) -> None:
-        """Forward received bytes of the body, or buffer them until there is a sink."""
+        """Forward received bytes of the body, or buffer them until there is a sink. Bytes that no sink will
+        take are dropped."""
         self._received_bytes += len(data)
         if self.sink is not None:
             self.sink.write_chunk(data)
             return
+        if self.is_started or self.source is None:
+            self.pause()
+            return
         self.waiting.append(data)
         self.waiting_bytes += len(data)
         if self.waiting_bytes >= self.high_water_bytes:
@@ -122,7 +126,14 @@
         """Disconnect the sink, if it is the current one; bytes received from now on cannot be used."""
         if self.sink is sink:
             self.sink = None
-            self.high_water_bytes = 0
+
+    def release(self) -> None:
+        """Drop the buffered bytes and the reference to the source: the request has ended. Without this the
+        source, its request and this body would keep each other alive."""
+        self.waiting = []
+        self.waiting_bytes = 0
+        self.on_paused = None
+        self.source = None
 
     def pause(self) -> None:
         """Pause the source, unless the body is complete."""
@@ -130,7 +141,8 @@
             return
         self.is_paused = True
         self._paused_since_ms = self._now()
-        self.source.pause()
+        if self.source is not None:
+            self.source.pause()
         if self.on_paused is not None:
             self.on_paused()
 
@@ -140,7 +152,8 @@
             self._earlier_backpressure_ms = self.backpressure_ms()
             self.last_progress_ms = self._now()
             self.is_paused = False
-            self.source.resume()
+            if self.source is not None:
+                self.source.resume()
 
     def backpressure_ms(self) -> float:
         """Return for how long in total the source has been paused although the client may have sent the whole
