Fix: a response of discovery or of the settings service is freed with its call

Callers saw: nothing yet; the parts of each list, up to its whole size, stayed in memory until a full collection. Change: the parser's way back to its response is a weak reference. Why it works: the response has one owner, the call, and ends with it, also when the call breaks off.

--- a/plumpick/gateway/http_client.py
+++ b/plumpick/gateway/http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -24,6 +25,30 @@
         self.timed_out = timed_out
 
 
+class _ParserCallbacks:
+    """Passes a parser's callbacks on to its response, which owns the parser. The reference back is weak:
+    otherwise both, and the parts of the body, would stay in memory until the garbage collector runs."""
+
+    def __init__(self, response: HttpResponse) -> None:
+        self._response = weakref.ref(response)
+
+    def on_header(self, name: bytes, _value: bytes) -> None:
+        if (response := self._response()) is not None:
+            response.on_header(name)
+
+    def on_headers_complete(self) -> None:
+        if (response := self._response()) is not None:
+            response.on_headers_complete()
+
+    def on_body(self, part: bytes) -> None:
+        if (response := self._response()) is not None:
+            response.on_body(part)
+
+    def on_message_complete(self) -> None:
+        if (response := self._response()) is not None:
+            response.on_message_complete()
+
+
 class HttpResponse:
     """Parser of one response of at most `max_bytes` bytes, head included."""
 
@@ -32,7 +57,7 @@
         self._parts: list[bytes] = []
         self._is_in_body = False
         self._has_length = False
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = httptools.HttpResponseParser(_ParserCallbacks(self))
         self.received_bytes = 0
         self.is_complete = False
         self.keeps_alive = False
@@ -63,7 +88,7 @@
 
     # -- the parser's callbacks
 
-    def on_header(self, name: bytes, _value: bytes) -> None:
+    def on_header(self, name: bytes) -> None:
         """Parser callback: note whether the response declares its length."""
         self._has_length = self._has_length or name.lower() in (b"content-length", b"transfer-encoding")
 
