Fix: one account of all memory that peers can make a gateway hold

Cause: only streamed bodies had a budget, a quarter of the limit without regard to what the process itself needs, and exceeded by 16 KiB a stream. Heads, buffered bodies (kept up to three times), pipelined requests, buffered and unread responses stood in none. Change: MemoryBudget counts bytes by holder against what the limit leaves beside the process at its start, its connections and the allocator (MemoryLimits). Uploads are refused above a half, bodies above three quarters, small requests above nine tenths of it, with 503 before any attempt; what has stopped gives way first. Responses are never refused: buffers and reads shrink. A body is kept once, dropped with its request. Freed heap is returned after a peak. A log line when pressure begins and ends; the call MEMORY tells bytes by holder. Why it works: the sum of all bounds is below the limit by arithmetic (test_memory_budget.py), and each way in which something ends leaves all counters at zero (test_object_lifetime.py).

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -30,6 +30,8 @@
     SettingsSource,
     SiblingProcess,
 )
+from plumpick.gateway.memory_limits import UPSTREAM_DESCRIPTOR_RATIO, MemoryLimits
+from plumpick.gateway.memory_monitor import MemoryMonitor
 from plumpick.gateway.open_request import REQUEST_ID_RETENTION_MS, OpenRequest
 from plumpick.gateway.operator_commands import OperatorCommands
 from plumpick.gateway.peers import Peers
@@ -66,11 +68,6 @@
 from plumpick.policy.health_status import QuotaHealth
 from plumpick.policy.request_lifecycle import DEADLINE_TICKS
 
-# Share of the descriptor limit that connections to workers may use. Clients may use up to 0.46 of it
-# (listeners/http/connection_admission.py). The remainder (30 descriptors at the smallest limit of 256) is for
-# discovery, peers and the event loop.
-UPSTREAM_DESCRIPTOR_RATIO = 0.42
-STREAM_MEMORY_RATIO = 0.25  # share of the memory limit that streamed bodies may use
 LEASE_MESSAGE_TAG = b"\xd5"  # first byte of every lease message (plumpick/policy/leases/codec.py)
 
 log = logging.getLogger(__name__)
@@ -93,7 +90,9 @@
         self.timers = Timers(loop, self.clock)
         # The policy's controller, which tests replace.
         self.controller: Any = controller or Controller(config.settings, config.seed)
-        self._streams = BodyStreams(int(config.memory_mb * 2**20 * STREAM_MEMORY_RATIO), self.clock.now)
+        self.memory_limits = MemoryLimits(config.memory_mb, config.sockets)
+        self.memory = self.memory_limits.budget
+        self._streams = BodyStreams(self.memory, self.clock.now)
         self.read_buffer = self._streams.read_buffer
         self.connection_pool = self._create_connection_pool(loop, platform)
         self.peers = Peers(config, self.on_peer_message, platform.create_datagram_socket)
@@ -117,6 +116,9 @@
         )
         self._commands = OperatorCommands(self, self._turn)
         self._state_transfer = StateTransfer(self._turn)
+        self._memory_monitor = MemoryMonitor(
+            self.memory_limits, platform.return_freed_memory, platform.resident_bytes
+        )
         self._stalls = StallDetector(self._listeners, loop.call_soon)
         self._turn.handlers = self._action_handlers()
         self.timers.call_at(self.clock.now() + SWEEP_INTERVAL_MS, self._sweep)
@@ -129,6 +131,7 @@
             self.clock,
             self.timers,
             self.read_buffer,
+            self.memory,
             idle_timeout_ms=config.worker_idle_timeout_ms,
             connect_timeout_ms=config.connect_timeout_ms,
             max_connections=int(config.sockets * UPSTREAM_DESCRIPTOR_RATIO),
@@ -328,6 +331,7 @@
         self.requests.end_abandoned_uploads()
         self._streams.sweep(now, self.requests)
         self._discarder.sweep(now)
+        self._memory_monitor.sweep(now)
         for listener in self._listeners:
             listener.sweep(now, self.is_closing_connections)
         for sweep in self.sweeps:
@@ -338,8 +342,13 @@
         client_count = sum(listener.connection_count() for listener in self._listeners)
         return self.connection_pool.connection_count() + client_count
 
+    def memory_status(self) -> str:
+        """Return the reply to MEMORY: what is held by whom."""
+        return self._memory_monitor.status_line()
+
     def set_descriptor_limit(self, descriptors: int) -> None:
         """Adapt the limits on connections to the process's new descriptor limit."""
+        self.memory_limits.set_descriptors(descriptors)
         max_connections = int(descriptors * UPSTREAM_DESCRIPTOR_RATIO)
         self.connection_pool.set_max_connections(max_connections)
         self._discarder.set_max_connections(max_connections)
@@ -364,6 +373,7 @@
         """Let the successor process accept all clients from now on."""
         self.sibling = sibling
         self.has_handed_over = True
+        self.memory_limits.set_process_count(2)
         self._update_readiness()
 
     def begin_takeover(self) -> None:
@@ -382,6 +392,7 @@
         """Accept clients again after the successor of a hot restart has died."""
         self.has_handed_over = False
         self.sibling = None
+        self.memory_limits.set_process_count(1)
         self._turn.post(ResumeAfterFailedHandover())
         self._update_readiness()
 
--- a/plumpick/gateway/listeners/admin.py
+++ b/plumpick/gateway/listeners/admin.py
@@ -32,6 +32,7 @@
     b"DUTIES": (0, 1),
     b"BUDGETS": (0, 1),
     b"CONFIGURATION": (0, 0),
+    b"MEMORY": (0, 0),
 }
 
 
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -10,7 +10,7 @@
 from plumpick.gateway.listeners.http.connection_state import ConnectionOwner
 from plumpick.gateway.listeners.http.parsed_request import MAX_BUFFERED_BODY_BYTES, ParsedRequest
 from plumpick.gateway.listeners.http.request_reader import RequestReader
-from plumpick.gateway.listeners.http.response_writer import REASON_PHRASES
+from plumpick.gateway.listeners.http.response_writer import REASON_PHRASES, WRITE_BUFFER_BYTES
 from plumpick.gateway.listeners.http.validation import BadRequestError
 
 # After each bad request, reading from the connection pauses for a time that doubles from FIRST_PAUSE_MS.
@@ -34,6 +34,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection with its listener."""
         self.transport = transport  # type: ignore[assignment]
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)  # type: ignore[attr-defined]
         self.listener.on_connected(self)
 
     def eof_received(self) -> None:
@@ -53,9 +54,10 @@
         self.transport = None
         self.response_source = None
         self.open_request = None
-        self.incoming = None
+        self.drop_unserved_requests()
+        self.release_request(self.current)
+        self.count_unread(0)
         self.current = None
-        self.pipelined.clear()
         self.stream_parts.clear()
 
     # -- serving of pipelined requests in order
@@ -78,6 +80,7 @@
             self.request_started = False
             self.current = parsed
             if parsed.error_status:
+                self.release_request(parsed)
                 self.listener.admission.on_request_received(self)
                 self.reject(parsed.error_status)
             elif parsed.method == b"GET" and parsed.url == b"/up":
@@ -148,6 +151,7 @@
         transport.write(
             b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n" % (status, REASON_PHRASES[status].encode())
         )
+        self.release_request(current)
         transport.pause_reading()
         self.is_paused = True
         self.has_backlog = True
--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -36,6 +36,11 @@
 SHUTDOWN_LINGER_MS = 200.0  # limit on time without input during a shutdown, in place of LINGER_MS
 UNREAD_RESPONSE_TIMEOUT_MS = 10_000.0  # time without progress in writing after which a response is dropped
 SHUTDOWN_UNREAD_RESPONSE_TIMEOUT_MS = 1000.0  # limit on time without progress in a shutdown
+# Limit on time without progress while the memory is exhausted. A client that reads at 64 kB a second may show
+# no progress for some seconds, as the kernels announce the room for further bytes in large steps.
+EXHAUSTED_UNREAD_RESPONSE_TIMEOUT_MS = 4000.0
+# Time without bytes of a started request after which it is rejected while the memory is exhausted.
+EXHAUSTED_STOPPED_SENDING_MS = 1000.0
 
 
 class AdmittedConnection:
@@ -95,6 +100,8 @@
         self._closing: dict[AdmittedConnection, float] = {}
         self._last_sweep_ms = now  # time of the last sweep; below 0 until the first sweep
         self._next_eviction_ms = -1.0
+        self._next_rejection_ms = -1.0
+        self.is_memory_exhausted = False  # whether clients that have stopped are closed sooner
 
     def set_descriptor_limit(self, sockets: int) -> None:
         """Derive the limits from the process's descriptor limit. Excess connections are closed when the next
@@ -133,6 +140,23 @@
             connection.abort()
         return bool(closed)
 
+    def reject_stopped(self, now: float, needing: AdmittedConnection) -> None:
+        """Reject the partly received requests whose clients have stopped sending, other than that of
+        `needing`. If there are none, the next try is delayed by SWEEP_INTERVAL_MS, since each try looks at
+        every waiting connection."""
+        if now < self._next_rejection_ms:
+            return
+        stopped = [
+            conn
+            for conn in self._awaiting_request
+            if conn.request_started
+            and now - conn.last_activity_ms > EXHAUSTED_STOPPED_SENDING_MS
+            and conn is not needing
+        ]
+        self._next_rejection_ms = now if stopped else now + SWEEP_INTERVAL_MS
+        for connection in stopped:
+            connection.reject_incomplete_request()
+
     # -- events of a connection
 
     def remove(self, connection: AdmittedConnection) -> None:
@@ -281,7 +305,7 @@
 
     def _end_unread(self, now: float, is_shutting_down: bool) -> None:
         """Close the connections whose client has stopped taking its responses."""
-        timeout_ms = _unread_timeout_ms(is_shutting_down)
+        timeout_ms = self._unread_timeout_ms(is_shutting_down)
         for connection in [conn for conn, since in self._unread.items() if now - since > LINGER_MS]:
             if _is_still_reading(connection):
                 self._unread[connection] = now
@@ -292,7 +316,7 @@
         """Close the half-closed connections whose client has read its response and sends nothing more, sends
         for too long, or has stopped reading."""
         linger_ms = SHUTDOWN_LINGER_MS if is_shutting_down else LINGER_MS
-        unread_timeout_ms = _unread_timeout_ms(is_shutting_down)
+        unread_timeout_ms = self._unread_timeout_ms(is_shutting_down)
         for connection in [conn for conn, since in self._closing.items() if now - since > linger_ms]:
             unwritten = connection.unwritten_bytes()
             if unwritten and _is_still_reading(connection):
@@ -305,15 +329,18 @@
             else:
                 connection.abort()
 
+    def _unread_timeout_ms(self, is_shutting_down: bool) -> float:
+        if is_shutting_down:
+            return SHUTDOWN_UNREAD_RESPONSE_TIMEOUT_MS
+        if self.is_memory_exhausted:
+            return EXHAUSTED_UNREAD_RESPONSE_TIMEOUT_MS
+        return UNREAD_RESPONSE_TIMEOUT_MS
+
     @staticmethod
     def _may_linger_on(connection: AdmittedConnection, now: float) -> bool:
         return connection.received_while_closing and now - connection.closing_since_ms < MAX_LINGER_MS
 
 
-def _unread_timeout_ms(is_shutting_down: bool) -> float:
-    return SHUTDOWN_UNREAD_RESPONSE_TIMEOUT_MS if is_shutting_down else UNREAD_RESPONSE_TIMEOUT_MS
-
-
 def _is_still_reading(connection: AdmittedConnection) -> bool:
     """Whether the client has taken response bytes since the latest call."""
     undelivered = connection.undelivered_bytes()
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -47,6 +47,11 @@
         """Handle the first byte of a request on a connection without an open request."""
         raise NotImplementedError
 
+    def reject_stopped_requests(self, connection: ConnectionState) -> None:
+        """Reject partly received requests whose clients have stopped sending, other than that of
+        `connection`: their memory is needed."""
+        raise NotImplementedError
+
     def submit(self, connection: ConnectionState, parsed: ParsedRequest) -> Any:
         """Validate and submit a complete request, or one with a complete head whose body is streamed. Returns
         the gateway's handle of it; raises BadRequestError."""
@@ -82,6 +87,7 @@
         self.is_write_buffer_full = False  # whether the event loop has called pause_writing
         # Whether the next request waits until the client has taken earlier responses.
         self.is_response_unread = False
+        self.unread_bytes = 0  # response bytes that are counted, since the kernel has not taken them
         # Whether the connection was transferred by the predecessor of a hot restart.
         self.is_inherited = False
 
@@ -122,6 +128,29 @@
             return 0.0
         return self.incoming.body_received_bytes / MIN_BODY_RATE_BYTES_PER_MS
 
+    # -- account of memory
+
+    def release_request(self, parsed: ParsedRequest | None) -> None:
+        """No longer count the memory of a request that has ended."""
+        if parsed is not None and parsed.held_bytes:
+            self.gateway.memory.release_request(parsed.held_bytes)
+            parsed.held_bytes = 0
+
+    def drop_unserved_requests(self) -> None:
+        """Drop the requests behind the open one, which will not be served."""
+        for parsed in self.pipelined:
+            self.release_request(parsed)
+        self.pipelined.clear()
+        if self.incoming is not self.current or self.open_request is None:
+            self.release_request(self.incoming)
+            self.incoming = None
+
+    def count_unread(self, unread_bytes: int) -> None:
+        """Count the response bytes that the kernel has not taken, in place of those counted before."""
+        if unread_bytes != self.unread_bytes:
+            self.gateway.memory.add_unread(unread_bytes - self.unread_bytes)
+            self.unread_bytes = unread_bytes
+
     def abort(self) -> None:
         """Close the connection at once; unwritten bytes are lost."""
         self.is_closing = True
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -10,7 +10,12 @@
 from plumpick.gateway.listeners.http.connection_state import ConnectionOwner, ConnectionState
 from plumpick.gateway.listeners.http.parsed_request import ParsedRequest
 from plumpick.gateway.listeners.http.validation import BadRequestError, RequestValidator, origin_form
-from plumpick.gateway.listeners.interface import DuplicateRequestIdError, IncomingRequest, RequestGateway
+from plumpick.gateway.listeners.interface import (
+    DuplicateRequestIdError,
+    IncomingRequest,
+    MemoryExhaustedError,
+    RequestGateway,
+)
 from plumpick.policy.draining import AdmissionState
 from plumpick.policy.settings import Settings
 
@@ -82,6 +87,10 @@
         """Start the time limit of a request whose first byte was received."""
         self.admission.on_request_started(connection, self.gateway.clock.now())
 
+    def reject_stopped_requests(self, connection: ConnectionState) -> None:
+        """Reject partly received requests whose clients have stopped sending: their memory is needed."""
+        self.admission.reject_stopped(self.gateway.clock.now(), connection)
+
     def submit(self, connection: ConnectionState, parsed: ParsedRequest) -> Any:
         """Validate and submit a complete request, or one with a complete head whose body is streamed because
         it is too large to be buffered. Returns the gateway's handle of it; raises BadRequestError."""
@@ -90,9 +99,11 @@
         target = origin_form(parsed.url)
         head = self.validator.validate(method, target, headers, bool(parsed.body) or not parsed.is_complete)
         if not parsed.is_complete:
-            source: Any = connection  # the connection also implements PausableSource
-            parsed.stream = self.gateway.create_request_stream(source, parsed.body_length)
-        body = bytes(parsed.body) if parsed.is_complete else b""
+            parsed.stream = self._create_stream(connection, parsed)
+        body = b""
+        if parsed.is_complete:
+            body = bytes(parsed.body)
+            parsed.body = bytearray()  # the request is kept once
         content_type = headers.get(b"content-type")
         request = IncomingRequest(
             *head, method, target, content_type, body, parsed.received_ms, parsed.stream
@@ -106,6 +117,13 @@
         self.admission.on_request_received(connection)
         return handle
 
+    def _create_stream(self, connection: Any, parsed: ParsedRequest) -> Any:
+        """Create the stream of a request's body, whose source is its connection; raises BadRequestError."""
+        try:
+            return self.gateway.create_request_stream(connection, parsed.body_length)
+        except MemoryExhaustedError as problem:
+            raise BadRequestError(str(problem), 503) from problem
+
     def on_response_sent(self, connection: ConnectionState) -> None:
         """Record a connection as idle after a response."""
         self.admission.on_response_sent(connection, self.gateway.clock.now())
@@ -124,6 +142,7 @@
 
     def sweep(self, now: float, is_shutting_down: bool) -> None:
         """Close the connections that have timed out and those that the admission state excludes."""
+        self.admission.is_memory_exhausted = self.gateway.memory.is_exhausted()
         self.admission.sweep(now, is_shutting_down)
         state = self.gateway.admission_state
         if state >= AdmissionState.CLOSING_IDLE:
--- a/plumpick/gateway/listeners/http/parsed_request.py
+++ b/plumpick/gateway/listeners/http/parsed_request.py
@@ -11,6 +11,7 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a larger body is streamed
 # Maximum size on the wire of a message with a buffered body: a chunk of one byte takes six bytes there.
 MAX_RAW_MESSAGE_BYTES = MAX_HEAD_BYTES + 8 * MAX_BUFFERED_BODY_BYTES
+REQUEST_OBJECT_BYTES = 1024  # memory of a request beside its bytes
 MAX_BODY_BYTES = 1 << 40  # maximum Content-Length of a request
 MAX_CONTENT_LENGTH_DIGITS = 15
 MAX_PIPELINED_REQUESTS = 16  # maximum number queued behind an open request; one more closes the connection
@@ -49,6 +50,7 @@
         "stream",
         "received_ms",
         "body_received_bytes",
+        "held_bytes",
     )
 
     def __init__(self) -> None:
@@ -67,3 +69,14 @@
         self.stream: Any = None  # RequestStream of a body too large to be buffered
         self.received_ms = 0.0  # time at which the last byte was read, or of the head if the body is streamed
         self.body_received_bytes = 0
+        self.held_bytes = 0  # memory that is counted for the request
+
+    def required_bytes(self) -> int:
+        """Return the memory that the request needs until its response: for an announced body that is buffered
+        all of it, so that a request that was begun can be completed. A streamed body is counted apart."""
+        if self.in_head:
+            return REQUEST_OBJECT_BYTES + self.raw_bytes
+        body_bytes = len(self.body)
+        if 0 < self.body_length <= MAX_BUFFERED_BODY_BYTES:
+            body_bytes = self.body_length
+        return REQUEST_OBJECT_BYTES + len(self.url) + self.head_bytes + body_bytes
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -43,7 +43,7 @@
 
     def get_buffer(self, _size_hint: int) -> Any:
         """Return the buffer for the next read."""
-        return self.gateway.read_buffer.view
+        return self.gateway.read_buffer.view()
 
     def buffer_updated(self, size: int) -> None:
         """Process the `size` bytes that were read into the buffer."""
@@ -86,8 +86,26 @@
             ):
                 # Raw bytes include what the parser skips, such as chunk extensions.
                 self._reject_incoming(incoming, 413)
+            elif incoming.stream is None and not incoming.is_complete:
+                self._reserve_memory(incoming)
         self.serve_next()
 
+    def _reserve_memory(self, incoming: ParsedRequest) -> bool:
+        """Count the memory of a request that is being read, or reject it with 503 if there is none; returns
+        whether it is counted."""
+        size = incoming.required_bytes() - incoming.held_bytes
+        if size <= 0:
+            return True
+        memory = self.gateway.memory
+        if not memory.reserve_request(incoming.held_bytes, size):
+            self.listener.reject_stopped_requests(self)
+            if not memory.reserve_request(incoming.held_bytes, size):
+                memory.count_refused_request()
+                self._reject_incoming(incoming, 503)
+                return False
+        incoming.held_bytes += size
+        return True
+
     def _is_backlog_wanted(self) -> bool:
         """Whether the client is still there, of which bytes are read that may have waited for long. If not,
         the connection is closed: its requests must not be sent on."""
@@ -175,6 +193,8 @@
             return
         is_chunked = b"transfer-encoding" in headers
         incoming.body_length = -1 if is_chunked else int(headers.get(b"content-length", b"0"))
+        if not self._reserve_memory(incoming):
+            return
         self._send_continue(incoming)
         if incoming.body_length > MAX_BUFFERED_BODY_BYTES:
             self.start_stream(incoming)
--- a/plumpick/gateway/listeners/http/response_writer.py
+++ b/plumpick/gateway/listeners/http/response_writer.py
@@ -8,6 +8,9 @@
 
 from plumpick.gateway.listeners.http.connection_state import ConnectionOwner, ConnectionState
 
+# Number of unwritten bytes of a response above which the next request waits. They are counted.
+WRITE_BUFFER_BYTES = 4 * 1024
+
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
@@ -49,6 +52,7 @@
         """Write the complete response to the open request."""
         self.open_request = None
         current = self.current
+        self.release_request(current)
         if self.transport is None or self.transport.is_closing():
             return
         # If the request's body is incomplete, its rest is not read and the connection must close.
@@ -146,31 +150,38 @@
 
     def finish_response(self) -> None:
         """End the streamed response: its body is complete."""
-        self.open_request = None
-        self.response_source = None
+        self._end_streamed_response()
         if self.transport is None or self.transport.is_closing():
             return
         if self.is_chunked:
             self.transport.write(b"0\r\n\r\n")
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._on_response_written(self.current is None or not self.current.keep_alive)
 
     def abort_response(self) -> None:
         """Reset the connection, so that the client cannot take a truncated streamed response for complete."""
+        self._end_streamed_response()
+        self.abort()
+
+    def _end_streamed_response(self) -> None:
         self.open_request = None
         self.response_source = None
-        self.abort()
+        self.release_request(self.current)
 
     def pause_writing(self) -> None:
         """Pause the source of a streamed response, as the write buffer is full. If the client reads nothing,
         the sweep closes the connection."""
         self.is_write_buffer_full = True
-        if self.response_source is not None:
+        if self.response_source is not None:  # its bytes are counted as a share of the streams
             self.response_source.pause()
+        else:
+            self.count_unread(self.unwritten_bytes())
 
     def resume_writing(self) -> None:
         """Resume the source of a streamed response, or go on with the next request, as the write buffer has
         room again."""
         self.is_write_buffer_full = False
+        self.count_unread(0)
         if self.response_source is not None:
             self.response_source.resume()
         if self.is_response_unread:
@@ -190,6 +201,7 @@
         if transport is None or transport.is_closing():
             return
         self._start_closing()
+        self.drop_unserved_requests()
         if data:
             transport.write(data)
         transport.write_eof()
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from plumpick.gateway.clock import Clock, Timers
+from plumpick.gateway.memory_budget import MemoryBudget
 from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.policy.draining import AdmissionState
 from plumpick.policy.settings import RequestClass, Settings
@@ -24,6 +25,10 @@
     """The id of a request equals that of another request that is open or has recently ended."""
 
 
+class MemoryExhaustedError(Exception):
+    """A request is refused, since the memory that clients may use is used up."""
+
+
 class IncomingRequest(NamedTuple):
     """A validated request: the policy's input and the data that workers are sent."""
 
@@ -157,6 +162,7 @@
     is_draining: bool  # whether each response closes its connection
     admission_state: AdmissionState  # stage of draining, which determines further connections to close
     read_buffer: ReadBuffer  # buffer into which connections are read
+    memory: MemoryBudget  # account of the memory that clients use
 
     def spare_descriptors(self) -> int:
         """Return how many descriptors reserved for workers may be used for clients now."""
@@ -166,7 +172,8 @@
         fire before the waiting bytes are read."""
 
     def create_request_stream(self, source: PausableSource, length: int) -> Any:
-        """Create the RequestStream for a body of `length` bytes (-1: unknown); the caller must feed it."""
+        """Create the RequestStream for a body of `length` bytes (-1: unknown); the caller must feed it.
+        Raises MemoryExhaustedError."""
 
     def on_body_complete(self, request: Any) -> None:
         """Start the request's deadline: the last byte of its streamed body has been received."""
--- a/plumpick/gateway/management.py
+++ b/plumpick/gateway/management.py
@@ -74,6 +74,7 @@
             self._successor.on_predecessor_exit = self._on_alone
             self._successor.on_descriptor_count = self._on_descriptor_count
             self._gateway.set_descriptor_limit(self._config.sockets // 2)
+            self._gateway.memory_limits.set_process_count(2)
             if self._successor.datagram_socket is not None:
                 peers.open(self._loop, self._successor.datagram_socket)
                 return
@@ -163,6 +164,7 @@
         """The predecessor has exited: this process may use all configured descriptors, and the ids of the
         predecessor's requests are no longer in use."""
         self._gateway.set_descriptor_limit(self._config.sockets)
+        self._gateway.memory_limits.set_process_count(1)
         self._gateway.requests.ids.release_inherited()
 
     # -- end of the management plane
--- /dev/null
+++ b/plumpick/gateway/memory_limits.py
@@ -0,0 +1,63 @@
+"""Derives the total of the memory budget from the process's limits: memory, descriptors, and the number of
+processes of this gateway."""
+
+from __future__ import annotations
+
+from plumpick.gateway.memory_budget import BYTES_PER_MB, MemoryBudget
+
+# Shares of the descriptor limit that connections to workers, and to clients and workers together, may use.
+# Clients alone may use up to 0.46 of it (listeners/http/connection_admission.py). The remainder (30
+# descriptors at the smallest limit of 256) is for discovery, peers and the event loop.
+UPSTREAM_DESCRIPTOR_RATIO = 0.42
+CONNECTION_DESCRIPTOR_RATIO = 0.88
+# Memory of one connection to a client or a worker beside what the budget counts: objects, transport, parser,
+# and the one read that it may keep while the memory is exhausted.
+CONNECTION_BYTES = 8 * 1024
+# Memory of one response while the memory is exhausted. Responses can't be refused.
+RESPONSE_BYTES = 8 * 1024
+# Growth of the process itself after its start: code that is used for the first time, customers' accounts, ids
+# of requests, timers.
+OWN_GROWTH_BYTES = 3 * BYTES_PER_MB
+# Share of the memory for the allocator: free blocks between those in use, and the size classes of objects.
+ALLOCATOR_RATIO = 0.2
+MIN_TOTAL_BYTES = BYTES_PER_MB  # total with which a process still serves whose limit leaves nothing
+DEFAULT_BASELINE_BYTES = 30 * BYTES_PER_MB  # resident memory at the start, until it has been measured
+
+
+def total_bytes_within(limit_bytes: int, baseline_bytes: int, descriptors: int) -> int:
+    """Return the total of a process with these limits, whose resident memory was `baseline_bytes` at its
+    start."""
+    connection_bytes = int(descriptors * CONNECTION_DESCRIPTOR_RATIO) * CONNECTION_BYTES
+    response_bytes = int(descriptors * UPSTREAM_DESCRIPTOR_RATIO) * RESPONSE_BYTES
+    own_bytes = baseline_bytes + OWN_GROWTH_BYTES + connection_bytes + response_bytes
+    return max(MIN_TOTAL_BYTES, int((limit_bytes - own_bytes) * (1 - ALLOCATOR_RATIO)))
+
+
+class MemoryLimits:
+    """The limits of this process, and the budget whose total follows them."""
+
+    def __init__(self, memory_mb: float, descriptors: int) -> None:
+        self.memory_mb = memory_mb
+        self._descriptors = descriptors
+        self._baseline_bytes = DEFAULT_BASELINE_BYTES
+        self._process_count = 1
+        self.budget = MemoryBudget(self._total_bytes())
+
+    def _total_bytes(self) -> int:
+        limit_bytes = int(self.memory_mb * BYTES_PER_MB) // self._process_count
+        return total_bytes_within(limit_bytes, self._baseline_bytes, self._descriptors)
+
+    def set_baseline(self, baseline_bytes: int) -> None:
+        """Set the resident memory of this process at its start, which requests can't use."""
+        self._baseline_bytes = baseline_bytes
+        self.budget.set_total(self._total_bytes())
+
+    def set_process_count(self, process_count: int) -> None:
+        """Divide the memory limit by the number of processes of this gateway: two during a hot restart."""
+        self._process_count = process_count
+        self.budget.set_total(self._total_bytes())
+
+    def set_descriptors(self, descriptors: int) -> None:
+        """Adapt to the process's new descriptor limit."""
+        self._descriptors = descriptors
+        self.budget.set_total(self._total_bytes())
--- a/plumpick/gateway/operator_commands.py
+++ b/plumpick/gateway/operator_commands.py
@@ -45,6 +45,9 @@
     def readiness(self) -> str:
         """Return the reply to READY; raises CommandRejectedError."""
 
+    def memory_status(self) -> str:
+        """Return the reply to MEMORY: what is held by whom."""
+
 
 class OperatorCommands:
     """Executes operators' commands, passing to the policy those that it decides on."""
@@ -79,6 +82,8 @@
         context = self._context
         if name == "READY":
             return context.readiness()
+        if name == "MEMORY":
+            return context.memory_status()
         if name == "CONFIGURATION":
             if context.settings_source is None:
                 raise CommandRejectedError(
--- a/plumpick/gateway/platform.py
+++ b/plumpick/gateway/platform.py
@@ -5,14 +5,17 @@
 
 from __future__ import annotations
 
+import ctypes
 import fcntl
 import gc
 import os
+import resource
 import select
 import socket
 import sys
 import termios
 import time
+from pathlib import Path
 from typing import Any
 
 from plumpick.gateway.clock import Clock
@@ -96,6 +99,19 @@
         gc.collect()
         gc.freeze()
 
+    @staticmethod
+    def resident_bytes() -> int:
+        """The resident memory of this process."""
+        pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
+        return pages * resource.getpagesize()
+
+    @staticmethod
+    def return_freed_memory() -> None:
+        """Return the heap's free blocks to the system, where the C library has a call for it."""
+        trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+        if trim is not None:
+            trim(0)
+
     def boottime(self) -> float:
         """Milliseconds since boot, by a clock that also advances while the machine is suspended."""
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
--- a/plumpick/gateway/process.py
+++ b/plumpick/gateway/process.py
@@ -97,6 +97,8 @@
             await self._listen()
         await self._wait_for_first_answers()
         self._platform.freeze_startup_objects()
+        self._gateway.memory_limits.set_baseline(self._platform.resident_bytes())
+        log.info("memory: %s", self._gateway.memory_status())
         if self._management is not None and not self._stop.is_requested():
             await self._management.serve()
         self._gateway.start_serving(self._stop.is_requested())
--- a/plumpick/gateway/read_buffer.py
+++ b/plumpick/gateway/read_buffer.py
@@ -1,37 +1,53 @@
 """The buffer into which all connections are read, one after the other. It bounds the bytes of one read: they
-are received whole even if the connection they are forwarded to is full, so with many streams a read is
-short."""
+are received whole even if the connection they are forwarded to is full, so a read is short while many streams
+are open or much of the memory is used."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
 
+from plumpick.gateway.memory_budget import MemoryBudget, MemoryLevel
+
 MAX_READ_BYTES = 64 * 1024
 CROWDED_READ_BYTES = 16 * 1024
-CROWDED_STREAMS = 64  # number of streams above which a read is limited to CROWDED_READ_BYTES
+EXHAUSTED_READ_BYTES = 4 * 1024
+CROWDED_STREAMS = 16  # number of streams above which a read is limited to CROWDED_READ_BYTES
 
 
 class ReadBuffer:
     """A buffer that is filled and emptied within one callback of the event loop."""
 
-    def __init__(self) -> None:
-        self._memory = memoryview(bytearray(MAX_READ_BYTES))
-        self.view = self._memory  # part of the buffer that the next read may fill
+    def __init__(self, memory: MemoryBudget) -> None:
+        self._memory = memory
+        self._buffer = memoryview(bytearray(MAX_READ_BYTES))
+        self._crowded_view = self._buffer[:CROWDED_READ_BYTES]
+        self._exhausted_view = self._buffer[:EXHAUSTED_READ_BYTES]
+        self._is_crowded_by_streams = False
+        self._view = self._buffer  # part of the buffer that the latest read could fill
 
     def set_stream_count(self, streams: int) -> None:
         """Adapt the size of a read to the number of streams."""
-        size = CROWDED_READ_BYTES if streams > CROWDED_STREAMS else MAX_READ_BYTES
-        if len(self.view) != size:
-            self.view = self._memory[:size]
+        self._is_crowded_by_streams = streams > CROWDED_STREAMS
+
+    def view(self) -> memoryview:
+        """Return the part of the buffer that the next read may fill."""
+        level = self._memory.level
+        if level == MemoryLevel.EXHAUSTED:
+            self._view = self._exhausted_view
+        elif level == MemoryLevel.CROWDED or self._is_crowded_by_streams:
+            self._view = self._crowded_view
+        else:
+            self._view = self._buffer
+        return self._view
 
     def is_filled_by(self, size: int) -> bool:
         """Whether a read of `size` bytes has filled the buffer, so that more bytes probably wait."""
-        return size >= len(self.view)
+        return size >= len(self._view)
 
     def take(self, size: int) -> bytes:
         """Return a copy of the first `size` bytes, which a read has filled."""
-        return bytes(self._memory[:size])
+        return bytes(self._buffer[:size])
 
     @staticmethod
     def yield_reading(transport: asyncio.Transport, may_resume: Callable[[], bool]) -> None:
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -224,12 +224,18 @@
         if request.stream is not None:
             request.stream.release()
         self._streams.remove(request)
-        # The request of an attempt is written once its connection is up. If the policy may not cancel the
-        # attempt, it would otherwise be written after the final response.
+        self._end_unsent_attempts(request)
+        return True
+
+    def _end_unsent_attempts(self, request: OpenRequest) -> None:
+        """End the attempts of a request that has ended, if its worker can't have received the whole request:
+        it would otherwise be written after the final response, or stay in memory while the worker takes
+        nothing. A streamed body is left to the caller."""
         for attempt in self._attempts_of(request):
-            if attempt.connection is None:
+            attempt.body = b""
+            connection = attempt.connection
+            if connection is None or attempt.stream is None and connection.has_unsent_bytes:
                 attempt.end(AttemptResult.CANCELLED)
-        return True
 
     def count(self, request: OpenRequest, outcome: int) -> None:
         """Count the outcome of a request that has ended: SERVED, REJECTED or FAILED."""
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -14,8 +14,10 @@
 import httptools
 
 from plumpick.gateway.config import WorkerEntry
+from plumpick.gateway.memory_budget import MemoryBudget
 from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
+from plumpick.gateway.upstream.buffered_response import BufferedResponse
 from plumpick.gateway.upstream.request_encoding import encode_message
 from plumpick.gateway.upstream.streaming_body import MAX_BUFFERED_BODY_BYTES, StreamingBody
 from plumpick.policy.events import AttemptResult
@@ -30,6 +32,7 @@
     """The connection pool as its connections use it; ConnectionPool derives from this class."""
 
     read_buffer: ReadBuffer  # buffer into which connections are read
+    memory: MemoryBudget  # account of the memory that responses use
     has_no_unread_input: Callable[[Any], bool]  # whether neither bytes nor a close wait unread in the kernel
     was_transport_reset: Callable[[Any], bool]  # whether the peer reset the connection
 
@@ -93,6 +96,7 @@
         self.is_reading_paused = False  # whether the response is not read, as its client takes nothing
         self.parser: Any = None
         self.head_bytes = 0
+        self.buffered = BufferedResponse(pool.memory)
         self.status = 0
         self.stream: StreamingBody | None = None  # request body being forwarded while it is received
         self._reset_response()
@@ -105,7 +109,7 @@
         self.is_response_complete = False
         self.has_excess = False  # whether bytes were received after the end of the response
         self.is_invalid = False  # whether the response is too large or its length is malformed
-        self.chunks: list[bytes] = []
+        self.buffered.clear()
         self.body_bytes = 0
         self.content_type = b""
         self.load_text = b""
@@ -191,7 +195,7 @@
 
     def get_buffer(self, _size_hint: int) -> Any:
         """Return the buffer for the next read."""
-        return self.pool.read_buffer.view
+        return self.pool.read_buffer.view()
 
     def buffer_updated(self, size: int) -> None:
         """Process the `size` bytes that were read into the buffer."""
@@ -228,6 +232,8 @@
             self._complete()
         elif self.is_invalid or self.is_in_head and self.head_bytes > MAX_HEAD_BYTES:
             self._fail(AttemptResult.ERROR)
+        else:
+            self.buffered.count()
 
     def eof_received(self) -> None:
         """Handle the end of the worker's sending, after which the transport closes. It completes a response
@@ -303,14 +309,14 @@
         if self.is_response_complete or self.is_invalid or attempt is None:
             return
         self.body_bytes += len(chunk)
-        self.chunks.append(chunk)
+        if self.parser.get_status_code() != 200:  # the body of an error is not forwarded
+            self.is_invalid = self.body_bytes > MAX_BUFFERED_BODY_BYTES
+            return
+        self.buffered.append(chunk)
         if attempt.response_sink is not None:
             return
-        if self.body_bytes > MAX_BUFFERED_BODY_BYTES:
-            if self.parser.get_status_code() != 200:
-                self.is_invalid = True  # the body of an error is not forwarded, so it is not worth streaming
-            else:
-                self._start_streaming()
+        if self.body_bytes > self.buffered.max_bytes():
+            self._start_streaming()
         elif attempt.streaming_timer is None and self._is_of_unknown_length():
             self.pool.stream_before_deadline(attempt, self._stream_incomplete_response)
 
@@ -349,12 +355,10 @@
         """Forward what has been received of a streamed response: in one piece, however small its chunks
         are."""
         attempt = self.attempt
-        chunks = self.chunks
-        if attempt is None or attempt.response_sink is None or not chunks:
+        if attempt is None or attempt.response_sink is None or not len(self.buffered):
             return
-        self.chunks = []
         attempt.last_progress_ms = self.pool.now()
-        attempt.response_sink.write_chunk(chunks[0] if len(chunks) == 1 else b"".join(chunks))
+        attempt.response_sink.write_chunk(self.buffered.take())
 
     def on_message_begin(self) -> None:
         """Parser callback: a response begins. A second response to the same request is excess."""
@@ -390,7 +394,8 @@
         self.has_unsent_bytes = stream is not None
         # Computed at the time of the write, since establishing the connection took part of the time.
         left_ms = min(attempt.timeout_ms, attempt.deadline_ms - self.pool.now())
-        self.transport.write(encode_message(attempt.head, left_ms, attempt.body))  # type: ignore[union-attr]
+        message = encode_message(attempt.head, left_ms, attempt.body)
+        self.transport.writelines(message)  # type: ignore[union-attr]
         if stream is not None:
             self.transport.set_write_buffer_limits(high=stream.high_water_bytes)  # type: ignore[union-attr]
             if attempt.on_stream_started is not None:
@@ -405,7 +410,7 @@
         attempt.connection = None
         status = self.status
         load_report = self.pool.parse_load_report(self.load_text)
-        body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
+        body = self.buffered.take()
         stream = self.stream
         self.stream = None
         if stream is not None:
@@ -452,4 +457,5 @@
     def _mark_closed(self) -> None:
         if not self.is_closed:
             self.is_closed = True
+            self.buffered.clear()
             self.pool.on_closed(self)
--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -18,6 +18,7 @@
 
 from plumpick.gateway.clock import Clock, Timers
 from plumpick.gateway.config import WorkerEntry, WorkerList
+from plumpick.gateway.memory_budget import MemoryBudget
 from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.connection import ConnectionOwner, Worker, WorkerConnection
@@ -54,6 +55,7 @@
         clock: Clock,
         timers: Timers,
         read_buffer: ReadBuffer,
+        memory: MemoryBudget,
         *,
         idle_timeout_ms: float,
         connect_timeout_ms: float,
@@ -64,6 +66,7 @@
         was_transport_reset: Callable[[Any], bool] = lambda _transport: False,
     ) -> None:
         self.read_buffer = read_buffer
+        self.memory = memory
         self.has_no_unread_input = has_no_unread_input
         self.was_transport_reset = was_transport_reset
         self._loop = loop
--- a/plumpick/gateway/upstream/request_encoding.py
+++ b/plumpick/gateway/upstream/request_encoding.py
@@ -4,6 +4,8 @@
 
 from plumpick.gateway.listeners.interface import IncomingRequest
 
+MAX_COPIED_BODY_BYTES = 4 * 1024
+
 
 def encode_head(incoming: IncomingRequest) -> bytes:
     """Encode the part of the head that all attempts of a request share: everything up to the value of the
@@ -29,7 +31,10 @@
     return b"".join(parts)
 
 
-def encode_message(head: bytes, timeout_ms: float, body: bytes) -> bytes:
-    """Encode the message of one attempt. `head`: as from `encode_head`; `timeout_ms`: value of X-Deadline-Ms;
-    `body`: empty if the body is streamed."""
-    return b"%s%d\r\n\r\n%s" % (head, max(1, int(timeout_ms)), body)
+def encode_message(head: bytes, timeout_ms: float, body: bytes) -> tuple[bytes, ...]:
+    """Encode the message of one attempt, in parts. `head`: as from `encode_head`; `timeout_ms`: value of
+    X-Deadline-Ms; `body`: empty if the body is streamed. A large body is a part of its own, which is not
+    copied: its request keeps it for a retry."""
+    if len(body) <= MAX_COPIED_BODY_BYTES:
+        return (b"%s%d\r\n\r\n%s" % (head, max(1, int(timeout_ms)), body),)
+    return b"%s%d\r\n\r\n" % (head, max(1, int(timeout_ms))), body
--- a/plumpick/gateway/upstream/streaming_body.py
+++ b/plumpick/gateway/upstream/streaming_body.py
@@ -1,9 +1,9 @@
 """Streaming of request bodies that are too large to be buffered: they are forwarded while they are received.
 
 Backpressure: the source is paused while more bytes than the high water mark wait for the sink. All streamed
-requests and responses share one memory budget, of which each has a share as its high water mark. No method
-raises. The owner of a stream must detect a stall by `last_progress_ms` and end the stream, and bound
-the time that `backpressure_ms` returns: the client may wait for its response during all of it."""
+requests and responses share a part of the memory budget, of which each has a share as its high water mark.
+No method raises. The owner of a stream must detect a stall by `last_progress_ms` and end the stream, and
+bound the time that `backpressure_ms` returns: the client may wait for its response during all of it."""
 
 from __future__ import annotations
 
@@ -11,42 +11,70 @@
 from typing import Protocol
 
 from plumpick.gateway.listeners.interface import PausableSource
+from plumpick.gateway.memory_budget import MemoryBudget, MemoryHolder
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # size above which a body is streamed
-MIN_HIGH_WATER_BYTES = 16 * 1024
+MIN_HIGH_WATER_BYTES = 4 * 1024
 MAX_HIGH_WATER_BYTES = 256 * 1024
-MAX_SHARE_RATIO = 0.125  # maximum share of one stream in the part of the memory budget that is not reserved
+# Share of the memory for streams up to which larger shares than the smallest are dealt out, and the maximum
+# share of one stream in what is left of it.
+LARGE_SHARES_RATIO = 0.5
+MAX_SHARE_RATIO = 0.125
+READ_BYTES = 16 * 1024  # size of the read by which a stream may exceed its high water mark
+MAX_PARTS = 64  # number of buffered parts above which they are joined: a part costs more than its bytes
 # Maximum number of bytes that a client has sent and this process has not read: those in the socket buffers of
 # both machines. While more of a body are missing, its client is certainly still sending.
 MAX_BYTES_IN_TRANSIT = 16 * 1024 * 1024
 
 
-class MemoryBudget:
-    """The number of bytes that all streams together may buffer, `total_bytes`.
+class StreamBudget:
+    """The part of the memory budget that streams use.
 
     Each stream reserves a share of it, its high water mark, until its bytes have been delivered. A share is
-    at most MAX_SHARE_RATIO of what is not reserved, so that something is left for later streams, and at least
-    MIN_HIGH_WATER_BYTES, by which the budget may be exceeded for each stream."""
+    at most MAX_SHARE_RATIO of what is left for large shares, so that something is left for later streams, and
+    at least MIN_HIGH_WATER_BYTES. With each share one read is counted, by which it may be exceeded."""
 
-    def __init__(self, total_bytes: int) -> None:
-        self.total_bytes = max(MIN_HIGH_WATER_BYTES, total_bytes)
+    def __init__(self, memory: MemoryBudget) -> None:
         self.reserved_bytes = 0
         self.stream_count = 0
+        self._memory = memory
 
     def next_share_bytes(self) -> int:
-        """Return the share of one more stream."""
-        share_bytes = int((self.total_bytes - self.reserved_bytes) * MAX_SHARE_RATIO)
+        """Return the share of one more response, which can't be refused."""
+        return self._share_bytes(self._memory.body_ceiling)
+
+    def next_upload_share_bytes(self) -> int:
+        """Return the share of one more request body, or 0 if there is no memory for it."""
+        ceiling = self._memory.upload_ceiling
+        if self._memory.used_bytes + MIN_HIGH_WATER_BYTES + READ_BYTES > ceiling:
+            self._memory.count_refused_upload()
+            return 0
+        return self._share_bytes(ceiling)
+
+    def _share_bytes(self, ceiling: int) -> int:
+        available_bytes = ceiling * LARGE_SHARES_RATIO - self._memory.used_bytes
+        share_bytes = int(available_bytes * MAX_SHARE_RATIO)
         return max(MIN_HIGH_WATER_BYTES, min(MAX_HIGH_WATER_BYTES, share_bytes))
 
     def reserve(self, share_bytes: int) -> None:
         """Count the share of a new stream."""
-        self.reserved_bytes += share_bytes
         self.stream_count += 1
+        self.hold(share_bytes)
 
     def release(self, share_bytes: int) -> None:
         """No longer count the share of a stream."""
-        self.reserved_bytes -= share_bytes
         self.stream_count -= 1
+        self.release_held(share_bytes)
+
+    def hold(self, share_bytes: int) -> None:
+        """Count the share of a stream that has ended and whose bytes are not delivered."""
+        self.reserved_bytes += share_bytes
+        self._memory.add(MemoryHolder.STREAMS, share_bytes + READ_BYTES)
+
+    def release_held(self, share_bytes: int) -> None:
+        """No longer count the share of a stream that has ended."""
+        self.reserved_bytes -= share_bytes
+        self._memory.release(MemoryHolder.STREAMS, share_bytes + READ_BYTES)
 
 
 class BodySink(Protocol):
@@ -99,6 +127,8 @@
             return
         self.waiting.append(data)
         self.waiting_bytes += len(data)
+        if len(self.waiting) > MAX_PARTS:
+            self.waiting = [b"".join(self.waiting)]
         if self.waiting_bytes >= self.high_water_bytes:
             self.pause()
 
--- a/tests/gateway/listeners/http/test_upgrade_offers.py
+++ b/tests/gateway/listeners/http/test_upgrade_offers.py
@@ -9,6 +9,7 @@
 from support.fakes import http_response, request, run_with_worker
 
 from plumpick.gateway.listeners.http.request_reader import RequestReader
+from plumpick.gateway.memory_budget import MemoryBudget
 
 OFFERS = {
     "h2c": "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAEAAEAAAAIAAAAB\r\n",
@@ -198,7 +199,7 @@
         admission = SimpleNamespace(on_body_started=lambda _connection, _now: None)
         super().__init__(
             SimpleNamespace(
-                gateway=SimpleNamespace(clock=clock),
+                gateway=SimpleNamespace(clock=clock, memory=MemoryBudget(2**20)),
                 admission=admission,
                 on_request_started=lambda _connection: None,
             )
--- a/tests/gateway/test_object_lifetime.py
+++ b/tests/gateway/test_object_lifetime.py
@@ -1,4 +1,4 @@
-"""What has ended is freed at once, without the garbage collector.
+"""What has ended is freed at once, without the garbage collector, and is no longer counted.
 
 Each way in which a request, an attempt, a stream or a connection ends is one row, played with the collector
 switched off."""
@@ -31,6 +31,7 @@
 from plumpick.gateway.listeners.admin import start_server as start_admin_server
 from plumpick.gateway.listeners.http.connection import ClientConnection
 from plumpick.gateway.listeners.http.parsed_request import ParsedRequest
+from plumpick.gateway.memory_budget import MemoryHolder
 from plumpick.gateway.open_request import OpenRequest
 from plumpick.gateway.response_discarder import DiscardedResponse
 from plumpick.gateway.upstream.attempt import Attempt
@@ -542,6 +543,7 @@
             while alive() and asyncio.get_running_loop().time() < deadline_s:
                 await asyncio.sleep(0.02)
             assert not alive()
+            assert gate.gateway.memory.held_bytes == [0] * len(MemoryHolder)
 
     gc.collect()
     gc.disable()
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -22,13 +22,14 @@
 from support.read_counts import count_reads_by_iteration
 
 from plumpick.gateway.listeners.http.connection import ClientConnection
+from plumpick.gateway.memory_budget import MemoryBudget
 from plumpick.gateway.upstream.connection import WorkerConnection
 from plumpick.gateway.upstream.streaming_body import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_BYTES_IN_TRANSIT,
     MAX_HIGH_WATER_BYTES,
     MIN_HIGH_WATER_BYTES,
-    MemoryBudget,
+    StreamBudget,
     StreamingBody,
 )
 from plumpick.policy.actions import FailRequest, RejectRequest, StartAttempt
@@ -801,7 +802,7 @@
 
 
 def test_high_water_marks_of_any_number_of_streams_stay_within_the_budget():
-    budget = MemoryBudget(16 * 2**20)
+    budget = StreamBudget(MemoryBudget(16 * 2**20))
     high_water_marks = []
     for _ in range(100):
         high_water_marks.append(budget.next_share_bytes())
