--- a/plumpick/gateway/process.py
+++ b/plumpick/gateway/process.py
@@ -88,6 +88,7 @@
     async def start(self) -> None:
         """Open the sockets, wait for the first endpoint list and settings version, and start serving. Raises
         OSError if a socket cannot be opened."""
+        self._gateway.memory_limits.set_baseline(self._platform.resident_bytes())
         if self._management is None:
             self._gateway.peers.open(self._loop)
         else:
@@ -97,7 +98,6 @@
             await self._listen()
         await self._wait_for_first_answers()
         self._platform.freeze_startup_objects()
-        self._gateway.memory_limits.set_baseline(self._platform.resident_bytes())
         log.info("memory: %s", self._gateway.memory_status())
         if self._management is not None and not self._stop.is_requested():
             await self._management.serve()
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -128,6 +128,7 @@
         crowds.SlowWorker(response_bytes=crowds.BUFFERED),
     ),
     "pipelined bodies": ((crowds.pipeline_bodies,), crowds.SlowWorker()),
+    "uploads in pieces of two bytes": ((crowds.upload_in_small_pieces,), crowds.SilentWorker()),
     "all kinds": (crowds.MIXED, crowds.SlowWorker(response_bytes=crowds.LARGE)),
 }
 
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -64,6 +64,18 @@
     memory.add(MemoryHolder.STREAMS, memory.body_ceiling - left_bytes - memory.used_bytes)
 
 
+def record_client_connections(monkeypatch):
+    """Return a list to which each new connection of a client is added."""
+    connections, original = [], ClientConnection.connection_made
+
+    def connection_made(connection, transport):
+        connections.append(connection)
+        original(connection, transport)
+
+    monkeypatch.setattr(ClientConnection, "connection_made", connection_made)
+    return connections
+
+
 # -- arithmetic
 
 
@@ -239,15 +251,7 @@
 
 def test_unread_response_is_counted_until_the_kernel_has_taken_it(monkeypatch):
     """Guards against unread responses that no budget counts, and holds the next request back meanwhile."""
-    connections = []
-    monkeypatch.setattr(
-        ClientConnection,
-        "connection_made",
-        lambda connection, transport, original=ClientConnection.connection_made: (
-            connections.append(connection),
-            original(connection, transport),
-        ),
-    )
+    connections = record_client_connections(monkeypatch)
 
     async def scenario():
         async with (
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -110,6 +110,15 @@
     await peer.wait_for_end()
 
 
+async def upload_in_small_pieces(peer):
+    """Send a large body in pieces of two bytes, each of which is read by itself."""
+    peer.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    await peer.send(head(LARGE))
+    for _ in range(LARGE // 2):
+        await peer.send(b"xy")
+        await asyncio.sleep(0)
+
+
 MIXED = (stop_within_upload, stop_within_buffered_body, send_short_fields, read_slowly, write_slowly)
 
 
@@ -137,6 +146,22 @@
     )
 
 
+class SilentWorker:
+    """A worker that accepts connections and reads nothing."""
+
+    async def start(self):
+        """Start to listen; returns the server."""
+        return await asyncio.get_running_loop().create_server(SilentProtocol, HOST, 0)
+
+
+class SilentProtocol(asyncio.Protocol):
+    """A connection that is not read."""
+
+    def connection_made(self, transport):
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        transport.pause_reading()
+
+
 class SlowWorker:
     """A worker that reads each request whole and answers it after `delay_s` with `response_bytes` bytes. It
     takes a streamed request at 160 kB a second."""
