Fix: a simulated gateway's memory does not depend on the simulator's

Cause: the account reads the resident memory at the start from the platform, and the simulated platform had the simulator's own, so that histories could differ by what had run before. Found when the change was read once more. Change: the simulated platform gives a constant, and returns no memory.

--- a/plumpick/simulation/world.py
+++ b/plumpick/simulation/world.py
@@ -17,6 +17,7 @@
 from plumpick.gateway.clock import Clock
 from plumpick.gateway.config import Config, parse_config
 from plumpick.gateway.daemon import serve
+from plumpick.gateway.memory_limits import DEFAULT_BASELINE_BYTES
 from plumpick.gateway.platform import Platform
 from plumpick.rehearsal import scenario as script
 from plumpick.rehearsal.auditor import CEILINGS, COLD, DRAINS, LOST, Breach
@@ -106,6 +107,15 @@
         """Returns an unbound socket: the simulation never runs two processes of one gateway number."""
         return VirtualDatagramSocket(self.process.machine.network, self.process)
 
+    @staticmethod
+    def resident_bytes() -> int:
+        """Returns the same for each gateway: the simulator's own memory must not change a history."""
+        return DEFAULT_BASELINE_BYTES
+
+    @staticmethod
+    def return_freed_memory() -> None:
+        """Does nothing: the memory is the simulator's."""
+
     def freeze_startup_objects(self) -> None:
         """Does nothing: garbage collection does not affect the simulated run."""
 
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -53,6 +53,7 @@
     StreamingBody,
 )
 from plumpick.policy.events import RequestReceived
+from plumpick.simulation.world import SimulatedPlatform
 
 BODY = 60_000
 BASELINE_BYTES = 28 * BYTES_PER_MB
@@ -323,3 +324,12 @@
     assert memory.held_bytes[MemoryHolder.STREAMS] == MIN_HIGH_WATER_BYTES + READ_BYTES
     streams.release(MIN_HIGH_WATER_BYTES)
     assert not memory.used_bytes and not streams.stream_count
+
+
+def test_memory_of_a_simulated_gateway_does_not_depend_on_the_simulator():
+    """Guards against simulated histories that differ by how much memory the simulator has used before."""
+    platform = SimulatedPlatform(None, None)
+    limits = MemoryLimits(192, 1024)
+    before = limits.budget.total_bytes
+    limits.set_baseline(platform.resident_bytes())
+    assert limits.budget.total_bytes == before
