Fix: cancelled timers do not stay in memory until their time

Callers saw: nothing; with the rate of requests, timers that had been cancelled stayed for seconds, in no bound. Cause: the heap drops a cancelled timer only when it is at the front. Change: when the heap has doubled, cancelled timers are removed; the order of the others does not change. The test failed before: 20,021 timers in the heap, 2,048 allowed.

--- a/plumpick/gateway/clock.py
+++ b/plumpick/gateway/clock.py
@@ -9,6 +9,8 @@
 import time
 from collections.abc import Callable
 
+MIN_COMPACTED_TIMERS = 1024  # number of timers up to which cancelled ones are not looked for
+
 
 class Clock:
     """Unix time in milliseconds that never goes back: the system time is read once, and the monotonic clock
@@ -38,12 +40,14 @@
 
 class Timers:
     """All timers of the gateway, in a heap behind a single timer of the event loop. Most timers never fire,
-    so setting and cancelling them is kept cheap."""
+    so setting and cancelling them is kept cheap: a cancelled timer stays in the heap until its time, or until
+    the heap has doubled since cancelled ones were last removed."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock) -> None:
         self._loop = loop
         self._clock = clock
         self._heap: list[tuple[float, int, Timer]] = []
+        self._compact_above = MIN_COMPACTED_TIMERS
         self._serial = 0
         self._handle: asyncio.TimerHandle | None = None
         self._armed_ms = math.inf
@@ -58,10 +62,18 @@
         self._serial += 1
         timer = Timer(callback)
         heapq.heappush(self._heap, (when_ms, self._serial, timer))
+        if len(self._heap) > self._compact_above:
+            self._remove_cancelled()
         if when_ms < self._armed_ms:
             self._arm(when_ms)
         return timer
 
+    def _remove_cancelled(self) -> None:
+        """Remove the cancelled timers from the heap; the order of the others does not change."""
+        self._heap[:] = [entry for entry in self._heap if entry[2].callback is not None]
+        heapq.heapify(self._heap)
+        self._compact_above = max(MIN_COMPACTED_TIMERS, 2 * len(self._heap))
+
     def _arm(self, when_ms: float) -> None:
         if self._handle is not None:
             self._handle.cancel()
--- a/tests/gateway/test_clock.py
+++ b/tests/gateway/test_clock.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from plumpick.gateway.clock import Clock, Timers
+from plumpick.gateway.clock import MIN_COMPACTED_TIMERS, Clock, Timers
 
 CALLS_OF_A_BLOCKED_LOOP = 10_000
 
@@ -51,3 +51,24 @@
         assert problems
 
     asyncio.run(scenario())
+
+
+def test_cancelled_timers_do_not_stay_until_their_time_and_the_others_fire_in_order():
+    """Guards against memory that grows with the rate of requests: their timers are cancelled long before they
+    are due."""
+
+    async def scenario():
+        clock = Clock()
+        timers = Timers(asyncio.get_running_loop(), clock)
+        fired, last = [], asyncio.Event()
+        now_ms = clock.now()
+        for number in range(20_000):
+            timers.call_at(now_ms + 60_000.0, lambda: fired.append("cancelled")).cancel()
+            if number % 1000 == 0:
+                timers.call_at(now_ms + 20.0 - number / 1000, lambda number=number: fired.append(number))
+        timers.call_at(now_ms + 21.0, last.set)
+        assert len(timers._heap) <= 2 * MIN_COMPACTED_TIMERS
+        await asyncio.wait_for(last.wait(), 5.0)
+        assert fired == list(range(19_000, -1, -1000))
+
+    asyncio.run(scenario())
