--- a/plumpick/gateway/memory_monitor.py
+++ b/plumpick/gateway/memory_monitor.py
@@ -69,12 +69,18 @@
             self._used_since_trim = memory.used_bytes
             self._return_freed_memory()
 
+    def _resident_mb(self) -> str:
+        try:
+            return f"{self._resident_bytes() / BYTES_PER_MB:.1f}"
+        except OSError:  # for example because no descriptor is free
+            return "unknown"
+
     def status_line(self) -> str:
         """Return what is held by whom, in one line of `key=value`."""
         memory = self._memory
         fields = [
             f"limit_mb={self._limits.memory_mb:g}",
-            f"resident_mb={self._resident_bytes() / BYTES_PER_MB:.1f}",
+            f"resident_mb={self._resident_mb()}",
             f"level={memory.level.name.lower()}",
             f"total_kb={memory.total_bytes // 1024}",
             f"used_kb={memory.used_bytes // 1024}",
--- a/plumpick/gateway/platform.py
+++ b/plumpick/gateway/platform.py
@@ -101,7 +101,7 @@
 
     @staticmethod
     def resident_bytes() -> int:
-        """The resident memory of this process."""
+        """The resident memory of this process. Raises OSError."""
         pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
         return pages * resource.getpagesize()
 
--- a/plumpick/gateway/process.py
+++ b/plumpick/gateway/process.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import logging
 import random
@@ -88,7 +89,8 @@
     async def start(self) -> None:
         """Open the sockets, wait for the first endpoint list and settings version, and start serving. Raises
         OSError if a socket cannot be opened."""
-        self._gateway.memory_limits.set_baseline(self._platform.resident_bytes())
+        with contextlib.suppress(OSError):  # otherwise a usual value is assumed
+            self._gateway.memory_limits.set_baseline(self._platform.resident_bytes())
         if self._management is None:
             self._gateway.peers.open(self._loop)
         else:
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -1,6 +1,7 @@
 """The account of the memory that peers can make a gateway hold: its arithmetic, and its bounds in service."""
 
 import asyncio
+import errno
 import logging
 from types import SimpleNamespace
 
@@ -177,6 +178,19 @@
     assert f"responses_peak_kb={size // 1024}" in ended and trims == [1]
 
 
+def test_pressure_is_reported_while_no_descriptor_is_free_to_read_the_resident_memory(caplog):
+    """Guards against sweeps that break off: the resident memory is read from a file, which may fail."""
+
+    def fail():
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    limits = MemoryLimits(64, 256)
+    monitor = MemoryMonitor(limits, lambda: None, fail)
+    limits.budget.add(MemoryHolder.RESPONSES, limits.budget.total_bytes)
+    monitor.sweep(100.0)
+    assert "memory pressure has begun" in caplog.text and "resident_mb=unknown" in caplog.text
+
+
 def test_memory_call_tells_what_is_held_by_whom():
     async def scenario(worker, gate, client):
         client.send(head(BODY) + bytes(BODY - 1))
