--- a/benchmarks/answer_soak.py
+++ b/benchmarks/answer_soak.py
@@ -4,9 +4,9 @@
     python -m benchmarks.answer_soak --seeds 1-50 [--seconds 12] [--jobs 3]
     python -m benchmarks.answer_soak --memory-mb 43 --clients 300 --kinds ask+order+pipeline --signals none
 
-A seed draws what the options leave open: limits, the number and kinds of clients, a crowd beside them, resets
-by workers, and signals: SIGSTOP for 0.15 s, SIGHUP, SIGTERM with SIGKILL at its earliest, SIGKILL, and a hot
-restart. Prints one line a seed, with the gateway's log lines of requests that it did not answer. The exit code
+A seed draws what the options leave open: limits, number and kinds of clients, a crowd beside them, resets
+by workers, and signals: SIGSTOP for 0.15 s, SIGHUP, SIGTERM with SIGKILL at its earliest, SIGKILL, a hot
+restart. Prints one line a seed, with the log lines of requests that were not answered. The exit code
 is 1 if a request was lost or a process ended by itself."""
 
 from __future__ import annotations
@@ -112,8 +112,8 @@
         self.ledger = Ledger()
         names = "+".join(kind.__name__ for kind in crowd) or "no crowd"
         self.result = Result(
-            f"seed={seed} {self.limits['memory_mb']} MB, {self.limits['sockets']} descriptors, {self.clients} of "
-            f"{'+'.join(self.kinds)}, {names}, signals {'+'.join(chosen) or 'none'}"
+            f"seed={seed} {self.limits['memory_mb']} MB, {self.limits['sockets']} descriptors, "
+            f"{self.clients} of {'+'.join(self.kinds)}, {names}, signals {'+'.join(chosen) or 'none'}"
         )
         self.processes: list[asyncio.subprocess.Process] = []
         self.expected_ends: set[int] = set()
--- a/plumpick/gateway/attempt_runner.py
+++ b/plumpick/gateway/attempt_runner.py
@@ -12,6 +12,7 @@
 from plumpick.gateway.event_turn import EventTurn
 from plumpick.gateway.request_table import FAILED, SERVED, RequestTable
 from plumpick.gateway.response_discarder import ResponseDiscarder
+from plumpick.gateway.unanswered_requests import EndReason
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.connection_pool import ConnectionPool
 from plumpick.policy.actions import CancelAttempt, StartAttempt
@@ -135,6 +136,10 @@
             requests.count(request, SERVED if result is AttemptResult.OK else FAILED)
             if not has_response_started:
                 request.sink.respond(200, body, content_type)
+            elif result is not AttemptResult.OK:
+                requests.unanswered.record(
+                    EndReason.RESPONSE_BROKEN_OFF, (request.client_id,), attempt.worker_id, result.value
+                )
         ended_ms = attempt.response_started_ms if has_response_started else self._clock.now()
         self._turn.post(
             AttemptCompleted(
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -40,6 +40,7 @@
 from plumpick.gateway.response_discarder import ResponseDiscarder
 from plumpick.gateway.stall_detector import StallDetector
 from plumpick.gateway.state_transfer import StateTransfer
+from plumpick.gateway.unanswered_requests import UnansweredRequests
 from plumpick.gateway.upstream.connection_pool import ConnectionPool
 from plumpick.policy.actions import (
     Action,
@@ -110,7 +111,10 @@
         self._discarder = ResponseDiscarder(
             self.clock, loop.call_soon, int(config.sockets * UPSTREAM_DESCRIPTOR_RATIO)
         )
-        self.requests = RequestTable(self.clock, self.timers, self._turn, self._streams, self._discarder)
+        self.unanswered = UnansweredRequests(self.memory, self.clock.now)
+        self.requests = RequestTable(
+            self.clock, self.timers, self._turn, self._streams, self._discarder, self.unanswered
+        )
         self._attempts = AttemptRunner(
             self.clock, self._turn, self.requests, self.connection_pool, self._streams, self._discarder
         )
--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Callable
 
-from plumpick.gateway.listeners.interface import STALL_THRESHOLD_MS, SWEEP_INTERVAL_MS
+from plumpick.gateway.listeners.interface import STALL_THRESHOLD_MS, SWEEP_INTERVAL_MS, EndReason
 
 # Limits on client connections, as shares of the process's descriptor limit.
 MAX_CONNECTIONS_RATIO = 0.38  # maximum number of connections (soft limit)
@@ -53,8 +53,8 @@
         self.closing_since_ms = 0.0
         self.undelivered_at_last_sweep = 0  # number of response bytes that the client had not acknowledged
 
-    def abort(self) -> None:
-        """Close the connection at once."""
+    def abort(self, reason: EndReason = EndReason.CLIENT_LEFT) -> None:
+        """Close the connection at once, for this reason."""
         raise NotImplementedError
 
     def close_if_idle(self) -> None:
@@ -236,7 +236,7 @@
         eviction_order = [*self._closing, *old, *self._idle, *self._unread, *stopped, *new, *sending]
         for connection in eviction_order[:excess]:
             self.remove(connection)
-            connection.abort()
+            connection.abort(EndReason.EVICTED)
 
     def close_for_draining(self, now: float, reject_incomplete: bool) -> None:
         """Close idle connections; with `reject_incomplete` also those with a partly received request. A new
@@ -310,7 +310,7 @@
             if _is_still_reading(connection):
                 self._unread[connection] = now
             elif now - self._unread[connection] > timeout_ms:
-                connection.abort()
+                connection.abort(EndReason.RESPONSE_UNREAD)
 
     def _end_lingering(self, now: float, is_shutting_down: bool) -> None:
         """Close the half-closed connections whose client has read its response and sends nothing more, sends
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -12,7 +12,7 @@
 
 from plumpick.gateway.listeners.http.connection_admission import AdmittedConnection, ConnectionAdmission
 from plumpick.gateway.listeners.http.parsed_request import ParsedRequest
-from plumpick.gateway.listeners.interface import RequestGateway
+from plumpick.gateway.listeners.interface import EndReason, RequestGateway
 
 # Minimum rate at which a body must arrive: half the rate of the slowest genuine clients.
 MIN_BODY_RATE_BYTES_PER_MS = 32.0
@@ -151,8 +151,15 @@
             self.gateway.memory.add_unread(unread_bytes - self.unread_bytes)
             self.unread_bytes = unread_bytes
 
-    def abort(self) -> None:
-        """Close the connection at once; unwritten bytes are lost."""
+    def record_unserved(self, reason: EndReason) -> None:
+        """Record the complete requests behind the open one, which will not be answered."""
+        ids = [parsed.request_id() for parsed in self.pipelined if parsed.is_complete]
+        if ids:
+            self.gateway.unanswered.record(reason, ids)
+
+    def abort(self, reason: EndReason = EndReason.CLIENT_LEFT) -> None:
+        """Close the connection at once, for this reason; unwritten bytes are lost."""
+        self.record_unserved(reason)
         self.is_closing = True
         if self.transport is not None:
             self.transport.abort()
--- a/plumpick/gateway/listeners/http/parsed_request.py
+++ b/plumpick/gateway/listeners/http/parsed_request.py
@@ -71,6 +71,10 @@
         self.body_received_bytes = 0
         self.held_bytes = 0  # memory that is counted for the request
 
+    def request_id(self) -> bytes:
+        """Return the client's id of the request, empty if it has none."""
+        return self.headers.get(b"x-request-id", b"")
+
     def required_bytes(self) -> int:
         """Return the memory that the request needs until its response: for an announced body that is buffered
         all of it, so that a request that was begun can be completed. A streamed body is counted apart."""
--- a/plumpick/gateway/listeners/http/response_writer.py
+++ b/plumpick/gateway/listeners/http/response_writer.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from plumpick.gateway.listeners.http.connection_state import ConnectionOwner, ConnectionState
+from plumpick.gateway.listeners.interface import EndReason
 
 # Number of unwritten bytes of a response above which the next request waits. They are counted.
 WRITE_BUFFER_BYTES = 4 * 1024
@@ -201,6 +202,7 @@
         if transport is None or transport.is_closing():
             return
         self._start_closing()
+        self.record_unserved(EndReason.CLOSED_BEFORE)
         self.drop_unserved_requests()
         if data:
             transport.write(data)
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -14,6 +14,7 @@
 from plumpick.gateway.clock import Clock, Timers
 from plumpick.gateway.memory_budget import MemoryBudget
 from plumpick.gateway.read_buffer import ReadBuffer
+from plumpick.gateway.unanswered_requests import EndReason, UnansweredRequests
 from plumpick.policy.draining import AdmissionState
 from plumpick.policy.settings import RequestClass, Settings
 
@@ -118,7 +119,7 @@
     def has_disconnected(self) -> bool:
         """Whether the client has disconnected, even if the event loop has not processed that yet."""
 
-    def abort(self) -> None:
+    def abort(self, reason: EndReason = EndReason.CLIENT_LEFT) -> None:
         """Close the connection at once."""
 
 
@@ -163,6 +164,7 @@
     admission_state: AdmissionState  # stage of draining, which determines further connections to close
     read_buffer: ReadBuffer  # buffer into which connections are read
     memory: MemoryBudget  # account of the memory that clients use
+    unanswered: UnansweredRequests  # record of the requests without a complete response
 
     def spare_descriptors(self) -> int:
         """Return how many descriptors reserved for workers may be used for clients now."""
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -16,6 +16,7 @@
 from plumpick.gateway.listeners.interface import ClusterParticipant, IncomingRequest, ResponseSink
 from plumpick.gateway.open_request import REQUEST_ID_RETENTION_MS, OpenRequest, RequestIds
 from plumpick.gateway.response_discarder import ResponseDiscarder
+from plumpick.gateway.unanswered_requests import EndReason, UnansweredRequests
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.request_encoding import encode_head
 from plumpick.policy.actions import FailRequest, RejectRequest
@@ -43,6 +44,7 @@
         turn: EventTurn,
         streams: BodyStreams,
         discarder: ResponseDiscarder,
+        unanswered: UnansweredRequests,
     ) -> None:
         self.open: dict[int, OpenRequest] = {}
         # Attempts in flight by request id and number of the attempt.
@@ -56,6 +58,7 @@
         self._turn = turn
         self._streams = streams
         self._discarder = discarder
+        self.unanswered = unanswered
         self.ids = RequestIds()
 
     def submit(
@@ -181,8 +184,9 @@
     def on_response_unread(self, request: OpenRequest) -> None:
         """Disconnect a client that has stopped reading the response that is being streamed to it."""
         self.count(request, FAILED)
+        self.unanswered.record(EndReason.RESPONSE_UNREAD, (request.client_id,))
         self.on_disconnect(request)
-        request.sink.abort()
+        request.sink.abort(EndReason.RESPONSE_UNREAD)
 
     def on_upload_stalled(self, request: OpenRequest) -> None:
         """Answer 408 and cancel the attempts: the client has stopped sending the request's body."""
@@ -285,6 +289,11 @@
                 request.backpressure_timer.cancel()
                 self._check_backpressure(request)
 
+    def record_open_at_exit(self) -> None:
+        """Record the requests that are still open when this process exits."""
+        ids = [request.client_id for request in self.open.values()]
+        self.unanswered.record(EndReason.PROCESS_EXIT, ids)
+
     def remaining_ms(self) -> list[float]:
         """Return the remaining time of each open request in ms. While a body is still being received that is
         all of the time allowed for the response."""
--- a/tests/gateway/listeners/http/test_connection_admission.py
+++ b/tests/gateway/listeners/http/test_connection_admission.py
@@ -26,7 +26,7 @@
     def body_time_allowance_ms(self):
         return 0.0
 
-    def abort(self):
+    def abort(self, _reason=None):
         self.closed = self.closed or "abort"
 
 
