Fix: a connection closes only when nothing that was read on it is owed a response

Cause: which response may close was decided in five places, each by whether the gateway drains, none by what was read behind it. Now one rule decides (is_last_response): nothing is read behind, whole or in part, and nothing waits unread; only when the time of a shutdown's last answers is over does unread input no longer count. After the head of a streamed response has announced the close, nothing more is read.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -293,6 +293,10 @@
             self.sibling.on_request_id_claimed(incoming.id)
         return request
 
+    def is_answer_time_over(self) -> bool:
+        """Whether all requests of a shutdown should have been answered by now."""
+        return self.clock.now() >= self.requests.shutdown_deadline_ms
+
     def on_body_complete(self, request: OpenRequest) -> None:
         """Start the request's deadline: the last byte of its streamed body has been received."""
         self.requests.on_body_complete(request)
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -80,9 +80,8 @@
             self.request_started = False
             self.current = parsed
             if parsed.error_status:
-                self.release_request(parsed)
                 self.listener.admission.on_request_received(self)
-                self.reject(parsed.error_status)
+                self.respond(parsed.error_status)
             elif parsed.method == b"GET" and parsed.url == b"/up":
                 self.listener.admission.on_request_received(self)
                 self._respond_readiness()
@@ -142,16 +141,14 @@
     def _reject_and_pause(self, status: int) -> None:
         """Reject a complete but invalid request. The error is sent at once and a persistent connection stays
         open, but reading pauses, since some clients repeat the same request without delay."""
-        current = self.current
-        if current is None or not current.keep_alive or self.gateway.is_draining:
-            self.reject(status)
-            return
         transport = self.transport
-        assert transport is not None
+        if transport is None or self.is_last_response():
+            self.respond(status)
+            return
         transport.write(
             b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n" % (status, REASON_PHRASES[status].encode())
         )
-        self.release_request(current)
+        self.release_request(self.current)
         transport.pause_reading()
         self.is_paused = True
         self.has_backlog = True
@@ -176,6 +173,7 @@
         next_incoming = self.incoming if self.incoming is not self.current else None
         has_next = bool(self.pipelined) or next_incoming is not None
         must_suspend = self.is_response_unread or self.open_request is not None and has_next
+        must_suspend = must_suspend or self.is_close_announced
         if must_suspend and not self.is_reading_suspended:
             self.is_reading_suspended = True
             self.has_backlog = True
@@ -191,6 +189,11 @@
             return False
         return self.open_request is not None and bool(current.stream.is_paused)
 
+    def stop_reading(self) -> None:
+        """Suspend reading until the connection closes, which has been announced."""
+        self.is_close_announced = True
+        self.update_reading()
+
     def pause(self) -> None:
         """Stop reading, as the source of a streamed body."""
         if self.transport is not None and not self.is_closing:
@@ -219,18 +222,18 @@
 
     def time_out_request(self) -> None:
         """Answer 408 to a partly received request and close; without one, close if idle."""
-        if self.request_started:
-            self.reject(408)
-        else:
-            self.close_if_idle()
+        self._reject_incomplete(408)
 
     def reject_incomplete_request(self) -> None:
         """Answer 503 to a partly received request, which its client can send to another gateway, and close;
         without one, close if idle."""
-        if self.request_started:
-            self.reject(503)
-        else:
+        self._reject_incomplete(503)
+
+    def _reject_incomplete(self, status: int) -> None:
+        if not self.request_started:
             self.close_if_idle()
+        elif not self.pipelined:  # otherwise these are served next
+            self.reject(status)
 
     def transfer(self, send_descriptor: Callable[[int], bool]) -> bool:
         """Transfer the connection to another process, with its unread bytes. `send_descriptor` sends the
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -87,6 +87,8 @@
         self.is_write_buffer_full = False  # whether the event loop has called pause_writing
         # Whether the next request waits until the client has taken earlier responses.
         self.is_response_unread = False
+        # Whether a streamed response has told the client that its connection closes.
+        self.is_close_announced = False
         self.unread_bytes = 0  # response bytes that are counted, since the kernel has not taken them
         # Whether the connection was transferred by the predecessor of a hot restart.
         self.is_inherited = False
@@ -105,6 +107,26 @@
             return False
         return not self.is_closing and not self.is_paused
 
+    def has_further_requests(self) -> bool:
+        """Whether requests behind the current one were read, whole or in part."""
+        if self.pipelined:
+            return True
+        return self.incoming is not None and self.incoming is not self.current
+
+    def is_last_response(self) -> bool:
+        """Whether the connection closes after the response to the current request: only if nothing else that
+        was read on it, or waits to be read, is owed a response."""
+        current = self.current
+        if self.is_closing or current is None or not current.is_complete or not current.keep_alive:
+            return True
+        if not self.gateway.is_draining or self.has_further_requests():
+            return False
+        return self.gateway.is_answer_time_over() or self.listener.has_no_unread_input(self.transport)
+
+    def has_unanswered_request(self) -> bool:
+        """Whether a request was read whole and has no response yet."""
+        return self.open_request is not None or any(parsed.is_complete for parsed in self.pipelined)
+
     def unwritten_bytes(self) -> int:
         """Return the number of response bytes not yet handed to the kernel."""
         transport = self.transport
--- a/plumpick/gateway/listeners/http/response_writer.py
+++ b/plumpick/gateway/listeners/http/response_writer.py
@@ -45,6 +45,10 @@
         """Suspend reading while requests wait behind an open one, otherwise resume it."""
         raise NotImplementedError
 
+    def stop_reading(self) -> None:
+        """Suspend reading until the connection closes, which has been announced."""
+        raise NotImplementedError
+
     # -- writing of a buffered response
 
     def respond(
@@ -58,8 +62,7 @@
             return
         # If the request's body is incomplete, its rest is not read and the connection must close.
         is_cut_short = current is None or not current.is_complete
-        close = self.is_closing or self.gateway.is_draining or is_cut_short
-        close = close or not current.keep_alive  # type: ignore[union-attr]
+        close = self.is_last_response()
         length = b"%d" % len(body)
         if status == 200 and current is not None and current.method == b"HEAD":
             length = body
@@ -126,9 +129,10 @@
             return
         self.is_chunked = length < 0 and not current.is_http_1_0
         ends_by_close = length < 0 and not self.is_chunked
-        must_close = self.is_closing or self.gateway.is_draining or not current.keep_alive
-        close = must_close or not current.is_complete or ends_by_close
+        close = ends_by_close or self.is_last_response()
         current.keep_alive = not close
+        if close and current.is_complete:
+            self.stop_reading()  # what is read from now on would get no response
         framing = b""
         if length >= 0:
             framing = b"Content-Length: %d\r\n" % length
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -173,6 +173,9 @@
         """Create the RequestStream for a body of `length` bytes (-1: unknown); the caller must feed it.
         Raises MemoryExhaustedError."""
 
+    def is_answer_time_over(self) -> bool:
+        """Whether all requests of a shutdown should have been answered by now."""
+
     def on_body_complete(self, request: Any) -> None:
         """Start the request's deadline: the last byte of its streamed body has been received."""
 
--- a/tests/gateway/listeners/http/test_answers_before_closing.py
+++ b/tests/gateway/listeners/http/test_answers_before_closing.py
@@ -65,14 +65,16 @@
 
 
 async def read_statuses(client, count):
-    """The statuses of the next `count` responses, and which of them close the connection."""
+    """The statuses of the next `count` whole responses, and which of them close the connection."""
     statuses, closing = [], []
     for _ in range(count):
-        response = await client.read_response()
-        if response is None:
+        try:
+            head = await client.reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
             break
-        statuses.append(response[0])
-        closing.append(response[1].get("connection") == "close")
+        await client.reader.readexactly(int(head.partition(b"Content-Length: ")[2].partition(b"\r")[0]))
+        statuses.append(int(head.split()[1]))
+        closing.append(b"Connection: close" in head)
     return statuses, closing
 
 
@@ -100,7 +102,8 @@
         statuses, closing = statuses + more[0], closing + more[1]
         wanted = [200, *expected]
         assert len(statuses) == len(wanted)
-        assert all(status == want for status, want in zip(statuses, wanted, strict=True) if want is not None)
+        statuses = [want and status for status, want in zip(statuses, wanted, strict=True)]
+        assert statuses == wanted
         assert closing == [False] * (len(wanted) - 1) + [True]
         assert await client.wait_for_end()
         server.cancel()
