Fix: no connection is closed over response bytes in the kernel, nor with a request that was read

A half-closed connection was closed 0.2 s (in a shutdown) or 1 s after its response was with the kernel, though its client's machine had not taken all: what the client sent next reset it and destroyed the rest. Now it stays while its client takes bytes, within the same limits on standstill. Eviction and the refusal of stopped requests closed connections that stood between the response to one pipelined request and the start of the next, and closed half-closed ones first, delivered or not; now requests that were read are exempt, and responses that are still taken go last.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -426,9 +426,9 @@
         return not self.requests.open and not self._has_connections()
 
     def has_answered_all(self) -> bool:
-        """Whether every request has its response and all response bytes are handed to the kernel."""
+        """Whether every request has its response and the clients' machines have acknowledged all of it."""
         return not self.requests.open and not any(
-            listener.has_unwritten_data() for listener in self._listeners
+            listener.has_undelivered_data() for listener in self._listeners
         )
 
     def has_unfinished_work(self) -> bool:
--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -69,8 +69,8 @@
         """Close the connection because draining excludes further requests."""
         raise NotImplementedError
 
-    def unwritten_bytes(self) -> int:
-        """Return the number of response bytes not yet handed to the kernel."""
+    def has_unanswered_request(self) -> bool:
+        """Whether a request was read whole and has no response yet."""
         raise NotImplementedError
 
     def undelivered_bytes(self) -> int:
@@ -152,6 +152,7 @@
             if conn.request_started
             and now - conn.last_activity_ms > EXHAUSTED_STOPPED_SENDING_MS
             and conn is not needing
+            and not conn.has_unanswered_request()
         ]
         self._next_rejection_ms = now if stopped else now + SWEEP_INTERVAL_MS
         for connection in stopped:
@@ -216,28 +217,47 @@
         return min(self.hard_max_connections, self.max_connections + spare_descriptors)
 
     def evict_excess(self, now: float, spare_descriptors: int = 0) -> None:
-        """Close the least useful connections above the limit; those with an open request are exempt.
+        """Close the least useful connections above the limit; those with a request that was read whole are
+        exempt.
 
         Among many connections that never complete a request, the oldest with a started request may be a real
         client that sends slowly. So among started requests, those whose client stopped sending are closed
-        first."""
+        first. Connections with response bytes that their client still takes are closed last."""
         excess = len(self.connections) - self.capacity(spare_descriptors)
         if excess <= 0:
             return
         unstarted = [conn for conn in self._awaiting_request if not conn.request_started]
         started = sorted(
-            (conn for conn in self._awaiting_request if conn.request_started),
+            (
+                conn
+                for conn in self._awaiting_request
+                if conn.request_started and not conn.has_unanswered_request()
+            ),
             key=lambda conn: conn.last_activity_ms,
         )
         old = [conn for conn in unstarted if now - self._awaiting_request[conn] > NEW_CONNECTION_MS]
         new = [conn for conn in unstarted if now - self._awaiting_request[conn] <= NEW_CONNECTION_MS]
         stopped = [conn for conn in started if now - conn.last_activity_ms > STOPPED_SENDING_MS]
         sending = [conn for conn in started if now - conn.last_activity_ms <= STOPPED_SENDING_MS]
-        eviction_order = [*self._closing, *old, *self._idle, *self._unread, *stopped, *new, *sending]
+        delivered = [conn for conn in self._closing if not conn.undelivered_bytes()]
+        stuck, taking = self._split_unread(now)
+        eviction_order = [*delivered, *old, *self._idle, *stuck, *stopped, *new, *sending, *taking]
         for connection in eviction_order[:excess]:
             self.remove(connection)
             connection.abort(EndReason.EVICTED)
 
+    def _split_unread(self, now: float) -> tuple[list[AdmittedConnection], list[AdmittedConnection]]:
+        """Return the connections with response bytes that their client has not taken: first those whose
+        client has taken nothing for long, then the others."""
+        stuck, taking = [], []
+        for table in (self._unread, self._closing):
+            for connection, since in table.items():
+                if not connection.undelivered_bytes():
+                    continue
+                has_stopped = now - since > EXHAUSTED_UNREAD_RESPONSE_TIMEOUT_MS
+                (stuck if has_stopped else taking).append(connection)
+        return stuck, taking
+
     def close_for_draining(self, now: float, reject_incomplete: bool) -> None:
         """Close idle connections; with `reject_incomplete` also those with a partly received request. A new
         connection stays for CROWDED_IDLE_MS, since it may bring a readiness check."""
@@ -318,10 +338,10 @@
         linger_ms = SHUTDOWN_LINGER_MS if is_shutting_down else LINGER_MS
         unread_timeout_ms = self._unread_timeout_ms(is_shutting_down)
         for connection in [conn for conn, since in self._closing.items() if now - since > linger_ms]:
-            unwritten = connection.unwritten_bytes()
-            if unwritten and _is_still_reading(connection):
+            undelivered = connection.undelivered_bytes()
+            if undelivered and _is_still_reading(connection):
                 self._closing[connection] = now
-            elif unwritten and now - self._closing[connection] <= unread_timeout_ms:
+            elif undelivered and now - self._closing[connection] <= unread_timeout_ms:
                 continue
             elif self._may_linger_on(connection, now) and not is_shutting_down:
                 connection.received_while_closing = False
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -185,6 +185,6 @@
         """Whether any connection is open."""
         return bool(self.admission)
 
-    def has_unwritten_data(self) -> bool:
-        """Whether some response bytes have not been handed to the kernel yet."""
-        return any(connection.unwritten_bytes() for connection in self.admission.connections)
+    def has_undelivered_data(self) -> bool:
+        """Whether the machine of a client has not acknowledged all response bytes yet."""
+        return any(connection.undelivered_bytes() for connection in self.admission.connections)
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -141,8 +141,8 @@
     def has_connections(self) -> bool:
         """Whether a connection is still open."""
 
-    def has_unwritten_data(self) -> bool:
-        """Whether some response bytes have not been handed to the kernel yet."""
+    def has_undelivered_data(self) -> bool:
+        """Whether the machine of a client has not acknowledged all response bytes yet."""
 
     def connection_count(self) -> int:
         """Return the number of open connections."""
--- a/tests/gateway/listeners/http/test_connection_admission.py
+++ b/tests/gateway/listeners/http/test_connection_admission.py
@@ -26,6 +26,12 @@
     def body_time_allowance_ms(self):
         return 0.0
 
+    def has_unanswered_request(self):
+        return False
+
+    def undelivered_bytes(self):
+        return 0
+
     def abort(self, _reason=None):
         self.closed = self.closed or "abort"
 
