Fix: every request of a pipeline is answered, and in its time

Callers that sent more than 17 requests at once got 400 for the 18th and nothing for the rest; those behind a slow request were answered up to 0.6 s after their own time. Causes: the bound on parsed requests was kept by dropping what had been read; and a request whose time had passed while it waited still got 40 ms for an attempt, one after the other. Now a read is parsed in slices of 4 KiB, and what is behind 16 queued requests is kept as bytes, counted, until they are answered; a request whose time is over when it is its turn gets 503 at once, as does one that has waited beyond the end of a shutdown. The pause after an invalid request holds back reading only, not what was read. A head in part behind many requests no longer counts their bytes.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -286,7 +286,8 @@
         return self._streams.create(source, length)
 
     def submit(self, sink: ResponseSink, incoming: IncomingRequest) -> OpenRequest:
-        """Open a request, which then gets exactly one final response; raises DuplicateRequestIdError."""
+        """Open a request, which then gets exactly one final response; raises DuplicateRequestIdError, and
+        RequestExpiredError."""
         now = self.clock.now()
         request = self.requests.submit(sink, incoming, now, self._stalls.max_unread_ms(now))
         if self.has_handed_over and self.sibling is not None:
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -10,8 +10,9 @@
 from plumpick.gateway.listeners.http.connection_state import ConnectionOwner
 from plumpick.gateway.listeners.http.parsed_request import MAX_BUFFERED_BODY_BYTES, ParsedRequest
 from plumpick.gateway.listeners.http.request_reader import RequestReader
-from plumpick.gateway.listeners.http.response_writer import REASON_PHRASES, WRITE_BUFFER_BYTES
+from plumpick.gateway.listeners.http.response_writer import WRITE_BUFFER_BYTES
 from plumpick.gateway.listeners.http.validation import BadRequestError
+from plumpick.gateway.listeners.interface import RequestExpiredError
 
 # After each bad request, reading from the connection pauses for a time that doubles from FIRST_PAUSE_MS.
 FIRST_PAUSE_MS = 50.0
@@ -73,6 +74,9 @@
             return
         while self.open_request is None and not self._is_serving_suspended():
             if not self.pipelined:
+                if self.unparsed:
+                    self.parse_unparsed()
+                    continue
                 if self._stream_incoming():
                     continue
                 break
@@ -90,7 +94,7 @@
         self.update_reading()
 
     def _is_serving_suspended(self) -> bool:
-        return self.is_closing or self.is_paused or self.is_response_unread
+        return self.is_closing or self.is_response_unread
 
     def _stream_incoming(self) -> bool:
         """Start to stream the request being read if its body is too large to be buffered. Returns whether it
@@ -108,6 +112,9 @@
             self.open_request = self.listener.submit(self, parsed)
         except BadRequestError as problem:
             self._reject_and_pause(problem.status)
+        except RequestExpiredError:
+            self.listener.admission.on_request_received(self)
+            self.respond(503)
 
     def start_stream(self, parsed: ParsedRequest) -> bool:
         """Submit a request whose body is too large to be buffered. Returns False if earlier requests are not
@@ -141,20 +148,17 @@
     def _reject_and_pause(self, status: int) -> None:
         """Reject a complete but invalid request. The error is sent at once and a persistent connection stays
         open, but reading pauses, since some clients repeat the same request without delay."""
+        self.respond(status)
         transport = self.transport
-        if transport is None or self.is_last_response():
-            self.respond(status)
+        if transport is None or self.is_closing:
             return
-        transport.write(
-            b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n" % (status, REASON_PHRASES[status].encode())
-        )
-        self.release_request(self.current)
-        transport.pause_reading()
-        self.is_paused = True
-        self.has_backlog = True
         pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(self.rejected_requests, MAX_PAUSE_DOUBLINGS))
         self.rejected_requests += 1
-        self.gateway.timers.call_at(self.gateway.clock.now() + pause_ms, self._end_pause)
+        if not self.is_paused:
+            transport.pause_reading()
+            self.is_paused = True
+            self.has_backlog = True
+            self.gateway.timers.call_at(self.gateway.clock.now() + pause_ms, self._end_pause)
 
     def _end_pause(self) -> None:
         self.is_paused = False
@@ -171,7 +175,7 @@
         if transport is None or self.is_closing or self.is_paused or transport.is_closing():
             return
         next_incoming = self.incoming if self.incoming is not self.current else None
-        has_next = bool(self.pipelined) or next_incoming is not None
+        has_next = bool(self.pipelined or self.unparsed) or next_incoming is not None
         must_suspend = self.is_response_unread or self.open_request is not None and has_next
         must_suspend = must_suspend or self.is_close_announced
         if must_suspend and not self.is_reading_suspended:
@@ -232,7 +236,7 @@
     def _reject_incomplete(self, status: int) -> None:
         if not self.request_started:
             self.close_if_idle()
-        elif not self.pipelined:  # otherwise these are served next
+        elif not self.pipelined and not self.unparsed:  # otherwise these are served next
             self.reject(status)
 
     def transfer(self, send_descriptor: Callable[[int], bool]) -> bool:
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -78,6 +78,7 @@
         self.incoming: ParsedRequest | None = None  # request that is being read
         self.current: ParsedRequest | None = None  # open request, or the latest one
         self.pipelined: list[ParsedRequest] = []  # requests read, or rejected, behind the open one
+        self.unparsed = b""  # bytes behind the queued requests, which are parsed when these are answered
         self.is_closing = False  # whether further input is discarded
         self.is_unreadable = False  # whether further input cannot be parsed, after a malformed request
         self.is_paused = False  # whether reading pauses after a bad request
@@ -109,7 +110,7 @@
 
     def has_further_requests(self) -> bool:
         """Whether requests behind the current one were read, whole or in part."""
-        if self.pipelined:
+        if self.pipelined or self.unparsed:
             return True
         return self.incoming is not None and self.incoming is not self.current
 
@@ -159,6 +160,8 @@
         for parsed in self.pipelined:
             self.release_request(parsed)
         self.pipelined.clear()
+        self.gateway.memory.release_request(len(self.unparsed))
+        self.unparsed = b""
         if self.incoming is not self.current or self.open_request is None:
             self.release_request(self.incoming)
             self.incoming = None
--- a/plumpick/gateway/listeners/http/parsed_request.py
+++ b/plumpick/gateway/listeners/http/parsed_request.py
@@ -14,7 +14,8 @@
 REQUEST_OBJECT_BYTES = 1024  # memory of a request beside its bytes
 MAX_BODY_BYTES = 1 << 40  # maximum Content-Length of a request
 MAX_CONTENT_LENGTH_DIGITS = 15
-MAX_PIPELINED_REQUESTS = 16  # maximum number queued behind an open request; one more closes the connection
+MAX_PIPELINED_REQUESTS = 16  # number of queued requests from which on no further bytes are parsed
+PARSE_BYTES = 4 * 1024  # maximum number of bytes with heads that are parsed at a time
 
 KNOWN_HEADERS = {
     b"x-request-id",
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -18,6 +18,7 @@
     MAX_HEAD_BYTES,
     MAX_PIPELINED_REQUESTS,
     MAX_RAW_MESSAGE_BYTES,
+    PARSE_BYTES,
     ParsedRequest,
 )
 from plumpick.gateway.listeners.http.response_writer import ResponseWriter
@@ -30,6 +31,7 @@
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
         self.parser: Any = httptools.HttpRequestParser(self)
+        self.read_ms = 0.0  # time at which the bytes being parsed were read
         self.stream_parts: list[bytes] = []  # parts of a streamed body that the current read contained
 
     # -- implemented by ClientConnection
@@ -68,13 +70,55 @@
         if self.has_backlog and not self._is_backlog_wanted():
             return
         self.last_activity_ms = self.gateway.clock.now()
+        if self.unparsed:
+            self._keep_unparsed(self.unparsed + data)
+        else:
+            self.read_ms = self.last_activity_ms
+            self._parse(data)
+        incoming = self.incoming
+        if incoming is not None and incoming.stream is not None:
+            self._forward_stream_parts(incoming)
+        self.serve_next()
+
+    def parse_unparsed(self) -> None:
+        """Parse bytes that were kept until the requests before them were answered."""
+        data = self.unparsed
+        self._keep_unparsed(b"")
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes in slices, until enough requests are queued; the rest is kept as it is, since
+        parsed requests need several times the memory of their bytes."""
+        start = 0
+        while start < len(data) and not self.is_unreadable:
+            if len(self.pipelined) >= MAX_PIPELINED_REQUESTS:
+                self._keep_unparsed(data[start:])
+                return
+            end = start + self._slice_bytes()
+            self._parse_slice(data if start == 0 and end >= len(data) else data[start:end])
+            start = end
+
+    def _slice_bytes(self) -> int:
+        """Return how many bytes to parse at once: the rest of a body, or some heads."""
+        incoming = self.incoming
+        if incoming is None or incoming.in_head:
+            return PARSE_BYTES
+        return max(PARSE_BYTES, incoming.body_length - incoming.body_received_bytes)
+
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keep received bytes, in place of those kept before, and count them."""
+        memory = self.gateway.memory
+        memory.release_request(len(self.unparsed))
+        memory.add_received(len(data))
+        self.unparsed = data
+
+    def _parse_slice(self, data: bytes) -> None:
+        """Parse bytes, and check the limits on the request that they leave incomplete."""
         try:
             feed_parser(self, data)
         except httptools.HttpParserError:
             self._reject_unparsable()
         incoming = self.incoming
-        if incoming is not None and incoming.stream is not None:
-            self._forward_stream_parts(incoming)
         if incoming is not None and not incoming.error_status:
             incoming.raw_bytes += len(data)
             if incoming.in_head and incoming.raw_bytes > MAX_HEAD_BYTES:
@@ -88,7 +132,6 @@
                 self._reject_incoming(incoming, 413)
             elif incoming.stream is None and not incoming.is_complete:
                 self._reserve_memory(incoming)
-        self.serve_next()
 
     def _reserve_memory(self, incoming: ParsedRequest) -> bool:
         """Count the memory of a request that is being read, or reject it with 503 if there is none; returns
@@ -150,8 +193,6 @@
         if self.open_request is None and not self.pipelined and not self.is_paused:
             self.request_started = True
             self.listener.on_request_started(self)
-        elif len(self.pipelined) >= MAX_PIPELINED_REQUESTS:
-            self._reject_incoming(self.incoming, 400)
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: collect bytes of the request target."""
@@ -266,7 +307,7 @@
             return  # only the head is complete, see upgrade_offer.py
         self.incoming = None
         incoming.is_complete = True
-        incoming.received_ms = self.gateway.clock.now()
+        incoming.received_ms = self.read_ms
         if incoming.stream is None:
             self.pipelined.append(incoming)
             return
--- a/plumpick/gateway/listeners/http/response_writer.py
+++ b/plumpick/gateway/listeners/http/response_writer.py
@@ -108,7 +108,7 @@
             self.listener.admission.on_response_unread(self, self.gateway.clock.now())
             self.update_reading()
             return
-        if self.pipelined or self.incoming is not None:
+        if self.has_further_requests():
             self.request_started = True
             self.listener.on_request_started(self)
             # Deferred, so that the next request is not served within the call that answered this one.
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -26,6 +26,10 @@
     """The id of a request equals that of another request that is open or has recently ended."""
 
 
+class RequestExpiredError(Exception):
+    """The time of a request was over before it was its turn."""
+
+
 class MemoryExhaustedError(Exception):
     """A request is refused, since the memory that clients may use is used up."""
 
@@ -181,7 +185,7 @@
 
     def submit(self, sink: ResponseSink, incoming: IncomingRequest) -> Any:
         """Open a request, which then gets exactly one final response. Returns its handle for `on_disconnect`
-        and `on_body_complete`; raises DuplicateRequestIdError."""
+        and `on_body_complete`; raises DuplicateRequestIdError, and RequestExpiredError."""
 
     def on_disconnect(self, request: Any) -> None:
         """Close the request of a client that has disconnected; does nothing after the final response."""
--- a/plumpick/gateway/memory_budget.py
+++ b/plumpick/gateway/memory_budget.py
@@ -96,6 +96,10 @@
         self.add(MemoryHolder.REQUESTS, size)
         return True
 
+    def add_received(self, size: int) -> None:
+        """Count bytes of requests that were received already."""
+        self.add(MemoryHolder.REQUESTS, size)
+
     def count_refused_request(self) -> None:
         """Count a request that was refused."""
         self.refused_counts[MemoryHolder.REQUESTS] += 1
--- a/plumpick/gateway/request_table.py
+++ b/plumpick/gateway/request_table.py
@@ -13,7 +13,12 @@
 from plumpick.gateway.body_streams import BodyStreams
 from plumpick.gateway.clock import Clock, Timers
 from plumpick.gateway.event_turn import EventTurn
-from plumpick.gateway.listeners.interface import ClusterParticipant, IncomingRequest, ResponseSink
+from plumpick.gateway.listeners.interface import (
+    ClusterParticipant,
+    IncomingRequest,
+    RequestExpiredError,
+    ResponseSink,
+)
 from plumpick.gateway.open_request import REQUEST_ID_RETENTION_MS, OpenRequest, RequestIds
 from plumpick.gateway.response_discarder import ResponseDiscarder
 from plumpick.gateway.unanswered_requests import EndReason, UnansweredRequests
@@ -64,8 +69,10 @@
     def submit(
         self, sink: ResponseSink, incoming: IncomingRequest, now: float, max_unread_ms: float
     ) -> OpenRequest:
-        """Open a request and return it; raises DuplicateRequestIdError. `max_unread_ms`: maximum time for
-        which it may have been unread during a stall of this process."""
+        """Open a request and return it; raises DuplicateRequestIdError, and RequestExpiredError if its time
+        has passed while earlier requests were answered. `max_unread_ms`: maximum time for which it may have
+        been unread during a stall of this process."""
+        self._check_time(incoming, now)
         self.ids.claim(incoming.id)
         # A pipelined request has also waited for the responses to earlier ones since `received_ms`.
         waited_ms = max_unread_ms + now - incoming.received_ms
@@ -98,6 +105,14 @@
         )
         return request
 
+    def _check_time(self, incoming: IncomingRequest, now: float) -> None:
+        end_ms = min(incoming.received_ms + incoming.timeout_ms, self.shutdown_deadline_ms)
+        has_waited = incoming.stream is None and now - incoming.received_ms > DEADLINE_MARGIN_MS
+        if has_waited and now >= end_ms - DEADLINE_MARGIN_MS:
+            if self.participant is not None:
+                self.participant.usage.count(incoming.plan, REJECTED, incoming.units)
+            raise RequestExpiredError("the time of the request is over")
+
     # -- events of a request
 
     def on_body_complete(self, request: OpenRequest) -> None:
