Fix: a request that is refused for memory keeps its connection and what is behind it

Cause: the refusal stopped parsing in the middle of the message, so that the start of the next one was unknown, and closed the connection. Now a refused message that could have been buffered is read to its end, of which only the framing is kept; it gets its 503 in its turn, and the connection goes on. Large uploads, and clients that wait for 100 Continue, are refused at the head as before.

--- a/plumpick/gateway/listeners/http/parsed_request.py
+++ b/plumpick/gateway/listeners/http/parsed_request.py
@@ -30,6 +30,7 @@
     b"transfer-encoding",
     b"expect",
 }
+DELIMITING_HEADERS = {b"content-length", b"transfer-encoding", b"expect"}  # kept of a refused request
 
 
 class ParsedRequest:
@@ -43,6 +44,7 @@
         "raw_bytes",
         "in_head",
         "error_status",
+        "is_refused",
         "is_complete",
         "keep_alive",
         "method",
@@ -62,6 +64,7 @@
         self.head_bytes = 0  # total length of the names and values of all headers and trailers
         self.raw_bytes = 0  # total length of the reads that contained parts of the request
         self.error_status = 0  # HTTP status that rejects the request; 0 if no error was found
+        self.is_refused = False  # whether there is no memory for it: it is read to its end and not kept
         self.in_head = True
         self.is_complete = False
         self.keep_alive = True
@@ -76,6 +79,18 @@
         """Return the client's id of the request, empty if it has none."""
         return self.headers.get(b"x-request-id", b"")
 
+    def refuse(self) -> None:
+        """Keep no more of the request than delimits it: it is refused with 503 once it is complete."""
+        self.error_status = 503
+        self.is_refused = True
+        self.url = b""
+        self.body = bytearray()
+        self.headers = {name: value for name, value in self.headers.items() if name in DELIMITING_HEADERS}
+
+    def expects_continue(self) -> bool:
+        """Whether the client waits for 100 Continue before it sends the body."""
+        return self.headers.get(b"expect", b"").lower() == b"100-continue" and not self.is_http_1_0
+
     def required_bytes(self) -> int:
         """Return the memory that the request needs until its response: for an announced body that is buffered
         all of it, so that a request that was begun can be completed. A streamed body is counted apart."""
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -11,6 +11,7 @@
 
 from plumpick.gateway.listeners.http.connection_state import ConnectionOwner
 from plumpick.gateway.listeners.http.parsed_request import (
+    DELIMITING_HEADERS,
     KNOWN_HEADERS,
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY_BYTES,
@@ -119,7 +120,7 @@
         except httptools.HttpParserError:
             self._reject_unparsable()
         incoming = self.incoming
-        if incoming is not None and not incoming.error_status:
+        if incoming is not None and (not incoming.error_status or incoming.is_refused):
             incoming.raw_bytes += len(data)
             if incoming.in_head and incoming.raw_bytes > MAX_HEAD_BYTES:
                 self._reject_incoming(incoming, 431)
@@ -130,12 +131,12 @@
             ):
                 # Raw bytes include what the parser skips, such as chunk extensions.
                 self._reject_incoming(incoming, 413)
-            elif incoming.stream is None and not incoming.is_complete:
+            elif incoming.stream is None and not incoming.is_refused:
                 self._reserve_memory(incoming)
 
     def _reserve_memory(self, incoming: ParsedRequest) -> bool:
-        """Count the memory of a request that is being read, or reject it with 503 if there is none; returns
-        whether it is counted."""
+        """Count the memory of a request that is being read, or refuse it if there is none; returns whether it
+        is counted."""
         size = incoming.required_bytes() - incoming.held_bytes
         if size <= 0:
             return True
@@ -144,11 +145,24 @@
             self.listener.reject_stopped_requests(self)
             if not memory.reserve_request(incoming.held_bytes, size):
                 memory.count_refused_request()
-                self._reject_incoming(incoming, 503)
+                self._refuse(incoming)
                 return False
         incoming.held_bytes += size
         return True
 
+    def _refuse(self, incoming: ParsedRequest) -> None:
+        """Refuse a request for which there is no memory. It is read to its end, so that what is behind it is
+        answered too, unless it is large or its client waits for permission to send the body."""
+        incoming.refuse()
+        self.release_request(incoming)
+        if not incoming.in_head:
+            self._close_behind_refused(incoming)
+
+    def _close_behind_refused(self, incoming: ParsedRequest) -> None:
+        """Close the connection after the response to a refused request if its body should not be read."""
+        if incoming.body_length > MAX_BUFFERED_BODY_BYTES or incoming.expects_continue():
+            self._reject_incoming(incoming, 503)
+
     def _is_backlog_wanted(self) -> bool:
         """Whether the client is still there, of which bytes are read that may have waited for long. If not,
         the connection is closed: its requests must not be sent on."""
@@ -196,7 +210,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: collect bytes of the request target."""
-        if self.incoming is not None:
+        if self.incoming is not None and not self.incoming.is_refused:
             self.incoming.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -211,10 +225,11 @@
                 self._reject_incoming(incoming, 431)
             return
         name = name.lower()
-        if name in KNOWN_HEADERS:
+        if name in (DELIMITING_HEADERS if incoming.is_refused else KNOWN_HEADERS):
             if name in incoming.headers:
                 # A repeated header makes the request ambiguous.
                 incoming.error_status = incoming.error_status or 400
+                incoming.is_refused = False
             # Surrounding whitespace is not part of the value (RFC 9110, 5.5).
             incoming.headers[name] = value.strip(b" \t")
 
@@ -228,13 +243,17 @@
         headers = incoming.headers
         incoming.method = self.parser.get_method()
         incoming.is_http_1_0 = self.parser.get_http_version() == "1.0"
-        self._check_body_framing(incoming)
-        if incoming.error_status:
-            self._reject_incoming(incoming, incoming.error_status)
+        framing_error = self._framing_error(incoming)
+        if framing_error or incoming.error_status and not incoming.is_refused:
+            self._reject_incoming(incoming, framing_error)
             return
         is_chunked = b"transfer-encoding" in headers
         incoming.body_length = -1 if is_chunked else int(headers.get(b"content-length", b"0"))
-        if not self._reserve_memory(incoming):
+        if incoming.is_refused:
+            self._close_behind_refused(incoming)
+        else:
+            self._reserve_memory(incoming)
+        if self.incoming is not incoming:  # it was rejected
             return
         self._send_continue(incoming)
         if incoming.body_length > MAX_BUFFERED_BODY_BYTES:
@@ -242,24 +261,26 @@
         elif incoming.body_length:
             self.listener.admission.on_body_started(self, self.gateway.clock.now())
 
-    def _check_body_framing(self, incoming: ParsedRequest) -> None:
-        """Mark a request with an error status if its head is too large or its length is ambiguous."""
+    def _framing_error(self, incoming: ParsedRequest) -> int:
+        """Return the status that rejects a request if its head is too large or its length is ambiguous;
+        otherwise 0."""
         headers = incoming.headers
         length = headers.get(b"content-length", b"0")
         if b"content-length" in headers and b"transfer-encoding" in headers:
-            incoming.error_status = 400  # the two headers contradict each other on the end of the request
-        elif incoming.method == b"CONNECT":
-            incoming.error_status = 400  # what follows its head is no HTTP
-        elif not length.isdigit():
-            incoming.error_status = 400
-        elif len(length) > MAX_CONTENT_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
-            incoming.error_status = 413
-        elif len(incoming.url) + incoming.head_bytes > MAX_HEAD_BYTES:  # too long head that came in one read
-            incoming.error_status = 431
+            return 400  # the two headers contradict each other on the end of the request
+        if incoming.method == b"CONNECT":
+            return 400  # what follows its head is no HTTP
+        if not length.isdigit():
+            return 400
+        if len(length) > MAX_CONTENT_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
+            return 413
+        if len(incoming.url) + incoming.head_bytes > MAX_HEAD_BYTES:  # too long head that came in one read
+            return 431
+        return 0
 
     def _send_continue(self, incoming: ParsedRequest) -> None:
         """Send 100 Continue if the client expects it and no earlier request waits for its response."""
-        if incoming.headers.get(b"expect", b"").lower() != b"100-continue" or incoming.is_http_1_0:
+        if incoming.is_refused or not incoming.expects_continue():
             return
         if self.open_request is None and not self.pipelined and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -270,6 +291,8 @@
         if incoming is None:
             return
         incoming.body_received_bytes += len(part)
+        if incoming.is_refused:
+            return
         if incoming.stream is not None:
             self.stream_parts.append(part)
             return
