Fix: a response of up to 64 KiB is never passed on in part, however little memory is left

Callers got half of a response of 9 to 60 kB when its worker reset the connection (14 and 18 in 12 s at 43 MB, 300 clients). Cause: while memory was exhausted, responses over 8 KiB were streamed, and what is streamed can't be asked for again: the bound on memory was kept by giving up the response. What is reserved is read at once. An attempt whose time ends meanwhile is not held against its worker. The least total is 2 MB (1 MB before), and counts what responses may use beyond the ceilings of requests.

The reader of response heads and the pool's interface have modules of their own.

--- a/plumpick/gateway/compiled.py
+++ b/plumpick/gateway/compiled.py
@@ -74,8 +74,10 @@
     "plumpick/gateway/upstream/attempt.py",
     "plumpick/gateway/upstream/buffered_response.py",
     "plumpick/gateway/upstream/connection.py",
+    "plumpick/gateway/upstream/connection_owner.py",
     "plumpick/gateway/upstream/connection_pool.py",
     "plumpick/gateway/upstream/request_encoding.py",
+    "plumpick/gateway/upstream/response_head.py",
 )
 COMPILED_FILES = POLICY_FILES + GATEWAY_FILES
 # Packages that contain compiled modules.
--- a/plumpick/gateway/memory_limits.py
+++ b/plumpick/gateway/memory_limits.py
@@ -3,24 +3,33 @@
 
 from __future__ import annotations
 
-from plumpick.gateway.memory_budget import BYTES_PER_MB, MemoryBudget
+from plumpick.gateway.memory_budget import (
+    BYTES_PER_MB,
+    RESPONSE_RATIO,
+    SMALL_REQUEST_BYTES,
+    SMALL_REQUEST_CEILING_RATIO,
+    MemoryBudget,
+)
 
 # Shares of the descriptor limit that connections to workers, and to clients and workers together, may use.
 # Clients alone may use up to 0.46 of it (listeners/http/connection_admission.py). The remainder (30
 # descriptors at the smallest limit of 256) is for discovery, peers and the event loop.
 UPSTREAM_DESCRIPTOR_RATIO = 0.42
 CONNECTION_DESCRIPTOR_RATIO = 0.88
+CLIENT_DESCRIPTOR_RATIO = 0.46
 # Memory of one connection to a client or a worker beside what the budget counts: objects, transport, parser,
-# and the one read that it may keep while the memory is exhausted.
+# and the one read, or small request, that it may keep while the memory is exhausted.
 CONNECTION_BYTES = 8 * 1024
-# Memory of one response while the memory is exhausted. Responses can't be refused.
+# Memory of one response beside what the budget counts: the share of a streamed one, and one read.
 RESPONSE_BYTES = 8 * 1024
 # Growth of the process itself after its start: code that is used for the first time, customers' accounts, ids
 # of requests, timers.
 OWN_GROWTH_BYTES = 3 * BYTES_PER_MB
 # Share of the memory for the allocator: free blocks between those in use, and the size classes of objects.
 ALLOCATOR_RATIO = 0.2
-MIN_TOTAL_BYTES = BYTES_PER_MB  # total with which a process still serves whose limit leaves nothing
+# Share of the total up to which requests and responses together may use it.
+MAX_USED_RATIO = SMALL_REQUEST_CEILING_RATIO + RESPONSE_RATIO
+MIN_TOTAL_BYTES = 2 * BYTES_PER_MB  # total with which a process still serves whose limit leaves nothing
 DEFAULT_BASELINE_BYTES = 30 * BYTES_PER_MB  # resident memory at the start, until it has been measured
 
 
@@ -30,7 +39,8 @@
     connection_bytes = int(descriptors * CONNECTION_DESCRIPTOR_RATIO) * CONNECTION_BYTES
     response_bytes = int(descriptors * UPSTREAM_DESCRIPTOR_RATIO) * RESPONSE_BYTES
     own_bytes = baseline_bytes + OWN_GROWTH_BYTES + connection_bytes + response_bytes
-    return max(MIN_TOTAL_BYTES, int((limit_bytes - own_bytes) * (1 - ALLOCATOR_RATIO)))
+    usable_bytes = (limit_bytes - own_bytes) * (1 - ALLOCATOR_RATIO)
+    return max(MIN_TOTAL_BYTES, int(usable_bytes / MAX_USED_RATIO))
 
 
 class MemoryLimits:
@@ -41,23 +51,26 @@
         self._descriptors = descriptors
         self._baseline_bytes = DEFAULT_BASELINE_BYTES
         self._process_count = 1
-        self.budget = MemoryBudget(self._total_bytes())
+        self.budget = MemoryBudget(MIN_TOTAL_BYTES)
+        self._update_total()
 
-    def _total_bytes(self) -> int:
+    def _update_total(self) -> None:
         limit_bytes = int(self.memory_mb * BYTES_PER_MB) // self._process_count
-        return total_bytes_within(limit_bytes, self._baseline_bytes, self._descriptors)
+        total_bytes = total_bytes_within(limit_bytes, self._baseline_bytes, self._descriptors)
+        clients = int(self._descriptors * CLIENT_DESCRIPTOR_RATIO)
+        self.budget.set_total(total_bytes, clients * SMALL_REQUEST_BYTES)
 
     def set_baseline(self, baseline_bytes: int) -> None:
         """Set the resident memory of this process at its start, which requests can't use."""
         self._baseline_bytes = baseline_bytes
-        self.budget.set_total(self._total_bytes())
+        self._update_total()
 
     def set_process_count(self, process_count: int) -> None:
         """Divide the memory limit by the number of processes of this gateway: two during a hot restart."""
         self._process_count = process_count
-        self.budget.set_total(self._total_bytes())
+        self._update_total()
 
     def set_descriptors(self, descriptors: int) -> None:
         """Adapt to the process's new descriptor limit."""
         self._descriptors = descriptors
-        self.budget.set_total(self._total_bytes())
+        self._update_total()
--- a/plumpick/gateway/read_buffer.py
+++ b/plumpick/gateway/read_buffer.py
@@ -30,8 +30,9 @@
         """Adapt the size of a read to the number of streams."""
         self._is_crowded_by_streams = streams > CROWDED_STREAMS
 
-    def view(self) -> memoryview:
-        """Return the part of the buffer that the next read may fill."""
+    def view(self, reserved_bytes: int = 0) -> memoryview:
+        """Return the part of the buffer that the next read may fill. `reserved_bytes`: number of bytes whose
+        memory the connection has reserved, which can be read at once."""
         level = self._memory.level
         if level == MemoryLevel.EXHAUSTED:
             self._view = self._exhausted_view
@@ -39,6 +40,8 @@
             self._view = self._crowded_view
         else:
             self._view = self._buffer
+        if reserved_bytes > len(self._view):
+            self._view = self._buffer[:reserved_bytes]
         return self._view
 
     def is_filled_by(self, size: int) -> bool:
--- a/plumpick/gateway/upstream/attempt.py
+++ b/plumpick/gateway/upstream/attempt.py
@@ -42,6 +42,7 @@
     """The worker connection that carries an attempt."""
 
     is_reading_paused: bool  # whether the response is not read, as its client has not taken what was read
+    is_waiting_for_memory: bool  # whether the response is not read until there is memory for it
     has_unsent_bytes: bool  # whether the last byte of the request is not with the kernel yet
 
     def abort(self) -> None:
@@ -145,6 +146,9 @@
             return False
         return self.stream is None or self.stream.is_complete
 
+    def _is_held_back(self) -> bool:
+        return self.connection is not None and self.connection.is_waiting_for_memory
+
     def end(
         self,
         result: AttemptResult,
@@ -163,6 +167,8 @@
                 timer.cancel()
         if self.connect_task is not None:
             self.connect_task.cancel()
+        if result is AttemptResult.TIMEOUT and self._is_held_back():
+            result = AttemptResult.CANCELLED  # the worker is not to blame
         if self.connection is not None:  # the response is incomplete: the close tells the worker to stop
             self.connection.abort()
         sink = self.response_sink
--- a/plumpick/gateway/upstream/buffered_response.py
+++ b/plumpick/gateway/upstream/buffered_response.py
@@ -1,14 +1,11 @@
-"""The parts of a response's body that have been received and not been passed on. Those of a response that is
-not complete are counted in the memory budget."""
+"""The parts of a response's body that have been received and not been passed on. The memory of one that is
+not complete is counted for the whole response before the rest of it is read."""
 
 from __future__ import annotations
 
 from plumpick.gateway.memory_budget import MemoryBudget, MemoryHolder
 from plumpick.gateway.upstream.streaming_body import MAX_BUFFERED_BODY_BYTES, MAX_PARTS
 
-# Size above which a response is streamed while the memory is exhausted.
-EXHAUSTED_BUFFERED_BODY_BYTES = 8 * 1024
-
 
 class BufferedResponse:
     """The body of one response, as far as it is buffered."""
@@ -27,20 +24,22 @@
         self._parts.append(part)
         self._size += len(part)
 
-    def max_bytes(self) -> int:
-        """Return the size above which a response should be streamed."""
-        if self._memory.is_exhausted():
-            return EXHAUSTED_BUFFERED_BODY_BYTES
-        return MAX_BUFFERED_BODY_BYTES
-
-    def count(self) -> None:
-        """Count the bytes, as the response is not complete after a read. Many parts are joined, since a part
-        costs more than its bytes."""
+    def reserve(self, length: int) -> bool:
+        """Count the memory of a response of `length` bytes (-1: unknown), once; returns False if there is too
+        little. Many parts are joined, since a part costs more than its bytes."""
         if len(self._parts) > MAX_PARTS:
             self._parts = [b"".join(self._parts)]
-        if self._size != self._counted_bytes:
-            self._memory.add(MemoryHolder.RESPONSES, self._size - self._counted_bytes)
-            self._counted_bytes = self._size
+        if self._counted_bytes:
+            return True
+        size = length if length >= 0 else MAX_BUFFERED_BODY_BYTES
+        if not self._memory.reserve_response(size):
+            return False
+        self._counted_bytes = size
+        return True
+
+    def free_bytes(self) -> int:
+        """Return how many further bytes are counted; 0 if none are."""
+        return max(0, self._counted_bytes - self._size)
 
     def take(self) -> bytes:
         """Return the bytes and keep none."""
@@ -54,5 +53,6 @@
         self._parts = []
         self._size = 0
         if self._counted_bytes:
-            self._memory.release(MemoryHolder.RESPONSES, self._counted_bytes)
+            counted_bytes = self._counted_bytes
             self._counted_bytes = 0
+            self._memory.release(MemoryHolder.RESPONSES, counted_bytes)
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -8,60 +8,23 @@
 
 import asyncio
 import math
-from collections.abc import Callable
 from typing import Any
 
 import httptools
 
 from plumpick.gateway.config import WorkerEntry
-from plumpick.gateway.memory_budget import MemoryBudget
-from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
 from plumpick.gateway.upstream.buffered_response import BufferedResponse
+from plumpick.gateway.upstream.connection_owner import ConnectionOwner
 from plumpick.gateway.upstream.request_encoding import encode_message
+from plumpick.gateway.upstream.response_head import ResponseHead
 from plumpick.gateway.upstream.streaming_body import MAX_BUFFERED_BODY_BYTES, StreamingBody
 from plumpick.policy.events import AttemptResult
 
 MAX_HEAD_BYTES = 16 * 1024  # maximum size of a response's head together with interim responses
-MAX_LENGTH_DIGITS = 15
-MAX_RESPONSE_BYTES = 256 * 1024 * 1024  # maximum Content-Length of a response
 WRITE_BUFFER_BYTES = 8 * 1024  # size of a request that fits the empty send buffer of any socket
 
 
-class ConnectionOwner:
-    """The connection pool as its connections use it; ConnectionPool derives from this class."""
-
-    read_buffer: ReadBuffer  # buffer into which connections are read
-    memory: MemoryBudget  # account of the memory that responses use
-    has_no_unread_input: Callable[[Any], bool]  # whether neither bytes nor a close wait unread in the kernel
-    was_transport_reset: Callable[[Any], bool]  # whether the peer reset the connection
-
-    def now(self) -> float:
-        """Return the current time in ms."""
-        raise NotImplementedError
-
-    def stream_before_deadline(self, attempt: Attempt, start: Callable[[Attempt], None]) -> None:
-        """Call `start(attempt)` shortly before the policy gives up the request, unless the attempt has
-        ended."""
-        raise NotImplementedError
-
-    def on_request_written(self, attempt: Attempt) -> None:
-        """Start the worker's time: the last byte of a streamed request has been written."""
-        raise NotImplementedError
-
-    def parse_load_report(self, text: bytes) -> tuple[float, ...]:
-        """Return the load report from a response's header; empty if it is missing or invalid."""
-        raise NotImplementedError
-
-    def release(self, connection: WorkerConnection) -> None:
-        """Return a connection to the pool after a complete response."""
-        raise NotImplementedError
-
-    def on_closed(self, connection: WorkerConnection) -> None:
-        """Remove a connection that has closed or could not be established."""
-        raise NotImplementedError
-
-
 class Worker:
     """One incarnation of a worker, as listed by discovery, and the connections to it."""
 
@@ -96,7 +59,9 @@
         self.is_reading_paused = False  # whether the response is not read, as its client takes nothing
         self.parser: Any = None
         self.head_bytes = 0
+        self.head = ResponseHead()
         self.buffered = BufferedResponse(pool.memory)
+        self.is_waiting_for_memory = False  # whether the response is not read until there is memory for it
         self.status = 0
         self.stream: StreamingBody | None = None  # request body being forwarded while it is received
         self._reset_response()
@@ -111,12 +76,8 @@
         self.is_invalid = False  # whether the response is too large or its length is malformed
         self.buffered.clear()
         self.body_bytes = 0
-        self.content_type = b""
-        self.load_text = b""
-        self.is_marked_not_executed = False
+        self.head.reset()
         self.may_reuse = False
-        self.is_chunked = False
-        self.content_length = -1  # value of Content-Length; -1 if missing
         self.ends_at_close = False  # whether only the close of the connection ends the body
 
     # -- the transport's callbacks
@@ -191,11 +152,11 @@
 
     def missing_response_bytes(self) -> int:
         """Return the number of bytes of the response body that have not been received; -1 if unknown."""
-        return self.content_length - self.body_bytes if self.content_length >= 0 else -1
+        return self.head.content_length - self.body_bytes if self.head.content_length >= 0 else -1
 
     def get_buffer(self, _size_hint: int) -> Any:
         """Return the buffer for the next read."""
-        return self.pool.read_buffer.view()
+        return self.pool.read_buffer.view(self.buffered.free_bytes())
 
     def buffer_updated(self, size: int) -> None:
         """Process the `size` bytes that were read into the buffer."""
@@ -207,7 +168,9 @@
 
     def _may_read(self) -> bool:
         """Whether neither flow control nor the end of the connection forbids reading."""
-        return self.transport is not None and not self.is_closed and not self.is_reading_paused
+        if self.transport is None or self.is_closed:
+            return False
+        return not self.is_reading_paused and not self.is_waiting_for_memory
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; ends the attempt once its response is complete or invalid."""
@@ -232,8 +195,33 @@
             self._complete()
         elif self.is_invalid or self.is_in_head and self.head_bytes > MAX_HEAD_BYTES:
             self._fail(AttemptResult.ERROR)
-        else:
-            self.buffered.count()
+        elif len(self.buffered) and not self.buffered.reserve(self.head.content_length):
+            self._wait_for_memory()
+
+    # -- memory of a buffered response
+
+    def _wait_for_memory(self) -> None:
+        """Read no more of the response until there is memory for all of it."""
+        self.is_waiting_for_memory = True
+        self.transport.pause_reading()  # type: ignore[union-attr]
+        self.pool.memory.wait_for_response(self)
+
+    def take_memory(self) -> bool:
+        """Count the memory of the response and read it, or return False if there is still too little."""
+        if not self.buffered.reserve(self.head.content_length):
+            return False
+        self._read_on()
+        return True
+
+    def _read_on(self) -> None:
+        self.is_waiting_for_memory = False
+        if self.transport is not None and not self.is_closed:
+            self.transport.resume_reading()
+
+    def _stop_waiting(self) -> None:
+        if self.is_waiting_for_memory:
+            self.is_waiting_for_memory = False
+            self.pool.memory.stop_waiting(self)
 
     def eof_received(self) -> None:
         """Handle the end of the worker's sending, after which the transport closes. It completes a response
@@ -260,28 +248,8 @@
         """Parser callback: read the headers used here; trailers are ignored."""
         if self.is_response_complete or not self.is_in_head:
             return
-        if len(name) in (6, 9, 12, 14):
-            name = name.lower()
-            value = value.strip(b" \t")  # surrounding whitespace is not part of the value (RFC 9110, 5.5)
-            if name == b"x-load":
-                self.load_text = value
-            elif name == b"x-not-run":
-                self.is_marked_not_executed = value == b"1"
-            elif name == b"content-type":
-                self.content_type = value
-            elif name == b"content-length":
-                self._read_content_length(value)
-        elif len(name) == 17 and name.lower() == b"transfer-encoding":
-            self.is_chunked = True
-
-    def _read_content_length(self, value: bytes) -> None:
-        self.is_invalid = (
-            not value.isdigit()
-            or len(value) > MAX_LENGTH_DIGITS
-            or int(value) > MAX_RESPONSE_BYTES
-            or self.content_length >= 0  # the header is repeated
-        )
-        self.content_length = -1 if self.is_invalid else int(value)
+        self.head.read_field(name, value)
+        self.is_invalid = self.head.is_invalid
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head of a final or interim response is complete. Determine how the body ends,
@@ -299,8 +267,10 @@
             self.status = status
             self.may_reuse = False
             return
-        self.ends_at_close = not self.is_chunked and self.content_length < 0 and status not in (204, 304)
-        if status == 200 and self.content_length > MAX_BUFFERED_BODY_BYTES:
+        self.ends_at_close = (
+            not self.head.is_chunked and self.head.content_length < 0 and status not in (204, 304)
+        )
+        if status == 200 and self.head.content_length > MAX_BUFFERED_BODY_BYTES:
             self._start_streaming()
 
     def on_body(self, chunk: bytes) -> None:
@@ -315,22 +285,26 @@
         self.buffered.append(chunk)
         if attempt.response_sink is not None:
             return
-        if self.body_bytes > self.buffered.max_bytes():
+        if self.body_bytes > MAX_BUFFERED_BODY_BYTES:
             self._start_streaming()
         elif attempt.streaming_timer is None and self._is_of_unknown_length():
             self.pool.stream_before_deadline(attempt, self._stream_incomplete_response)
 
     def _is_of_unknown_length(self) -> bool:
-        return self.content_length < 0 and bool(self.parser.get_status_code() == 200)
+        return self.head.content_length < 0 and bool(self.parser.get_status_code() == 200)
 
     def _stream_incomplete_response(self, attempt: Attempt) -> None:
         """Stream a response of unknown length that is still being received although its time is nearly over:
         it may be too large to be complete by then, and its first bytes are in time."""
         if self.attempt is not attempt or attempt.response_sink is not None:
             return
+        was_waiting = self.is_waiting_for_memory
+        self._stop_waiting()
         self._start_streaming()
         if self.is_invalid:
             self._fail(AttemptResult.ERROR)
+        elif was_waiting and not self.is_reading_paused:
+            self._read_on()
 
     def _start_streaming(self) -> None:
         """Forward a response that is too large to be buffered to its client while it is received."""
@@ -340,7 +314,7 @@
         now = self.pool.now()
         sink = None
         if attempt.on_large_response is not None:
-            sink = attempt.on_large_response(attempt, self.content_length, self.content_type)
+            sink = attempt.on_large_response(attempt, self.head.content_length, self.head.content_type)
         if sink is None:
             self.is_invalid = True
             return
@@ -409,7 +383,7 @@
         assert attempt is not None
         attempt.connection = None
         status = self.status
-        load_report = self.pool.parse_load_report(self.load_text)
+        load_report = self.pool.parse_load_report(self.head.load_text)
         body = self.buffered.take()
         stream = self.stream
         self.stream = None
@@ -428,9 +402,11 @@
             if sink is not None:
                 sink.finish_response()
             elif attempt.is_head:
-                body = b"%d" % max(0, self.content_length)  # value of Content-Length for the response to HEAD
-            attempt.end(AttemptResult.OK, body, self.content_type, load_report)
-        elif status in (503, 504) and self.is_marked_not_executed:
+                body = b"%d" % max(
+                    0, self.head.content_length
+                )  # value of Content-Length for the response to HEAD
+            attempt.end(AttemptResult.OK, body, self.head.content_type, load_report)
+        elif status in (503, 504) and self.head.is_marked_not_executed:
             attempt.end(AttemptResult.REJECTED_BY_WORKER, load_report=load_report)
         else:  # error response, also 503 or 504 without X-Not-Run: the request may have been executed
             attempt.end(AttemptResult.ERROR, load_report=load_report)
@@ -457,5 +433,6 @@
     def _mark_closed(self) -> None:
         if not self.is_closed:
             self.is_closed = True
+            self._stop_waiting()
             self.buffered.clear()
             self.pool.on_closed(self)
--- a/plumpick/gateway/upstream/connection_pool.py
+++ b/plumpick/gateway/upstream/connection_pool.py
@@ -21,7 +21,8 @@
 from plumpick.gateway.memory_budget import MemoryBudget
 from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.upstream.attempt import Attempt
-from plumpick.gateway.upstream.connection import ConnectionOwner, Worker, WorkerConnection
+from plumpick.gateway.upstream.connection import Worker, WorkerConnection
+from plumpick.gateway.upstream.connection_owner import ConnectionOwner
 from plumpick.policy.events import AttemptResult, EndpointState
 
 # Share of the workers' idle timeout after which the gateway closes an idle connection, well before they do.
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -26,6 +26,7 @@
 from plumpick.gateway.memory_budget import (
     BODY_CEILING_RATIO,
     BYTES_PER_MB,
+    RESPONSE_RATIO,
     SMALL_REQUEST_BYTES,
     SMALL_REQUEST_CEILING_RATIO,
     UPLOAD_CEILING_RATIO,
@@ -45,7 +46,7 @@
 )
 from plumpick.gateway.memory_monitor import MIN_PRESSURE_MS, TRIM_INTERVAL_MS, MemoryMonitor
 from plumpick.gateway.read_buffer import EXHAUSTED_READ_BYTES, ReadBuffer
-from plumpick.gateway.upstream.buffered_response import EXHAUSTED_BUFFERED_BODY_BYTES, BufferedResponse
+from plumpick.gateway.upstream.buffered_response import BufferedResponse
 from plumpick.gateway.upstream.streaming_body import (
     MAX_PARTS,
     MIN_HIGH_WATER_BYTES,
@@ -53,7 +54,7 @@
     StreamBudget,
     StreamingBody,
 )
-from plumpick.policy.events import RequestReceived
+from plumpick.policy.events import AttemptCompleted, AttemptResult, RequestReceived
 from plumpick.simulation.world import SimulatedPlatform
 
 BODY = 60_000
@@ -89,10 +90,11 @@
     total = total_bytes_within(memory_mb * BYTES_PER_MB, BASELINE_BYTES, descriptors)
     connections = int(descriptors * CONNECTION_DESCRIPTOR_RATIO) * CONNECTION_BYTES
     responses = int(descriptors * UPSTREAM_DESCRIPTOR_RATIO) * RESPONSE_BYTES
-    held = BASELINE_BYTES + OWN_GROWTH_BYTES + connections + responses + total / (1 - ALLOCATOR_RATIO)
+    used = total * (SMALL_REQUEST_CEILING_RATIO + RESPONSE_RATIO)
+    held = BASELINE_BYTES + OWN_GROWTH_BYTES + connections + responses + used / (1 - ALLOCATOR_RATIO)
     assert held <= memory_mb * BYTES_PER_MB
-    assert EXHAUSTED_READ_BYTES <= CONNECTION_BYTES // 2
-    assert MIN_HIGH_WATER_BYTES <= EXHAUSTED_BUFFERED_BODY_BYTES <= RESPONSE_BYTES
+    assert max(EXHAUSTED_READ_BYTES, SMALL_REQUEST_BYTES) <= CONNECTION_BYTES // 2
+    assert MIN_HIGH_WATER_BYTES + EXHAUSTED_READ_BYTES <= RESPONSE_BYTES
     assert UPLOAD_CEILING_RATIO < BODY_CEILING_RATIO < SMALL_REQUEST_CEILING_RATIO < 1
 
 
@@ -149,7 +151,7 @@
     for number in range(10_000):
         body.feed(b"%04d" % number)
         response.append(b"%04d" % number)
-        response.count()
+        response.reserve(-1)
         assert len(body.waiting) <= MAX_PARTS + 1 and len(response._parts) <= MAX_PARTS + 1
     expected = b"".join(b"%04d" % number for number in range(10_000))
     assert b"".join(body.waiting) == response.take() == expected
@@ -247,7 +249,9 @@
     run_with_worker(scenario)
 
 
-def test_large_response_is_streamed_early_while_the_memory_is_used_up():
+def test_response_waits_unread_until_there_is_memory_for_all_of_it():
+    """Guards against responses of up to 64 KiB that are passed on in part while the memory is used up."""
+
     async def scenario():
         async with (
             RawWorker() as worker,
@@ -257,11 +261,39 @@
             client.send(request())
             reader, writer = await worker.accepted.get()
             await read_head(reader)
-            exhaust(gate)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY + bytes(BODY // 2))
-            head_received = await client.reader.readuntil(b"\r\n\r\n")  # before the worker has given the rest
-            writer.write(bytes(BODY // 2))
+            memory = gate.gateway.memory
+            memory.add(MemoryHolder.RESPONSES, memory.total_bytes)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY + bytes(BODY))
+            await asyncio.sleep(0.1)
+            (attempt,) = gate.gateway.requests.attempts.values()
+            assert attempt.connection.is_waiting_for_memory
+            assert len(attempt.connection.buffered) <= EXHAUSTED_READ_BYTES
+            memory.release(MemoryHolder.RESPONSES, memory.total_bytes)
+            head_received = await client.reader.readuntil(b"\r\n\r\n")
             assert b" 200 " in head_received and len(await client.reader.readexactly(BODY)) == BODY
+            assert not memory.used_bytes
+
+    run(scenario())
+
+
+def test_response_that_waits_for_memory_until_its_time_is_over_is_not_held_against_its_worker():
+    async def scenario():
+        async with (
+            RawWorker() as worker,
+            RunningGateway(ControllerStub(timeout_ms=200.0), known=[entry("w1", worker.port)]) as gate,
+        ):
+            client = await gate.client()
+            client.send(request())
+            reader, writer = await worker.accepted.get()
+            await read_head(reader)
+            memory = gate.gateway.memory
+            memory.add(MemoryHolder.RESPONSES, memory.total_bytes)
+            writer.write(http_response(body=bytes(BODY)))
+            assert (await client.read_response())[0] == 502
+            event = await gate.controller.next_event(AttemptCompleted)
+            assert event.result is AttemptResult.CANCELLED
+            memory.release(MemoryHolder.RESPONSES, memory.total_bytes)
+            assert not memory.used_bytes and not memory._waiting_responses
 
     run(scenario())
 
