Fix: a body waits for memory before it is refused, and small requests are not refused for bodies

Now a body that is announced waits, unread, in order of arrival, for a quarter of its client's time and 0.5 s at most, which counts as part of that time; then it is refused whole. A request that was read whole, or is small, may use the memory that its connection has anyway. Two requests are parsed ahead in place of 16; what is behind them is kept as bytes.

--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -74,7 +74,7 @@
             return
         while self.open_request is None and not self._is_serving_suspended():
             if not self.pipelined:
-                if self.unparsed:
+                if self.unparsed and not self.is_waiting_for_memory:
                     self.parse_unparsed()
                     continue
                 if self._stream_incoming():
@@ -177,7 +177,7 @@
         next_incoming = self.incoming if self.incoming is not self.current else None
         has_next = bool(self.pipelined or self.unparsed) or next_incoming is not None
         must_suspend = self.is_response_unread or self.open_request is not None and has_next
-        must_suspend = must_suspend or self.is_close_announced
+        must_suspend = must_suspend or self.is_close_announced or self.is_waiting_for_memory
         if must_suspend and not self.is_reading_suspended:
             self.is_reading_suspended = True
             self.has_backlog = True
--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -249,7 +249,8 @@
     def _split_unread(self, now: float) -> tuple[list[AdmittedConnection], list[AdmittedConnection]]:
         """Return the connections with response bytes that their client has not taken: first those whose
         client has taken nothing for long, then the others."""
-        stuck, taking = [], []
+        stuck: list[AdmittedConnection] = []
+        taking: list[AdmittedConnection] = []
         for table in (self._unread, self._closing):
             for connection, since in table.items():
                 if not connection.undelivered_bytes():
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -79,6 +79,8 @@
         self.current: ParsedRequest | None = None  # open request, or the latest one
         self.pipelined: list[ParsedRequest] = []  # requests read, or rejected, behind the open one
         self.unparsed = b""  # bytes behind the queued requests, which are parsed when these are answered
+        self.is_waiting_for_memory = False  # whether the request being read waits for the memory of its body
+        self.memory_timer: Any = None  # end of that wait
         self.is_closing = False  # whether further input is discarded
         self.is_unreadable = False  # whether further input cannot be parsed, after a malformed request
         self.is_paused = False  # whether reading pauses after a bad request
@@ -155,8 +157,18 @@
             self.gateway.memory.release_request(parsed.held_bytes)
             parsed.held_bytes = 0
 
+    def stop_waiting_for_memory(self) -> None:
+        """End the wait of the request that is being read, if it waits."""
+        if not self.is_waiting_for_memory:
+            return
+        self.is_waiting_for_memory = False
+        self.gateway.memory.stop_waiting(self)  # type: ignore[arg-type]
+        self.memory_timer.cancel()
+        self.memory_timer = None
+
     def drop_unserved_requests(self) -> None:
         """Drop the requests behind the open one, which will not be served."""
+        self.stop_waiting_for_memory()
         for parsed in self.pipelined:
             self.release_request(parsed)
         self.pipelined.clear()
--- a/plumpick/gateway/listeners/http/parsed_request.py
+++ b/plumpick/gateway/listeners/http/parsed_request.py
@@ -14,8 +14,11 @@
 REQUEST_OBJECT_BYTES = 1024  # memory of a request beside its bytes
 MAX_BODY_BYTES = 1 << 40  # maximum Content-Length of a request
 MAX_CONTENT_LENGTH_DIGITS = 15
-MAX_PIPELINED_REQUESTS = 16  # number of queued requests from which on no further bytes are parsed
-PARSE_BYTES = 4 * 1024  # maximum number of bytes with heads that are parsed at a time
+# Maximum time for which a request waits for memory for its body, in ms and as a share of its client's time.
+MAX_MEMORY_WAIT_MS = 500.0
+MEMORY_WAIT_RATIO = 0.25
+MAX_PIPELINED_REQUESTS = 2  # number of queued requests from which on no further bytes are parsed
+PARSE_BYTES = 1024  # number of bytes with heads that are parsed at a time
 
 KNOWN_HEADERS = {
     b"x-request-id",
@@ -45,6 +48,7 @@
         "in_head",
         "error_status",
         "is_refused",
+        "waiting_since_ms",
         "is_complete",
         "keep_alive",
         "method",
@@ -65,6 +69,7 @@
         self.raw_bytes = 0  # total length of the reads that contained parts of the request
         self.error_status = 0  # HTTP status that rejects the request; 0 if no error was found
         self.is_refused = False  # whether there is no memory for it: it is read to its end and not kept
+        self.waiting_since_ms = 0.0  # time since which there is no memory for its body; 0.0 if there was
         self.in_head = True
         self.is_complete = False
         self.keep_alive = True
@@ -91,6 +96,13 @@
         """Whether the client waits for 100 Continue before it sends the body."""
         return self.headers.get(b"expect", b"").lower() == b"100-continue" and not self.is_http_1_0
 
+    def longest_wait_ms(self) -> float:
+        """Return for how long the request may wait for memory, which is a part of its client's time."""
+        timeout = self.headers.get(b"x-deadline-ms", b"")
+        if not timeout.isdigit() or len(timeout) > MAX_CONTENT_LENGTH_DIGITS:
+            return 0.0
+        return min(MAX_MEMORY_WAIT_MS, MEMORY_WAIT_RATIO * int(timeout))
+
     def required_bytes(self) -> int:
         """Return the memory that the request needs until its response: for an announced body that is buffered
         all of it, so that a request that was begun can be completed. A streamed body is counted apart."""
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -46,7 +46,10 @@
 
     def get_buffer(self, _size_hint: int) -> Any:
         """Return the buffer for the next read."""
-        return self.gateway.read_buffer.view()
+        incoming = self.incoming
+        if incoming is None or incoming.in_head or incoming.stream is not None:
+            return self.gateway.read_buffer.view()
+        return self.gateway.read_buffer.view(incoming.body_length - incoming.body_received_bytes)
 
     def buffer_updated(self, size: int) -> None:
         """Process the `size` bytes that were read into the buffer."""
@@ -92,7 +95,7 @@
         parsed requests need several times the memory of their bytes."""
         start = 0
         while start < len(data) and not self.is_unreadable:
-            if len(self.pipelined) >= MAX_PIPELINED_REQUESTS:
+            if len(self.pipelined) >= MAX_PIPELINED_REQUESTS or self.is_waiting_for_memory:
                 self._keep_unparsed(data[start:])
                 return
             end = start + self._slice_bytes()
@@ -138,21 +141,77 @@
         """Count the memory of a request that is being read, or refuse it if there is none; returns whether it
         is counted."""
         size = incoming.required_bytes() - incoming.held_bytes
-        if size <= 0:
-            return True
+        if size <= 0 or incoming.waiting_since_ms:
+            return size <= 0
         memory = self.gateway.memory
         if not memory.reserve_request(incoming.held_bytes, size):
             self.listener.reject_stopped_requests(self)
             if not memory.reserve_request(incoming.held_bytes, size):
-                memory.count_refused_request()
-                self._refuse(incoming)
+                if not self._wait_for_memory(incoming):
+                    self._refuse(incoming)
                 return False
         incoming.held_bytes += size
         return True
 
+    # -- waiting for the memory of a body
+
+    def _wait_for_memory(self, incoming: ParsedRequest) -> bool:
+        """Read no more of a request until there is memory for its announced body; returns False if it can't
+        wait. Its client's time runs."""
+        wait_ms = incoming.longest_wait_ms()
+        if incoming.in_head or not 0 < incoming.body_length <= MAX_BUFFERED_BODY_BYTES or not wait_ms:
+            return False
+        now = self.gateway.clock.now()
+        incoming.waiting_since_ms = now
+        self.is_waiting_for_memory = True
+        self.gateway.memory.wait_for_request(self)
+        self.memory_timer = self.gateway.timers.call_at(now + wait_ms, self._give_up_waiting)
+        return True
+
+    def take_memory(self) -> bool:
+        """Count the memory of the request that waits, or return False if there is still too little."""
+        incoming = self.incoming
+        if incoming is None or not self.is_waiting_for_memory:
+            return True
+        size = incoming.required_bytes() - incoming.held_bytes
+        if not self.gateway.memory.reserve_request_that_waited(incoming.held_bytes, size):
+            return False
+        incoming.held_bytes += size
+        self._read_on(incoming)
+        return True
+
+    def _give_up_waiting(self) -> None:
+        """Refuse the request that has waited for too long."""
+        incoming = self.incoming
+        if incoming is None or not self.is_waiting_for_memory:
+            return
+        self.gateway.memory.stop_waiting(self)
+        self._read_on(incoming)
+        self._refuse(incoming)
+
+    def _read_on(self, incoming: ParsedRequest) -> None:
+        """End the wait of a request. The rest is parsed later, since this may be called in the middle of
+        another connection's work."""
+        self.is_waiting_for_memory = False
+        if self.memory_timer is not None:
+            self.memory_timer.cancel()
+            self.memory_timer = None
+        self._send_continue(incoming)
+        self.gateway.timers.call_at(self.gateway.clock.now(), self._parse_after_wait)
+
+    def _parse_after_wait(self) -> None:
+        if self.transport is None or self.is_closing:
+            return
+        if self.unparsed and not self.is_waiting_for_memory:
+            self.parse_unparsed()
+        self.serve_next()
+
+    # -- refusal of requests
+
     def _refuse(self, incoming: ParsedRequest) -> None:
         """Refuse a request for which there is no memory. It is read to its end, so that what is behind it is
         answered too, unless it is large or its client waits for permission to send the body."""
+        self.gateway.memory.count_refused_request()
         incoming.refuse()
         self.release_request(incoming)
         if not incoming.in_head:
@@ -280,7 +339,7 @@
 
     def _send_continue(self, incoming: ParsedRequest) -> None:
         """Send 100 Continue if the client expects it and no earlier request waits for its response."""
-        if incoming.is_refused or not incoming.expects_continue():
+        if incoming.is_refused or self.is_waiting_for_memory or not incoming.expects_continue():
             return
         if self.open_request is None and not self.pipelined and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -300,6 +359,17 @@
         if len(incoming.body) > MAX_BUFFERED_BODY_BYTES:
             self.start_stream(incoming)
 
+    def _take_read_body(self, incoming: ParsedRequest) -> None:
+        """End the wait of a request that is complete: its body is in memory already."""
+        self.stop_waiting_for_memory()
+        size = incoming.required_bytes() - incoming.held_bytes
+        if self.gateway.memory.reserve_received_request(size):
+            incoming.held_bytes += size
+        else:
+            self.gateway.memory.count_refused_request()
+            incoming.refuse()
+            self.release_request(incoming)
+
     def _forward_stream_parts(self, incoming: ParsedRequest) -> None:
         """Forward what a read contained of a streamed body: in one piece, however small its chunks are."""
         parts = self.stream_parts
@@ -330,7 +400,9 @@
             return  # only the head is complete, see upgrade_offer.py
         self.incoming = None
         incoming.is_complete = True
-        incoming.received_ms = self.read_ms
+        incoming.received_ms = incoming.waiting_since_ms or self.read_ms
+        if self.is_waiting_for_memory:  # the whole body was read together with the head
+            self._take_read_body(incoming)
         if incoming.stream is None:
             self.pipelined.append(incoming)
             return
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -45,7 +45,7 @@
     total_bytes_within,
 )
 from plumpick.gateway.memory_monitor import MIN_PRESSURE_MS, TRIM_INTERVAL_MS, MemoryMonitor
-from plumpick.gateway.read_buffer import EXHAUSTED_READ_BYTES, ReadBuffer
+from plumpick.gateway.read_buffer import CROWDED_READ_BYTES, EXHAUSTED_READ_BYTES, ReadBuffer
 from plumpick.gateway.upstream.buffered_response import BufferedResponse
 from plumpick.gateway.upstream.streaming_body import (
     MAX_PARTS,
@@ -298,6 +298,59 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("deadline", [400, 10_000])
+def test_body_waits_unread_until_there_is_memory_and_its_time_runs(deadline):
+    """Guards against two refusals of three while a dozen sound bodies use up the memory for a moment."""
+
+    async def scenario(worker, gate, client):
+        exhaust(gate, 5000)
+        memory = gate.gateway.memory
+        sent = head(BODY).replace(b"X-Deadline-Ms: 10000", b"X-Deadline-Ms: %d" % deadline)
+        client.send(sent + bytes(BODY) + request())
+        await asyncio.sleep(0.06)
+        assert not [event for event in gate.controller.events if isinstance(event, RequestReceived)]
+        assert memory.held_bytes[MemoryHolder.REQUESTS] <= CROWDED_READ_BYTES
+        memory.release(MemoryHolder.STREAMS, memory.held_bytes[MemoryHolder.STREAMS])
+        event = await gate.controller.next_event(RequestReceived)
+        now = gate.gateway.clock.now()
+        assert deadline - 200.0 < event.deadline_ms - now < deadline - 60.0
+        for _ in range(2):
+            (await worker.next_request())[1].write(http_response())
+            assert (await client.read_response())[0] == 200
+        assert not memory.used_bytes and not memory._waiting_requests
+
+    run_with_worker(scenario)
+
+
+def test_body_that_waits_in_vain_is_refused_whole_and_in_time():
+    async def scenario(worker, gate, client):
+        exhaust(gate, 5000)
+        started_s = asyncio.get_running_loop().time()
+        client.send(head(BODY).replace(b"X-Deadline-Ms: 10000", b"X-Deadline-Ms: 800") + bytes(BODY))
+        client.send(request())
+        assert (await client.read_response())[0] == 503
+        assert 0.15 < asyncio.get_running_loop().time() - started_s < 0.3
+        (await worker.next_request())[1].write(http_response())
+        assert (await client.read_response())[0] == 200
+
+    run_with_worker(scenario)
+
+
+def test_client_that_leaves_while_its_body_waits_leaves_nothing_behind():
+    async def scenario(worker, gate, client):
+        exhaust(gate, 5000)
+        memory = gate.gateway.memory
+        client.send(head(BODY) + bytes(BODY // 2))
+        while not memory._waiting_requests:
+            await asyncio.sleep(0.01)
+        client.close()
+        while gate.listener.admission.connections:
+            await asyncio.sleep(0.01)
+        assert not memory._waiting_requests and not memory.held_bytes[MemoryHolder.REQUESTS]
+
+    run_with_worker(scenario)
+
+
 def test_unread_response_is_counted_until_the_kernel_has_taken_it(monkeypatch):
     """Guards against unread responses that no budget counts, and holds the next request back meanwhile."""
     connections = record_client_connections(monkeypatch)
