Fix: a request is with the kernel when its attempt starts, not at the end of the loop's iteration

Cause: the event loop holds a small write back until the end of its iteration, so that a stop could fall between the look at the client and the write. Now the write buffer's limit is 0 while a request is written, upon which the loop writes at once.

A request that is rejected while it waits for memory no longer waits, and only in a drain does a streamed response that closes suspend reading.

--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -244,6 +244,7 @@
         """Mark a malformed request with the status, unless it already has one, and stop parsing: the start of
         the next request is unknown."""
         self.is_unreadable = True
+        self.stop_waiting_for_memory()
         incoming.error_status = incoming.error_status or status
         self.incoming = None
         if incoming is not self.current:
--- a/plumpick/gateway/listeners/http/response_writer.py
+++ b/plumpick/gateway/listeners/http/response_writer.py
@@ -131,7 +131,7 @@
         ends_by_close = length < 0 and not self.is_chunked
         close = ends_by_close or self.is_last_response()
         current.keep_alive = not close
-        if close and current.is_complete:
+        if close and current.is_complete and self.gateway.is_draining:
             self.stop_reading()  # what is read from now on would get no response
         framing = b""
         if length >= 0:
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -369,7 +369,11 @@
         # Computed at the time of the write, since establishing the connection took part of the time.
         left_ms = min(attempt.timeout_ms, attempt.deadline_ms - self.pool.now())
         message = encode_message(attempt.head, left_ms, attempt.body)
+        # Written before this returns, not at the end of the event loop's iteration: until then the client
+        # may leave and the time may pass.
+        self.transport.set_write_buffer_limits(high=0)  # type: ignore[union-attr]
         self.transport.writelines(message)  # type: ignore[union-attr]
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)  # type: ignore[union-attr]
         if stream is not None:
             self.transport.set_write_buffer_limits(high=stream.high_water_bytes)  # type: ignore[union-attr]
             if attempt.on_stream_started is not None:
--- a/tests/support/sound_clients.py
+++ b/tests/support/sound_clients.py
@@ -96,13 +96,22 @@
                 fields = head.lower()
                 _, found, rest = fields.partition(b"content-length: ")
                 if found:
-                    await reader.readexactly(int(rest.partition(b"\r")[0]))
+                    await self._read_body(reader, int(rest.partition(b"\r")[0]))
                 request_id = fields.partition(b"x-request-id: ")[2].partition(b"\r")[0]
                 self._record(request_id.decode())
                 await asyncio.sleep(self.random.uniform(*self.delay_s))
-                await self._answer(writer, request_id, int(head.partition(b"?n=")[2].partition(b" ")[0]))
+                size = head.partition(b"?n=")[2].partition(b" ")[0] or SMALL_RESPONSE_BYTES
+                await self._answer(writer, request_id, int(size))
         writer.transport.abort()
 
+    @staticmethod
+    async def _read_body(reader, left):
+        while left:
+            data = await reader.read(min(left, 2**16))
+            if not data:
+                raise asyncio.IncompleteReadError(b"", left)
+            left -= len(data)
+
     def _record(self, request_id):
         closed_s = self.ledger.closed_s.get(request_id)
         if closed_s is not None:
