--- a/plumpick/gateway/hot_restart/sibling.py
+++ b/plumpick/gateway/hot_restart/sibling.py
@@ -10,6 +10,7 @@
 from plumpick.gateway.errors import CommandRejectedError
 from plumpick.gateway.hot_restart.channel import Channel
 from plumpick.gateway.hot_restart.message import MessageKind
+from plumpick.gateway.listeners.http.listener import LISTEN_BACKLOG
 
 log = logging.getLogger(__name__)
 
@@ -32,7 +33,9 @@
     async def listen(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start accepting clients at the listening socket."""
         assert self.listen_socket is not None
-        self.server = await loop.create_server(self.listener.create_connection, sock=self.listen_socket.dup())
+        self.server = await loop.create_server(
+            self.listener.create_connection, sock=self.listen_socket.dup(), backlog=LISTEN_BACKLOG
+        )
 
     def close(self) -> None:
         """Stop accepting clients; the listening socket stays open."""
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -19,6 +19,7 @@
 from plumpick.policy.draining import AdmissionState
 from plumpick.policy.settings import Settings
 
+LISTEN_BACKLOG = 512  # maximum number of connections that wait to be accepted
 EVICTION_DELAY_MS = 1.0  # time from exceeding the soft limit on connections to closing the excess ones
 
 
--- a/plumpick/gateway/management.py
+++ b/plumpick/gateway/management.py
@@ -15,12 +15,11 @@
 
 from plumpick.gateway.config import Config
 from plumpick.gateway.gateway import Gateway
-from plumpick.gateway.listeners.http.listener import HttpListener
+from plumpick.gateway.listeners.http.listener import LISTEN_BACKLOG, HttpListener
 from plumpick.gateway.shutdown import close_listener
 
 # Number of descriptors reserved for the event loop, the listeners, discovery and operators' connections.
 OWN_DESCRIPTORS = 24
-LISTEN_BACKLOG = 512
 POLL_INTERVAL_S = 0.02  # interval at which the shutdown checks whether the gateway is idle
 LISTEN_RETRY_S = 0.2  # time between attempts to open the listener again after a failed hot restart
 
--- a/plumpick/gateway/process.py
+++ b/plumpick/gateway/process.py
@@ -16,7 +16,7 @@
 from plumpick.gateway.discovery import DiscoveryClient
 from plumpick.gateway.errors import CommandRejectedError
 from plumpick.gateway.gateway import Gateway
-from plumpick.gateway.listeners.http.listener import HttpListener
+from plumpick.gateway.listeners.http.listener import LISTEN_BACKLOG, HttpListener
 from plumpick.gateway.management import ManagementPlane
 from plumpick.gateway.platform import Platform
 from plumpick.gateway.reload import run_reloads
@@ -30,7 +30,6 @@
 ONLY_LIST_TIMEOUT_S = 8.0
 MAX_STREAM_S = 600.0  # maximum time for which the shutdown waits for bodies that are still being streamed
 POLL_INTERVAL_S = 0.02  # interval at which the shutdown checks for unfinished work
-LISTEN_BACKLOG = 512
 
 log = logging.getLogger("plumpick")
 
