Fix: a shutdown does not end between two requests of one connection

After the first response of a pipeline the next request is served in the next turn of the event loop; meanwhile no request is open, which the shutdown took for the end, and the log told of nothing. Queued requests now count as unanswered, and are recorded at the exit. Also: a connection whose client takes no response counted as idle with queued requests, and was closed.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -429,9 +429,15 @@
     def has_answered_all(self) -> bool:
         """Whether every request has its response and the clients' machines have acknowledged all of it."""
         return not self.requests.open and not any(
-            listener.has_undelivered_data() for listener in self._listeners
+            listener.has_queued_requests() or listener.has_undelivered_data() for listener in self._listeners
         )
 
+    def record_unanswered_at_exit(self) -> None:
+        """Record the requests that have no response when this process exits."""
+        self.requests.record_open_at_exit()
+        for listener in self._listeners:
+            listener.record_queued_requests()
+
     def has_unfinished_work(self) -> bool:
         """Close idle connections, then return whether a request is open, a client still connected or a
         response being discarded."""
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -105,14 +105,18 @@
         return self.listener.has_peer_closed(transport)
 
     def is_idle(self) -> bool:
-        """Whether no request is open or partly received."""
-        if self.open_request is not None or self.request_started:
+        """Whether no request is open, queued or partly received."""
+        if self.open_request is not None or self.request_started or self.has_queued_requests():
             return False
         return not self.is_closing and not self.is_paused
 
+    def has_queued_requests(self) -> bool:
+        """Whether requests were read that are not served yet."""
+        return bool(self.pipelined or self.unparsed)
+
     def has_further_requests(self) -> bool:
         """Whether requests behind the current one were read, whole or in part."""
-        if self.pipelined or self.unparsed:
+        if self.has_queued_requests():
             return True
         return self.incoming is not None and self.incoming is not self.current
 
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -12,6 +12,7 @@
 from plumpick.gateway.listeners.http.validation import BadRequestError, RequestValidator, origin_form
 from plumpick.gateway.listeners.interface import (
     DuplicateRequestIdError,
+    EndReason,
     IncomingRequest,
     MemoryExhaustedError,
     RequestGateway,
@@ -186,6 +187,17 @@
         """Whether any connection is open."""
         return bool(self.admission)
 
+    def has_queued_requests(self) -> bool:
+        """Whether requests were read that are not served yet, behind others on their connection."""
+        connections: Any = self.admission.connections
+        return any(connection.has_queued_requests() for connection in connections)
+
+    def record_queued_requests(self) -> None:
+        """Record the requests that are not served yet when this process exits."""
+        connections: Any = self.admission.connections
+        for connection in connections:
+            connection.record_unserved(EndReason.PROCESS_EXIT)
+
     def has_undelivered_data(self) -> bool:
         """Whether the machine of a client has not acknowledged all response bytes yet."""
         return any(connection.undelivered_bytes() for connection in self.admission.connections)
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -145,6 +145,12 @@
     def has_connections(self) -> bool:
         """Whether a connection is still open."""
 
+    def has_queued_requests(self) -> bool:
+        """Whether requests were read that are not served yet, behind others on their connection."""
+
+    def record_queued_requests(self) -> None:
+        """Record the requests that are not served yet when this process exits."""
+
     def has_undelivered_data(self) -> bool:
         """Whether the machine of a client has not acknowledged all response bytes yet."""
 
--- a/plumpick/gateway/process.py
+++ b/plumpick/gateway/process.py
@@ -177,7 +177,7 @@
             if loop.time() > stopped_s + exit_s and gateway.has_answered_all():
                 break
             await asyncio.sleep(POLL_INTERVAL_S)
-        gateway.requests.record_open_at_exit()
+        gateway.record_unanswered_at_exit()
         await self._close()
         log.info("gatekeeper %s has finished", self._config.name)
 
--- a/tests/gateway/listeners/http/test_answers_before_closing.py
+++ b/tests/gateway/listeners/http/test_answers_before_closing.py
@@ -288,3 +288,52 @@
         assert (await read_statuses(client, 1))[0] == [200]
 
     run_with_worker(scenario)
+
+
+def test_a_shutdown_does_not_end_between_two_requests_of_one_connection(caplog):
+    """Guards against an exit in the moment in which the first request of a pipeline has its response and the
+    next one is not served yet: 105 requests of 15 connections got nothing, beside load."""
+
+    async def scenario(worker, gate, client):
+        client.send(requests(3))
+        _, writer = await worker.next_request()
+        (connection,) = gate.listener.admission.connections
+        gate.gateway.start_closing_connections()
+        call_at = gate.gateway.timers.call_at
+        gate.gateway.timers.call_at = lambda *_: None  # the next request is not served yet
+        writer.write(http_response())
+        assert await read_statuses(client, 1) == ([200], [False])
+        assert not gate.gateway.requests.open and not gate.gateway.has_answered_all()
+        assert gate.gateway.has_unfinished_work() and not connection.is_closing
+        gate.gateway.record_unanswered_at_exit()
+        gate.gateway.timers.call_at = call_at
+        connection.serve_next()
+        server = asyncio.ensure_future(serve(worker))
+        assert await read_statuses(client, 2) == ([200, 200], [False, True])
+        assert await client.wait_for_end()
+        server.cancel()
+
+    run_with_worker(scenario)
+    assert sum("reason=process-exit" in message for message in caplog.messages) == 2
+
+
+def test_a_connection_with_queued_requests_is_not_idle_while_its_client_takes_no_response():
+    """Guards against the close of connections that wait for their client: they have no open request."""
+
+    async def scenario(worker, gate, client):
+        client.send(requests(3))
+        _, writer = await worker.next_request()
+        (connection,) = gate.listener.admission.connections
+        connection.is_write_buffer_full = True  # as if the client did not take what is written
+        writer.write(http_response())
+        assert await read_statuses(client, 1) == ([200], [False])
+        assert connection.is_response_unread and not connection.request_started
+        connection.close_if_idle()
+        gate.gateway.close_idle()
+        assert not connection.is_closing
+        connection.resume_writing()
+        server = asyncio.ensure_future(serve(worker))
+        assert await read_statuses(client, 2) == ([200, 200], [False, False])
+        server.cancel()
+
+    run_with_worker(scenario)
