Fix: a shutdown takes the connections that wait to be accepted all at once

Cause: at the close of the listener the waiting connections, now up to 512, were taken one after the other, each in an iteration of the event loop; on a busy loop that took over 2 s, until which no connection was closed and no end came. Now they are taken together.

--- a/benchmarks/answer_soak.py
+++ b/benchmarks/answer_soak.py
@@ -13,7 +13,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import json
 import os
 import random
@@ -199,8 +198,10 @@
         """Send SIGTERM, and SIGKILL at its earliest."""
         self.expected_ends.add(process.pid)
         send_signal(process, signal.SIGTERM)
-        with contextlib.suppress(TimeoutError):
+        try:
             await asyncio.wait_for(process.wait(), KILL_AFTER_S)
+        except TimeoutError:
+            self.result.signals["ended by SIGKILL"] = self.result.signals.get("ended by SIGKILL", 0) + 1
         send_signal(process, signal.SIGKILL)
         await process.wait()
 
--- a/plumpick/gateway/shutdown.py
+++ b/plumpick/gateway/shutdown.py
@@ -86,13 +86,19 @@
     it has been processed, and its client retries elsewhere."""
     accepted = _accept_all(listening) if listening is not None else []
     server.close()
-    for connection in accepted:
-        try:
-            connection.setblocking(False)
-            await loop.connect_accepted_socket(listener.create_connection, connection)
-        except OSError as problem:
-            log.warning("client connection from the listener's backlog lost at shutdown: %s", problem)
-            connection.close()
+    # All at once: one after the other, each would take an iteration of the event loop, and a long backlog all
+    # of the time for the shutdown.
+    await asyncio.gather(*(_adopt(loop, connection, listener) for connection in accepted))
+
+
+async def _adopt(loop: asyncio.AbstractEventLoop, connection: socket.socket, listener: HttpListener) -> None:
+    """Serve a client's connection that was accepted without the event loop."""
+    try:
+        connection.setblocking(False)
+        await loop.connect_accepted_socket(listener.create_connection, connection)
+    except OSError as problem:
+        log.warning("client connection from the listener's backlog lost at shutdown: %s", problem)
+        connection.close()
 
 
 def _accept_all(listening: socket.socket) -> list[socket.socket]:
