--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -132,7 +132,7 @@
 
     def has_unanswered_request(self) -> bool:
         """Whether a request was read whole and has no response yet."""
-        return self.open_request is not None or any(parsed.is_complete for parsed in self.pipelined)
+        return self.open_request is not None or self.has_queued_requests()
 
     def unwritten_bytes(self) -> int:
         """Return the number of response bytes not yet handed to the kernel."""
@@ -191,6 +191,8 @@
     def record_unserved(self, reason: EndReason) -> None:
         """Record the complete requests behind the open one, which will not be answered."""
         ids = [parsed.request_id() for parsed in self.pipelined if parsed.is_complete]
+        if self.unparsed:
+            ids.append(b"(unparsed)")
         if ids:
             self.gateway.unanswered.record(reason, ids)
 
--- a/tests/gateway/listeners/http/test_answers_before_closing.py
+++ b/tests/gateway/listeners/http/test_answers_before_closing.py
@@ -265,24 +265,31 @@
     run_with_worker(scenario)
 
 
-def test_eviction_spares_connections_with_requests_that_were_read_or_bytes_that_are_not_delivered():
+@pytest.mark.parametrize("count", [2, 12], ids=["parsed", "unparsed"])
+def test_eviction_spares_connections_with_requests_that_were_read(count):
     """Guards against evictions that closed a connection between the response to one pipelined request and
-    the start of the next, or over a response that its client had not received."""
+    the start of the next, whether that has been parsed or not."""
 
     async def scenario(worker, gate, client):
         admission = gate.listener.admission
-        client.send(request() + request())
-        _, writer = await worker.next_request()
-        (connection,) = admission.connections
+        client.send(requests(count))
+        (_, writer), (connection,) = await worker.next_request(), admission.connections
+        while connection.unparsed and connection.pipelined:
+            writer.write(http_response())
+            assert (await read_statuses(client, 1))[0] == [200]
+            _, writer = await worker.next_request()
         original = connection.serve_next
+        call_at = gate.gateway.timers.call_at
         connection.listener.gateway.timers.call_at = lambda *_: None  # the next request is not served yet
         writer.write(http_response())
         assert (await read_statuses(client, 1))[0] == [200]
-        assert connection.pipelined and connection.open_request is None
+        assert connection.has_queued_requests() and connection.open_request is None
+        assert bool(connection.unparsed) is (count > 2)
         admission.max_connections = admission.hard_max_connections = 0
         admission.evict_excess(gate.gateway.clock.now() + 5000.0)
         admission.reject_stopped(gate.gateway.clock.now() + 5000.0, None)
-        assert not connection.is_closing and connection.pipelined
+        assert not connection.is_closing and connection.has_queued_requests()
+        gate.gateway.timers.call_at = call_at
         original()
         (await worker.next_request())[1].write(http_response())
         assert (await read_statuses(client, 1))[0] == [200]
@@ -292,7 +299,7 @@
 
 def test_a_shutdown_does_not_end_between_two_requests_of_one_connection(caplog):
     """Guards against an exit in the moment in which the first request of a pipeline has its response and the
-    next one is not served yet: 105 requests of 15 connections got nothing, beside load."""
+    next one is not served yet."""
 
     async def scenario(worker, gate, client):
         client.send(requests(3))
