Fix: a request that waited for memory in vain is refused without 100 Continue before

Found by reading the change: the end of the wait and the refusal were done in one order for both outcomes, so that a client that expects 100 Continue was told to send its body and got 503 right behind. The end of a wait, written again in the reader, is now the one of the connection's state; the marking of a refused request stands once; a result that nobody used is gone. The test failed before.

--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -137,21 +137,19 @@
             elif incoming.stream is None and not incoming.is_refused:
                 self._reserve_memory(incoming)
 
-    def _reserve_memory(self, incoming: ParsedRequest) -> bool:
-        """Count the memory of a request that is being read, or refuse it if there is none; returns whether it
-        is counted."""
+    def _reserve_memory(self, incoming: ParsedRequest) -> None:
+        """Count the memory of a request that is being read; if there is none, it waits or is refused."""
         size = incoming.required_bytes() - incoming.held_bytes
         if size <= 0 or incoming.waiting_since_ms:
-            return size <= 0
+            return
         memory = self.gateway.memory
         if not memory.reserve_request(incoming.held_bytes, size):
             self.listener.reject_stopped_requests(self)
             if not memory.reserve_request(incoming.held_bytes, size):
                 if not self._wait_for_memory(incoming):
                     self._refuse(incoming)
-                return False
+                return
         incoming.held_bytes += size
-        return True
 
     # -- waiting for the memory of a body
 
@@ -177,7 +175,9 @@
         if not self.gateway.memory.reserve_request_that_waited(incoming.held_bytes, size):
             return False
         incoming.held_bytes += size
-        self._read_on(incoming)
+        self.stop_waiting_for_memory()
+        self._send_continue(incoming)
+        self._parse_later()
         return True
 
     def _give_up_waiting(self) -> None:
@@ -185,18 +185,13 @@
         incoming = self.incoming
         if incoming is None or not self.is_waiting_for_memory:
             return
-        self.gateway.memory.stop_waiting(self)
-        self._read_on(incoming)
+        self.stop_waiting_for_memory()
         self._refuse(incoming)
+        self._parse_later()
 
-    def _read_on(self, incoming: ParsedRequest) -> None:
-        """End the wait of a request. The rest is parsed later, since this may be called in the middle of
-        another connection's work."""
-        self.is_waiting_for_memory = False
-        if self.memory_timer is not None:
-            self.memory_timer.cancel()
-            self.memory_timer = None
-        self._send_continue(incoming)
+    def _parse_later(self) -> None:
+        """Parse and read on after a wait, not at once: this may be called in the middle of another
+        connection's work."""
         self.gateway.timers.call_at(self.gateway.clock.now(), self._parse_after_wait)
 
     def _parse_after_wait(self) -> None:
@@ -211,11 +206,14 @@
     def _refuse(self, incoming: ParsedRequest) -> None:
         """Refuse a request for which there is no memory. It is read to its end, so that what is behind it is
         answered too, unless it is large or its client waits for permission to send the body."""
+        self._mark_refused(incoming)
+        if not incoming.in_head:
+            self._close_behind_refused(incoming)
+
+    def _mark_refused(self, incoming: ParsedRequest) -> None:
         self.gateway.memory.count_refused_request()
         incoming.refuse()
         self.release_request(incoming)
-        if not incoming.in_head:
-            self._close_behind_refused(incoming)
 
     def _close_behind_refused(self, incoming: ParsedRequest) -> None:
         """Close the connection after the response to a refused request if its body should not be read."""
@@ -367,9 +365,7 @@
         if self.gateway.memory.reserve_received_request(size):
             incoming.held_bytes += size
         else:
-            self.gateway.memory.count_refused_request()
-            incoming.refuse()
-            self.release_request(incoming)
+            self._mark_refused(incoming)
 
     def _forward_stream_parts(self, incoming: ParsedRequest) -> None:
         """Forward what a read contained of a streamed body: in one piece, however small its chunks are."""
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -406,9 +406,7 @@
             if sink is not None:
                 sink.finish_response()
             elif attempt.is_head:
-                body = b"%d" % max(
-                    0, self.head.content_length
-                )  # value of Content-Length for the response to HEAD
+                body = b"%d" % max(0, self.head.content_length)  # Content-Length of the response to HEAD
             attempt.end(AttemptResult.OK, body, self.head.content_type, load_report)
         elif status in (503, 504) and self.head.is_marked_not_executed:
             attempt.end(AttemptResult.REJECTED_BY_WORKER, load_report=load_report)
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -336,6 +336,18 @@
     run_with_worker(scenario)
 
 
+def test_client_is_not_told_to_continue_before_its_waiting_request_is_refused():
+    """Guards against 100 Continue right before the 503 of a request that has waited for memory in vain."""
+
+    async def scenario(worker, gate, client):
+        exhaust(gate, 5000)
+        expecting = head(BODY).replace(b"X-Deadline-Ms: 10000", b"X-Deadline-Ms: 400\r\nExpect: 100-continue")
+        client.send(expecting)
+        assert (await client.reader.readuntil(b"\r\n")).split()[1] == b"503"
+
+    run_with_worker(scenario)
+
+
 def test_client_that_leaves_while_its_body_waits_leaves_nothing_behind():
     async def scenario(worker, gate, client):
         exhaust(gate, 5000)
