One piece of code for the processes of both soaks, and for an open request at a raw worker

The soak of sound clients had written again how the memory soak starts its processes, answers discovery and finds processes that ended by themselves; four tests had the same beginning.

--- a/benchmarks/answer_soak.py
+++ b/benchmarks/answer_soak.py
@@ -14,7 +14,6 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import signal
 import sys
@@ -29,11 +28,11 @@
 
 import uvloop
 from support import crowds
-from support.fakes import HOST, FakeDiscovery, config, entry, json_response, listing, settings
-from support.ports import free_port
+from support.fakes import FakeDiscovery, config, entry, settings
 from support.processes import wait_until_ready
 from support.sound_clients import EchoWorker, Ledger, play_sound_clients
 
+from benchmarks.gateway_processes import GatewayProcesses
 from benchmarks.memory_soak import KINDS as CROWDS
 from benchmarks.memory_soak import memory_mb, send_signal
 
@@ -85,12 +84,13 @@
         return not self.lost and not self.ended
 
 
-class Run:
+class Run(GatewayProcesses):
     """One seed: the gateway's processes, the clients, and the signals."""
 
     def __init__(self, seed: int, options: Options, folder: str) -> None:
+        super().__init__(folder, options.program)
         rng = self.random = random.Random(seed)
-        self.seed, self.options, self.folder = seed, options, folder
+        self.seed, self.options = seed, options
         memory, descriptors = rng.choice(MEMORY_MB), rng.choice(DESCRIPTORS)
         self.limits = {
             "memory_mb": options.memory_mb or memory,
@@ -114,47 +114,12 @@
             f"seed={seed} {self.limits['memory_mb']} MB, {self.limits['sockets']} descriptors, "
             f"{self.clients} of {'+'.join(self.kinds)}, {names}, signals {'+'.join(chosen) or 'none'}"
         )
-        self.processes: list[asyncio.subprocess.Process] = []
-        self.expected_ends: set[int] = set()
-        self.port = free_port()
-
-    async def start_process(self) -> asyncio.subprocess.Process:
-        """Start a gateway process, which takes over from one that runs."""
-        environment = {
-            **os.environ,
-            "BALANCER_CONFIG": f"{self.folder}/config.json",
-            "BALANCER_MANAGEMENT": f"{HOST}:{free_port()}",
-            "TMPDIR": self.folder,
-        }
-        program = self.options.program
-        with Path(self.folder, "log").open("ab") as log:
-            process = await asyncio.create_subprocess_exec(
-                f"{program}/.venv/bin/python" if program else sys.executable,
-                "-m",
-                "plumpick",
-                cwd=program or None,
-                env=environment,
-                stderr=log,
-            )
-        self.processes.append(process)
-        return process
-
-    async def answer_discovery(self, discovery: FakeDiscovery, workers: list[dict[str, Any]]) -> None:
-        """Answer each call that asks for the whole list."""
-        while True:
-            target, writer = await discovery.next_call()
-            if "since" not in target:
-                writer.write(json_response(listing(*workers)))
 
     async def watch(self) -> None:
         """Record the peak of the memory and unexpected ends."""
         while True:
-            for process in list(self.processes):
-                if process.returncode is not None:
-                    if process.pid not in self.expected_ends:
-                        self.result.ended.append(process.returncode)
-                    self.processes.remove(process)
-                    continue
+            self.result.ended += self.remove_ended()
+            for process in self.processes:
                 self.result.peak_mb = max(self.result.peak_mb, memory_mb(process.pid, "status", "VmHWM"))
             await asyncio.sleep(WATCH_INTERVAL_S)
 
--- a/benchmarks/memory_soak.py
+++ b/benchmarks/memory_soak.py
@@ -12,7 +12,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import random
 import signal
 import sys
@@ -26,8 +25,9 @@
 
 import uvloop
 from support import crowds
-from support.fakes import HOST, Client, FakeDiscovery, config, entry, json_response, listing, request
-from support.ports import free_port
+from support.fakes import Client, FakeDiscovery, config, entry, request
+
+from benchmarks.gateway_processes import GatewayProcesses
 
 MEMORY_MB = (48, 64, 96, 192)
 DESCRIPTORS = (256, 1024)
@@ -81,10 +81,11 @@
         process.send_signal(number)
 
 
-class Run:
+class Run(GatewayProcesses):
     """One seed: the gateway's processes, the crowd, and the signals."""
 
     def __init__(self, seed: int, seconds: float, folder: str) -> None:
+        super().__init__(folder)
         self.random = random.Random(seed)
         self.seconds = seconds
         self.limits = {
@@ -100,42 +101,13 @@
         self.result = Result(
             f"seed={seed} {self.limits} peers={self.count} {names}", self.limits["memory_mb"]
         )
-        self.folder = folder
-        self.processes: list[asyncio.subprocess.Process] = []
-        self.expected_ends: set[int] = set()
-        self.port = free_port()
-
-    async def start_process(self) -> None:
-        """Start a gateway process, which takes over from one that runs."""
-        environment = {
-            **os.environ,
-            "BALANCER_CONFIG": f"{self.folder}/config.json",
-            "BALANCER_MANAGEMENT": f"{HOST}:{free_port()}",
-            "TMPDIR": self.folder,
-        }
-        self.processes.append(
-            await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "plumpick", env=environment, stderr=asyncio.subprocess.DEVNULL
-            )
-        )
-
-    async def answer_discovery(self, discovery: FakeDiscovery, workers: list[dict[str, Any]]) -> None:
-        """Answer each call that asks for the whole list."""
-        while True:
-            target, writer = await discovery.next_call()
-            if "since" not in target:
-                writer.write(json_response(listing(*workers)))
 
     async def watch(self) -> None:
         """Record the peaks of memory and unexpected ends."""
         while True:
             together = 0.0
-            for process in list(self.processes):
-                if process.returncode is not None:
-                    if process.pid not in self.expected_ends:
-                        self.result.ended.append(process.returncode)
-                    self.processes.remove(process)
-                    continue
+            self.result.ended += self.remove_ended()
+            for process in self.processes:
                 peak = memory_mb(process.pid, "status", "VmHWM")
                 self.result.peak_mb = max(self.result.peak_mb, peak)
                 together += memory_mb(process.pid, "smaps_rollup", "Pss")
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -19,7 +19,7 @@
     run_with_worker,
     shrink_send_buffer,
 )
-from support.raw_client import RawWorker, read_head
+from support.raw_client import RawWorker, read_head, request_at_raw_worker
 
 from plumpick.gateway.listeners.http import connection_admission
 from plumpick.gateway.listeners.http.connection import ClientConnection
@@ -253,14 +253,7 @@
     """Guards against responses of up to 64 KiB that are passed on in part while the memory is used up."""
 
     async def scenario():
-        async with (
-            RawWorker() as worker,
-            RunningGateway(ControllerStub(), known=[entry("w1", worker.port)]) as gate,
-        ):
-            client = await gate.client()
-            client.send(request())
-            reader, writer = await worker.accepted.get()
-            await read_head(reader)
+        async with request_at_raw_worker() as (gate, client, writer):
             memory = gate.gateway.memory
             memory.add(MemoryHolder.RESPONSES, memory.total_bytes)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY + bytes(BODY))
@@ -278,14 +271,7 @@
 
 def test_response_that_waits_for_memory_until_its_time_is_over_is_not_held_against_its_worker():
     async def scenario():
-        async with (
-            RawWorker() as worker,
-            RunningGateway(ControllerStub(timeout_ms=200.0), known=[entry("w1", worker.port)]) as gate,
-        ):
-            client = await gate.client()
-            client.send(request())
-            reader, writer = await worker.accepted.get()
-            await read_head(reader)
+        async with request_at_raw_worker(ControllerStub(timeout_ms=200.0)) as (gate, client, writer):
             memory = gate.gateway.memory
             memory.add(MemoryHolder.RESPONSES, memory.total_bytes)
             writer.write(http_response(body=bytes(BODY)))
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -3,8 +3,8 @@
 import contextlib
 import logging
 
-from support.fakes import ControllerStub, RunningGateway, entry, request, reset, run
-from support.raw_client import RawWorker, read_head
+from support.fakes import request, reset, run
+from support.raw_client import request_at_raw_worker
 
 from plumpick.gateway.memory_budget import BYTES_PER_MB, MemoryBudget
 from plumpick.gateway.unanswered_requests import LINES_PER_PERIOD, PERIOD_MS, EndReason, UnansweredRequests
@@ -34,14 +34,7 @@
 
 def test_a_response_that_its_worker_breaks_off_is_recorded_with_request_and_worker(caplog):
     async def scenario():
-        async with (
-            RawWorker() as worker,
-            RunningGateway(ControllerStub(), known=[entry("w1", worker.port)]) as gate,
-        ):
-            client = await gate.client()
-            client.send(request("00000000000000ff"))
-            reader, writer = await worker.accepted.get()
-            await read_head(reader)
+        async with request_at_raw_worker(data=request("00000000000000ff")) as (gate, client, writer):
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE + bytes(LARGE // 2))
             await client.reader.readuntil(b"\r\n\r\n")
             await writer.drain()
--- a/tests/gateway/upstream/test_retriable_responses.py
+++ b/tests/gateway/upstream/test_retriable_responses.py
@@ -4,7 +4,7 @@
 
 import pytest
 from support.fakes import ControllerStub, RunningGateway, entry, request, reset, run
-from support.raw_client import RawWorker, read_head, read_response
+from support.raw_client import RawWorker, read_head, read_response, request_at_raw_worker
 
 from plumpick.gateway.memory_budget import MemoryHolder, MemoryLevel
 from plumpick.gateway.upstream.streaming_body import MAX_BUFFERED_BODY_BYTES
@@ -43,14 +43,7 @@
     cut off when their worker reset the connection."""
 
     async def scenario():
-        async with (
-            RawWorker() as worker,
-            RunningGateway(ControllerStub(), known=[entry("w1", worker.port)]) as gate,
-        ):
-            client = await gate.client()
-            client.send(request())
-            reader, writer = await worker.accepted.get()
-            await read_head(reader)
+        async with request_at_raw_worker() as (gate, client, writer):
             fill(gate, level)
             writer.write(broken_responses(size)[part])
             await writer.drain()
--- a/tests/support/raw_client.py
+++ b/tests/support/raw_client.py
@@ -1,9 +1,10 @@
 """A fake worker that exchanges raw bytes, and helpers that read HTTP messages from a stream."""
 
 import asyncio
+import contextlib
 
 import httptools
-from support.fakes import HOST, Message
+from support.fakes import HOST, ControllerStub, Message, RunningGateway, entry, request
 
 
 class RawWorker:
@@ -43,3 +44,18 @@
     except ConnectionError:
         pass
     return message.parser.get_status_code(), message.headers, message.body, message.is_complete
+
+
+@contextlib.asynccontextmanager
+async def request_at_raw_worker(controller=None, data=None):
+    """A gateway, a client of it whose request `data` is open, and the writer of the worker that has read the
+    head of that request."""
+    async with (
+        RawWorker() as worker,
+        RunningGateway(controller or ControllerStub(), known=[entry("w1", worker.port)]) as gate,
+    ):
+        client = await gate.client()
+        client.send(data or request())
+        reader, writer = await worker.accepted.get()
+        await read_head(reader)
+        yield gate, client, writer
