What is read behind a request is asked in one place; a condition that no longer holds is gone

Flow control and the refusal of incomplete requests asked again, line by line, what has_further_requests and has_queued_requests tell. The share of descriptors of both sides is the sum of the two.

--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -174,10 +174,8 @@
         transport = self.transport
         if transport is None or self.is_closing or self.is_paused or transport.is_closing():
             return
-        next_incoming = self.incoming if self.incoming is not self.current else None
-        has_next = bool(self.pipelined or self.unparsed) or next_incoming is not None
-        must_suspend = self.is_response_unread or self.open_request is not None and has_next
-        must_suspend = must_suspend or self.is_close_announced or self.is_waiting_for_memory
+        must_suspend = self.is_response_unread or self.is_close_announced or self.is_waiting_for_memory
+        must_suspend = must_suspend or self.open_request is not None and self.has_further_requests()
         if must_suspend and not self.is_reading_suspended:
             self.is_reading_suspended = True
             self.has_backlog = True
@@ -236,7 +234,7 @@
     def _reject_incomplete(self, status: int) -> None:
         if not self.request_started:
             self.close_if_idle()
-        elif not self.pipelined and not self.unparsed:  # otherwise these are served next
+        elif not self.has_queued_requests():  # otherwise these are served next
             self.reject(status)
 
     def transfer(self, send_descriptor: Callable[[int], bool]) -> bool:
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -262,7 +262,7 @@
         if self.is_unreadable:
             return
         self.incoming = ParsedRequest()
-        if self.open_request is None and not self.pipelined and not self.is_paused:
+        if self.open_request is None and not self.pipelined:
             self.request_started = True
             self.listener.on_request_started(self)
 
--- a/plumpick/gateway/memory_limits.py
+++ b/plumpick/gateway/memory_limits.py
@@ -11,12 +11,12 @@
     MemoryBudget,
 )
 
-# Shares of the descriptor limit that connections to workers, and to clients and workers together, may use.
-# Clients alone may use up to 0.46 of it (listeners/http/connection_admission.py). The remainder (30
+# Shares of the descriptor limit that connections to workers, to clients (HARD_MAX_CONNECTIONS_RATIO in
+# listeners/http/connection_admission.py), and to both together may use. The remainder (30
 # descriptors at the smallest limit of 256) is for discovery, peers and the event loop.
 UPSTREAM_DESCRIPTOR_RATIO = 0.42
-CONNECTION_DESCRIPTOR_RATIO = 0.88
 CLIENT_DESCRIPTOR_RATIO = 0.46
+CONNECTION_DESCRIPTOR_RATIO = UPSTREAM_DESCRIPTOR_RATIO + CLIENT_DESCRIPTOR_RATIO
 # Memory of one connection to a client or a worker beside what the budget counts: objects, transport, parser,
 # and the one read, or small request, that it may keep while the memory is exhausted.
 CONNECTION_BYTES = 8 * 1024
--- a/tests/gateway/listeners/http/test_answers_before_closing.py
+++ b/tests/gateway/listeners/http/test_answers_before_closing.py
@@ -234,6 +234,22 @@
     run_with_worker(scenario)
 
 
+def test_a_head_in_part_behind_many_invalid_requests_gets_its_error_in_time():
+    """A request whose parsing begins in the pause after an invalid one has a time limit as any other."""
+
+    async def scenario(worker, gate, client):
+        long_head = request(extra=f"X-Filler: {'y' * 2000}\r\n")[:-2]  # more than what is parsed at a time
+        client.send(request(path="/none") * 12 + long_head)
+        assert (await read_statuses(client, 12)) == ([404] * 12, [False] * 12)
+        (connection,) = gate.listener.admission.connections
+        while connection.is_paused:
+            await asyncio.sleep(0.01)
+        advance_time(gate, 2600.0)
+        assert (await read_statuses(client, 1)) == ([408], [True])
+
+    run_with_worker(scenario)
+
+
 def test_a_lingering_connection_is_not_closed_over_bytes_that_its_client_has_not_received():
     """Guards against the reset of a connection by what its client sends, 0.2 s after the last response in a
     shutdown: it destroyed the response bytes that were still in the kernel."""
