--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -23,6 +23,7 @@
 from plumpick.gateway.listeners.interface import (
     SWEEP_INTERVAL_MS,
     ClusterParticipant,
+    ImmediateAnswer,
     IncomingRequest,
     Listener,
     PausableSource,
@@ -30,6 +31,7 @@
     SettingsSource,
     SiblingProcess,
 )
+from plumpick.gateway.loop_monitor import LoopMonitor
 from plumpick.gateway.memory_limits import UPSTREAM_DESCRIPTOR_RATIO, MemoryLimits
 from plumpick.gateway.memory_monitor import MemoryMonitor
 from plumpick.gateway.open_request import REQUEST_ID_RETENTION_MS, OpenRequest
@@ -120,10 +122,7 @@
         )
         self._commands = OperatorCommands(self, self._turn)
         self._state_transfer = StateTransfer(self._turn)
-        self._memory_monitor = MemoryMonitor(
-            self.memory_limits, platform.return_freed_memory, platform.resident_bytes
-        )
-        self._stalls = StallDetector(self._listeners, loop.call_soon)
+        self._init_monitors(loop, platform)
         self._turn.handlers = self._action_handlers()
         self.timers.call_at(self.clock.now() + SWEEP_INTERVAL_MS, self._sweep)
         self.timers.call_at(self.clock.now() + REQUEST_ID_RETENTION_MS, self.requests.expire_ids)
@@ -145,6 +144,13 @@
             was_transport_reset=platform.was_reset,
         )
 
+    def _init_monitors(self, loop: asyncio.AbstractEventLoop, platform: Platform) -> None:
+        self._memory_monitor = MemoryMonitor(
+            self.memory_limits, platform.return_freed_memory, platform.resident_bytes
+        )
+        self._stalls = StallDetector(self._listeners, loop.call_soon)
+        self._loop_monitor = LoopMonitor(self._busiest_clients)
+
     def _init_lifecycle(self) -> None:
         self.is_ready = False  # readiness that listeners report; derived from the fields below
         self.is_draining = False  # whether each response closes its connection; derived from the fields below
@@ -277,6 +283,10 @@
         """Add a listener that accepts requests for this gateway."""
         self._listeners.append(listener)
 
+    def count_immediate_answer(self, kind: ImmediateAnswer) -> None:
+        """Count a request that a listener answers without an attempt."""
+        self._loop_monitor.count(kind)
+
     def spare_descriptors(self) -> int:
         """Return how many descriptors reserved for workers may serve clients now: half of the unused ones."""
         return self.connection_pool.unused_connections() // 2
@@ -328,6 +338,7 @@
 
     def _sweep(self) -> None:
         now = self.clock.now()
+        self._loop_monitor.sweep(now, self._stalls.sweep_delay_ms(now))
         self._stalls.sweep(now)
         line = self._quota_health.update(now, self.controller.unresponsive_owners())
         if line:
@@ -342,6 +353,9 @@
         for sweep in self.sweeps:
             sweep(now)
 
+    def _busiest_clients(self) -> str:
+        return " ".join(listener.busiest_clients() for listener in self._listeners)
+
     def descriptor_count(self) -> int:
         """Return how many descriptors connections to clients and workers use now."""
         client_count = sum(listener.connection_count() for listener in self._listeners)
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -12,7 +12,7 @@
 from plumpick.gateway.listeners.http.request_reader import RequestReader
 from plumpick.gateway.listeners.http.response_writer import WRITE_BUFFER_BYTES
 from plumpick.gateway.listeners.http.validation import BadRequestError
-from plumpick.gateway.listeners.interface import RequestExpiredError
+from plumpick.gateway.listeners.interface import ImmediateAnswer, RequestExpiredError
 
 # After each bad request, reading from the connection pauses for a time that doubles from FIRST_PAUSE_MS.
 FIRST_PAUSE_MS = 50.0
@@ -85,9 +85,11 @@
             self.current = parsed
             if parsed.error_status:
                 self.listener.admission.on_request_received(self)
+                self.count_immediate_answer(ImmediateAnswer.UNREADABLE)
                 self.respond(parsed.error_status)
             elif parsed.method == b"GET" and parsed.url == b"/up":
                 self.listener.admission.on_request_received(self)
+                self.count_immediate_answer(ImmediateAnswer.READINESS)
                 self._respond_readiness()
             else:
                 self._submit(parsed)
@@ -113,6 +115,7 @@
         except BadRequestError as problem:
             self._reject_and_pause(problem.status)
         except RequestExpiredError:
+            self.count_immediate_answer(ImmediateAnswer.EXPIRED)
             self.listener.admission.on_request_received(self)
             self.respond(503)
 
@@ -148,6 +151,7 @@
     def _reject_and_pause(self, status: int) -> None:
         """Reject a complete but invalid request. The error is sent at once and a persistent connection stays
         open, but reading pauses, since some clients repeat the same request without delay."""
+        self.count_immediate_answer(ImmediateAnswer.INVALID)
         self.respond(status)
         transport = self.transport
         if transport is None or self.is_closing:
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -12,7 +12,7 @@
 
 from plumpick.gateway.listeners.http.connection_admission import AdmittedConnection, ConnectionAdmission
 from plumpick.gateway.listeners.http.parsed_request import ParsedRequest
-from plumpick.gateway.listeners.interface import EndReason, RequestGateway
+from plumpick.gateway.listeners.interface import EndReason, ImmediateAnswer, RequestGateway
 
 # Minimum rate at which a body must arrive: half the rate of the slowest genuine clients.
 MIN_BODY_RATE_BYTES_PER_MS = 32.0
@@ -92,6 +92,7 @@
         self.is_response_unread = False
         # Whether a streamed response has told the client that its connection closes.
         self.is_close_announced = False
+        self.immediate_answers = 0  # number of answers without an attempt since the latest report
         self.unread_bytes = 0  # response bytes that are counted, since the kernel has not taken them
         # Whether the connection was transferred by the predecessor of a hot restart.
         self.is_inherited = False
@@ -104,6 +105,12 @@
             return True
         return self.listener.has_peer_closed(transport)
 
+    def peer_name(self) -> str:
+        """Return the client's address for a log line."""
+        transport = self.transport
+        peer = None if transport is None else transport.get_extra_info("peername")
+        return f"{peer[0]}:{peer[1]}" if isinstance(peer, tuple) and len(peer) >= 2 else "unknown"
+
     def is_idle(self) -> bool:
         """Whether no request is open, queued or partly received."""
         if self.open_request is not None or self.request_started or self.has_queued_requests():
@@ -153,6 +160,11 @@
             return 0.0
         return self.incoming.body_received_bytes / MIN_BODY_RATE_BYTES_PER_MS
 
+    def count_immediate_answer(self, kind: ImmediateAnswer) -> None:
+        """Count a request of this connection that is answered without an attempt."""
+        self.immediate_answers += 1
+        self.gateway.count_immediate_answer(kind)
+
     # -- account of memory
 
     def release_request(self, parsed: ParsedRequest | None) -> None:
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -21,6 +21,7 @@
 from plumpick.policy.settings import Settings
 
 LISTEN_BACKLOG = 512  # maximum number of connections that wait to be accepted
+MAX_BUSIEST_CLIENTS = 3  # number of connections that a log line names
 EVICTION_DELAY_MS = 1.0  # time from exceeding the soft limit on connections to closing the excess ones
 
 
@@ -198,6 +199,16 @@
         for connection in connections:
             connection.record_unserved(EndReason.PROCESS_EXIT)
 
+    def busiest_clients(self) -> str:
+        """Return which connections had the most answers without an attempt since the previous call, and how
+        many."""
+        connections: Any = self.admission.connections
+        counted = [(connection.immediate_answers, connection) for connection in connections]
+        busiest = sorted(counted, key=lambda pair: pair[0], reverse=True)[:MAX_BUSIEST_CLIENTS]
+        for connection in connections:
+            connection.immediate_answers = 0
+        return ",".join(f"{connection.peer_name()}:{count}" for count, connection in busiest if count) or "-"
+
     def has_undelivered_data(self) -> bool:
         """Whether the machine of a client has not acknowledged all response bytes yet."""
         return any(connection.undelivered_bytes() for connection in self.admission.connections)
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from plumpick.gateway.clock import Clock, Timers
+from plumpick.gateway.loop_monitor import ImmediateAnswer
 from plumpick.gateway.memory_budget import MemoryBudget
 from plumpick.gateway.read_buffer import ReadBuffer
 from plumpick.gateway.unanswered_requests import EndReason, UnansweredRequests
@@ -151,6 +152,10 @@
     def record_queued_requests(self) -> None:
         """Record the requests that are not served yet when this process exits."""
 
+    def busiest_clients(self) -> str:
+        """Return which connections had the most answers without an attempt since the previous call, and how
+        many."""
+
     def has_undelivered_data(self) -> bool:
         """Whether the machine of a client has not acknowledged all response bytes yet."""
 
@@ -176,6 +181,9 @@
     memory: MemoryBudget  # account of the memory that clients use
     unanswered: UnansweredRequests  # record of the requests without a complete response
 
+    def count_immediate_answer(self, kind: ImmediateAnswer) -> None:
+        """Count a request that a listener answers without an attempt."""
+
     def spare_descriptors(self) -> int:
         """Return how many descriptors reserved for workers may be used for clients now."""
 
--- a/plumpick/gateway/stall_detector.py
+++ b/plumpick/gateway/stall_detector.py
@@ -31,7 +31,7 @@
 
     def max_unread_ms(self, now: float) -> float:
         """Return the maximum time for which bytes read now may have been unread; 0.0 without a stall."""
-        delay_ms = self._sweep_delay_ms(now)
+        delay_ms = self.sweep_delay_ms(now)
         if delay_ms > STALL_THRESHOLD_MS:
             return delay_ms
         is_accepting = self._quiet_iterations_left > 0 and now < self._backlog_ends_ms
@@ -40,7 +40,7 @@
     def sweep(self, now: float) -> None:
         """Record a stall, if there was one. To be called before the listeners sweep, which resets their
         delay."""
-        delay_ms = self._sweep_delay_ms(now)
+        delay_ms = self.sweep_delay_ms(now)
         if delay_ms <= STALL_THRESHOLD_MS:
             return
         self._last_stall_ms = delay_ms
@@ -61,5 +61,6 @@
         if self._quiet_iterations_left:
             self._call_soon(self._on_loop_iteration)
 
-    def _sweep_delay_ms(self, now: float) -> float:
+    def sweep_delay_ms(self, now: float) -> float:
+        """Return by how much the next sweep of the listeners is overdue."""
         return max((listener.sweep_delay_ms(now) for listener in self._listeners), default=0.0)
