--- /dev/null
+++ b/tests/gateway/listeners/http/test_fair_share.py
@@ -0,0 +1,214 @@
+"""How much the event loop does for one connection, and for all, in one iteration."""
+
+import asyncio
+import collections
+
+import pytest
+from support.fakes import (
+    Client,
+    ControllerStub,
+    FakeWorker,
+    RunningGateway,
+    entry,
+    http_response,
+    request,
+    run,
+)
+from support.floods import sound_request
+
+from plumpick.gateway.listeners.http import response_writer
+from plumpick.policy.actions import RejectRequest
+from plumpick.policy.events import RequestReceived
+
+READY = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+WITHOUT_ID = b"GET /look HTTP/1.1\r\nHost: h\r\nX-Tier: basic\r\n\r\n"
+PIPELINED = 600
+# The stated shares: requests of one connection, and of all that were read before, in one iteration of the
+# event loop, and requests that may be served as they are read.
+CONNECTION_SHARE = 4
+ITERATION_SHARE = 16 + 32
+
+
+class RejectingController(ControllerStub):
+    """A policy that rejects each request at once."""
+
+    def handle(self, now, events):
+        actions = super().handle(now, [event for event in events if not isinstance(event, RequestReceived)])
+        return actions + [RejectRequest(event.id) for event in events if isinstance(event, RequestReceived)]
+
+
+class ServedCounts:
+    """Counts the responses of each iteration of the event loop, by connection."""
+
+    def __init__(self, monkeypatch):
+        self.iterations = [collections.Counter()]
+        self.order = []
+        respond = response_writer.ResponseWriter.respond
+
+        def counted(connection, *arguments, **named):
+            self.iterations[-1][connection] += 1
+            self.order.append(connection)
+            respond(connection, *arguments, **named)
+
+        monkeypatch.setattr(response_writer.ResponseWriter, "respond", counted)
+
+    def start(self):
+        """Begin a new count in each iteration."""
+        if self.iterations[-1]:
+            self.iterations.append(collections.Counter())
+        asyncio.get_running_loop().call_soon(self.start)
+
+    def largest_share(self):
+        """The most responses of one connection in one iteration."""
+        return max(max(counts.values(), default=0) for counts in self.iterations)
+
+    def largest_sum(self):
+        """The most responses in one iteration."""
+        return max(sum(counts.values()) for counts in self.iterations)
+
+
+async def count_responses(client, expected):
+    """Read until so many status lines have come."""
+    data = b""
+    while (found := data.count(b"HTTP/1.1 ")) < expected:
+        part = await client.reader.read(65536)
+        assert part, f"the connection ended after {found} of {expected} responses"
+        data += part
+    return found
+
+
+def expired_requests():
+    return b"".join(sound_request(number, deadline=1) for number in range(1, PIPELINED + 1))
+
+
+def rejected_requests():
+    return b"".join(sound_request(number + 1_000_000) for number in range(1, PIPELINED + 1))
+
+
+FLOODS = {
+    "readiness": lambda: READY * PIPELINED,
+    "invalid": lambda: WITHOUT_ID * PIPELINED,
+    "rejected": rejected_requests,
+}
+
+
+@pytest.mark.parametrize("clients", [1, 6, 24, 60])
+@pytest.mark.parametrize("kind", FLOODS)
+def test_pipelined_requests_of_one_read_do_not_hold_the_event_loop(kind, clients, monkeypatch):
+    # Report 81cf89: one read of a few clients was served whole, and others waited for a round over all.
+    counts = ServedCounts(monkeypatch)
+
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            flooders = [await gate.client() for _ in range(clients)]
+            counts.start()
+            data = FLOODS[kind]()
+            # Each gets ids of its own, by which they would be rejected as duplicates otherwise.
+            for number, flooder in enumerate(flooders):
+                flooder.send(data.replace(b"X-Request-Id: f0", b"X-Request-Id: %02x" % number))
+            found = await asyncio.gather(*(count_responses(flooder, PIPELINED) for flooder in flooders))
+            assert found == [PIPELINED] * clients
+
+    run(scenario())
+    assert counts.largest_share() <= 2 * CONNECTION_SHARE  # as it was read, and in its turn
+    assert counts.largest_sum() <= ITERATION_SHARE
+
+
+def test_request_on_a_new_connection_is_served_before_what_others_have_read(monkeypatch):
+    # Report 81cf89: a request that came during a flood was answered after all that the flooders had sent.
+    counts = ServedCounts(monkeypatch)
+
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            flooders = [await gate.client() for _ in range(24)]
+            counts.start()
+            for flooder in flooders:
+                flooder.send(READY * PIPELINED)
+            reading = [asyncio.ensure_future(count_responses(flooder, PIPELINED)) for flooder in flooders]
+            while len(counts.order) < 100:
+                await asyncio.sleep(0)
+            before = len(counts.order)
+            client = await gate.client()
+            response = await client.send(request()).read_response()
+            assert response[0] == 503
+            # Accepted, read, decided: a few iterations, whatever the flooders have sent.
+            assert len(counts.order) - before <= 20 * ITERATION_SHARE
+            await asyncio.gather(*reading)
+
+    run(scenario())
+
+
+def test_expired_requests_of_one_read_do_not_hold_the_event_loop(monkeypatch):
+    # Report 81cf89: requests whose time was over on arrival were refused in a loop within one read.
+    counts = ServedCounts(monkeypatch)
+
+    async def scenario():
+        async with FakeWorker() as worker:
+            gate = RunningGateway(ControllerStub(), known=[entry("w1", worker.port)])
+            async with gate:
+                client = await gate.client()
+                counts.start()
+                client.send(request(path="/look") + expired_requests())
+                _, writer = await worker.next_request()
+                await asyncio.sleep(0.1)
+                writer.write(http_response())
+                assert await count_responses(client, PIPELINED + 1) == PIPELINED + 1
+
+    run(scenario())
+    assert counts.largest_share() <= 2 * CONNECTION_SHARE
+
+
+def test_what_a_refused_client_goes_on_sending_is_read_in_its_turn(monkeypatch):
+    # Report 81cf89, related: a client whose request closed its connection was read at full speed for 5 s.
+    reads = collections.Counter()
+
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            clients = [await gate.client() for _ in range(12)]
+            for client in clients:
+                client.send(b"\x00 no HTTP\r\n\r\n")
+                assert (await client.read_response())[0] == 400
+            connections = list(gate.listener.admission.connections)
+            iteration = [0]
+
+            def next_iteration():
+                iteration[0] += 1
+                asyncio.get_running_loop().call_soon(next_iteration)
+
+            next_iteration()
+            for connection in connections:
+                monkeypatch.setattr(connection, "data_received", counted(connection.data_received, iteration))
+            for client in clients:
+                client.send(bytes(4 * 2**20))
+            await asyncio.sleep(0.2)
+            for client in clients:
+                client.writer.transport.abort()
+
+    def counted(data_received, iteration):
+        def count(data):
+            reads[iteration[0]] += 1
+            data_received(data)
+
+        return count
+
+    run(scenario())
+    assert sum(reads.values()) > 20
+    # Each is read once as bytes arrive, then in its turn, four at a time.
+    later = [count for _, count in sorted(reads.items())[3:]]
+    assert max(later) <= 2 * CONNECTION_SHARE
+
+
+def test_readiness_of_another_client_is_answered_beside_a_flood_of_it():
+    # Report 81cf89: a load balancer would take the gateway out although it serves.
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            flooders = [await gate.client() for _ in range(24)]
+            for flooder in flooders:
+                flooder.send(READY * PIPELINED)
+            reading = [asyncio.ensure_future(count_responses(one, PIPELINED)) for one in flooders]
+            client = await Client().open(gate.port)
+            assert (await client.send(READY).read_response())[0] == 200
+            assert not all(task.done() for task in reading)
+            await asyncio.gather(*reading)
+
+    run(scenario())
