Fix: one iteration of the event loop serves a bounded number of requests, in turn

Callers saw answers late or never while a few clients sent GET /up, expired or invalid requests at full speed. Cause: what a read contained was served whole in its callback, some 2,200 requests, and each response set a timer; each step of a sound request waited for a round over all flooders. The work was bounded by bytes, not by what it costs.

What a closing connection discards is read in turn, too.

--- a/plumpick/gateway/compiled.py
+++ b/plumpick/gateway/compiled.py
@@ -66,6 +66,7 @@
     "plumpick/gateway/listeners/http/connection_admission.py",
     "plumpick/gateway/listeners/http/connection.py",
     "plumpick/gateway/listeners/http/connection_state.py",
+    "plumpick/gateway/listeners/http/fair_queue.py",
     "plumpick/gateway/listeners/http/parsed_request.py",
     "plumpick/gateway/listeners/http/request_reader.py",
     "plumpick/gateway/listeners/http/response_writer.py",
--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -91,6 +91,7 @@
         self.settings = config.settings
         self.clock = platform.clock()
         self.timers = Timers(loop, self.clock)
+        self.call_soon: Callable[[Callable[[], None]], Any] = loop.call_soon
         # The policy's controller, which tests replace.
         self.controller: Any = controller or Controller(config.settings, config.seed)
         self.memory_limits = MemoryLimits(config.memory_mb, config.sockets)
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -29,6 +29,7 @@
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
         self.rejected_requests = 0
+        self.is_serving = False  # whether requests are being served in a turn
 
     # -- the transport's callbacks
 
@@ -55,6 +56,8 @@
         self.transport = None
         self.response_source = None
         self.open_request = None
+        self.is_waiting_for_turn = False
+        self.listener.fair_queue.remove(self)
         self.drop_unserved_requests()
         self.release_request(self.current)
         self.count_unread(0)
@@ -64,36 +67,76 @@
     # -- serving of pipelined requests in order
 
     def serve_next(self) -> None:
-        """Serve pipelined requests until one is open, the connection closes, reading is paused or the client
-        does not take the responses.
+        """Serve what was just read, as far as the share of this iteration of the event loop allows."""
+        if self.is_waiting_for_turn:
+            self.update_reading()
+            return
+        fair_queue = self.listener.fair_queue
+        fair_queue.count_served_as_read(self._serve(fair_queue.read_share()))
+
+    def wait_for_turn(self) -> None:
+        """Serve what was read when it is the connection's turn."""
+        if self.transport is not None and not self.is_serving:
+            self.is_waiting_for_turn = True
+            self.listener.fair_queue.add(self)
+
+    def serve_turn(self, max_requests: int) -> int:
+        """Serve up to so many requests and return their number, or read on if the connection is closing."""
+        self.is_waiting_for_turn = False
+        if not self.is_closing:
+            return self._serve(max_requests)
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()  # what comes is discarded, one read in each turn
+        return max_requests
+
+    def _serve(self, max_requests: int) -> int:
+        """Serve up to so many requests, until one is open, the connection closes, reading is paused or the
+        client does not take the responses. Returns their number; the others wait for the next turn.
 
         While reading is suspended, a disconnect of the client is not read. So it is checked first, and the
         requests of a client that has disconnected are dropped."""
-        if self.is_reading_suspended and self.pipelined and self.has_disconnected():
+        if self.is_reading_suspended and self.has_queued_requests() and self.has_disconnected():
             self.abort()
-            return
-        while self.open_request is None and not self._is_serving_suspended():
-            if not self.pipelined:
-                if self.unparsed and not self.is_waiting_for_memory:
-                    self.parse_unparsed()
-                    continue
-                if self._stream_incoming():
-                    continue
-                break
-            parsed = self.pipelined.pop(0)
-            self.request_started = False
-            self.current = parsed
-            if parsed.error_status:
-                self.listener.admission.on_request_received(self)
-                self.count_immediate_answer(ImmediateAnswer.UNREADABLE)
-                self.respond(parsed.error_status)
-            elif parsed.method == b"GET" and parsed.url == b"/up":
-                self.listener.admission.on_request_received(self)
-                self.count_immediate_answer(ImmediateAnswer.READINESS)
-                self._respond_readiness()
-            else:
-                self._submit(parsed)
+            return 0
+        served = 0
+        self.is_serving = True
+        try:
+            while served < max_requests and self._has_next():
+                self._serve_one(self.pipelined.pop(0))
+                served += 1
+            must_wait = self._can_serve() and self.has_queued_requests() and not self.is_waiting_for_memory
+        finally:
+            self.is_serving = False
+        if must_wait:
+            self.wait_for_turn()
         self.update_reading()
+        return served
+
+    def _can_serve(self) -> bool:
+        return self.open_request is None and not self._is_serving_suspended()
+
+    def _has_next(self) -> bool:
+        """Parse what is necessary, and return whether a request can be served now."""
+        while self._can_serve() and not self.pipelined:
+            if self.unparsed and not self.is_waiting_for_memory:
+                self.parse_unparsed()
+            elif not self._stream_incoming():
+                return False
+        return self._can_serve()
+
+    def _serve_one(self, parsed: ParsedRequest) -> None:
+        self.request_started = False
+        self.current = parsed
+        if parsed.error_status:
+            self.listener.admission.on_request_received(self)
+            self.count_immediate_answer(ImmediateAnswer.UNREADABLE)
+            self.respond(parsed.error_status)
+        elif parsed.method == b"GET" and parsed.url == b"/up":
+            self.listener.admission.on_request_received(self)
+            self.count_immediate_answer(ImmediateAnswer.READINESS)
+            self._respond_readiness()
+        else:
+            self._submit(parsed)
 
     def _is_serving_suspended(self) -> bool:
         return self.is_closing or self.is_response_unread
@@ -168,7 +211,7 @@
         self.is_paused = False
         if self.transport is not None and not self.transport.is_closing() and not self.is_closing:
             self.is_reading_suspended = True  # the transport is still paused; pipelined requests come first
-            self.serve_next()
+            self.wait_for_turn()
 
     # -- flow control of reading
 
@@ -179,6 +222,7 @@
         if transport is None or self.is_closing or self.is_paused or transport.is_closing():
             return
         must_suspend = self.is_response_unread or self.is_close_announced or self.is_waiting_for_memory
+        must_suspend = must_suspend or self.is_waiting_for_turn
         must_suspend = must_suspend or self.open_request is not None and self.has_further_requests()
         if must_suspend and not self.is_reading_suspended:
             self.is_reading_suspended = True
--- a/plumpick/gateway/listeners/http/connection_state.py
+++ b/plumpick/gateway/listeners/http/connection_state.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from plumpick.gateway.listeners.http.connection_admission import AdmittedConnection, ConnectionAdmission
+from plumpick.gateway.listeners.http.fair_queue import FairQueue
 from plumpick.gateway.listeners.http.parsed_request import ParsedRequest
 from plumpick.gateway.listeners.interface import EndReason, ImmediateAnswer, RequestGateway
 
@@ -35,6 +36,7 @@
     ) -> None:
         self.gateway = gateway
         self.admission = admission
+        self.fair_queue = FairQueue(gateway.call_soon)
         self.has_peer_closed = has_peer_closed
         self.has_no_unread_input = has_no_unread_input
         self.unacknowledged_bytes = unacknowledged_bytes
@@ -83,6 +85,7 @@
         self.memory_timer: Any = None  # end of that wait
         self.is_closing = False  # whether further input is discarded
         self.is_unreadable = False  # whether further input cannot be parsed, after a malformed request
+        self.is_waiting_for_turn = False  # whether the connection is in the listener's fair queue
         self.is_paused = False  # whether reading pauses after a bad request
         self.is_reading_suspended = False  # whether reading is suspended for an open request or its body
         # Whether bytes may have waited unread since reading was suspended, while the client left.
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -37,6 +37,10 @@
 
     # -- implemented by ClientConnection
 
+    def serve_next(self) -> None:
+        """Serve what was just read, as far as the share of this iteration of the event loop allows."""
+        raise NotImplementedError
+
     def start_stream(self, parsed: ParsedRequest) -> bool:
         """Submit a request whose body is too large to be buffered. Returns False if earlier requests are not
         answered yet or the request is rejected."""
@@ -64,18 +68,24 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return False
-        return not self.is_reading_suspended and not self.is_paused
+        return not self.is_reading_suspended and not self.is_paused and not self.is_waiting_for_turn
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, check the limits and serve the requests that are complete."""
         if self.is_closing or self.is_unreadable:
             self.received_while_closing = True
+            if self.is_closing:
+                self._read_on_in_turn()
             return
         if self.has_backlog and not self._is_backlog_wanted():
             return
         self.last_activity_ms = self.gateway.clock.now()
-        if self.unparsed:
+        if self.unparsed or self.is_waiting_for_turn:
             self._keep_unparsed(self.unparsed + data)
+        elif self._must_wait_unparsed():
+            self.read_ms = self.last_activity_ms
+            self._keep_until_turn(data)
+            return
         else:
             self.read_ms = self.last_activity_ms
             self._parse(data)
@@ -84,6 +94,28 @@
             self._forward_stream_parts(incoming)
         self.serve_next()
 
+    def _read_on_in_turn(self) -> None:
+        """Read no more of what a closing connection discards until it is the connection's turn."""
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.pause_reading()
+            self.wait_for_turn()
+
+    def _must_wait_unparsed(self) -> bool:
+        """Whether requests that begin now must wait, as this iteration's share for them is used up."""
+        if self.incoming is not None or self.open_request is not None or self.pipelined:
+            return False
+        return self.listener.fair_queue.read_share() == 0
+
+    def _keep_until_turn(self, data: bytes) -> None:
+        """Keep bytes as they are until it is the connection's turn."""
+        self._keep_unparsed(data)
+        self.request_started = True
+        self.listener.on_request_started(self)
+        self.is_waiting_for_turn = True
+        self.listener.fair_queue.add_unserved(self)  # type: ignore[arg-type]
+        self.update_reading()
+
     def parse_unparsed(self) -> None:
         """Parse bytes that were kept until the requests before them were answered."""
         data = self.unparsed
@@ -197,9 +229,7 @@
     def _parse_after_wait(self) -> None:
         if self.transport is None or self.is_closing:
             return
-        if self.unparsed and not self.is_waiting_for_memory:
-            self.parse_unparsed()
-        self.serve_next()
+        self.wait_for_turn()
 
     # -- refusal of requests
 
--- a/plumpick/gateway/listeners/http/response_writer.py
+++ b/plumpick/gateway/listeners/http/response_writer.py
@@ -37,8 +37,8 @@
 
     # -- implemented by ClientConnection
 
-    def serve_next(self) -> None:
-        """Serve pipelined requests until one is open, the connection closes or reading is paused."""
+    def wait_for_turn(self) -> None:
+        """Serve what was read when it is the connection's turn."""
         raise NotImplementedError
 
     def update_reading(self) -> None:
@@ -111,8 +111,8 @@
         if self.has_further_requests():
             self.request_started = True
             self.listener.on_request_started(self)
-            # Deferred, so that the next request is not served within the call that answered this one.
-            self.gateway.timers.call_at(self.gateway.clock.now(), self.serve_next)
+            # Not at once, so that the next request is not served within the call that answered this one.
+            self.wait_for_turn()
         else:
             self.listener.on_response_sent(self)
             self.update_reading()
--- a/plumpick/gateway/listeners/interface.py
+++ b/plumpick/gateway/listeners/interface.py
@@ -174,6 +174,8 @@
 
     clock: Clock
     timers: Timers
+    # Schedules a callback for the next iteration of the event loop.
+    call_soon: Callable[[Callable[[], None]], Any]
     is_ready: bool  # readiness reported at `/up`
     is_draining: bool  # whether each response closes its connection
     admission_state: AdmissionState  # stage of draining, which determines further connections to close
--- a/tests/gateway/listeners/http/test_answers_before_closing.py
+++ b/tests/gateway/listeners/http/test_answers_before_closing.py
@@ -4,6 +4,7 @@
 response that is due, and no other, has the header `Connection: close`."""
 
 import asyncio
+import contextlib
 from types import SimpleNamespace
 
 import pytest
@@ -199,6 +200,16 @@
     run_with_worker(scenario)
 
 
+@contextlib.contextmanager
+def hold_turns(fair_queue):
+    """Give no connection its turn until the end of the block."""
+    original = fair_queue._schedule
+    fair_queue._schedule = lambda: None
+    yield
+    fair_queue._schedule = original
+    fair_queue._schedule()
+
+
 @pytest.mark.parametrize("count", [17, 18, 60, 300])
 def test_every_request_of_a_long_pipeline_is_answered(count):
     """Guards against a pipeline of more than 17 requests, the rest of which was answered 400 once and then
@@ -294,19 +305,15 @@
             writer.write(http_response())
             assert (await read_statuses(client, 1))[0] == [200]
             _, writer = await worker.next_request()
-        original = connection.serve_next
-        call_at = gate.gateway.timers.call_at
-        connection.listener.gateway.timers.call_at = lambda *_: None  # the next request is not served yet
-        writer.write(http_response())
-        assert (await read_statuses(client, 1))[0] == [200]
-        assert connection.has_queued_requests() and connection.open_request is None
-        assert bool(connection.unparsed) is (count > 2)
-        admission.max_connections = admission.hard_max_connections = 0
-        admission.evict_excess(gate.gateway.clock.now() + 5000.0)
-        admission.reject_stopped(gate.gateway.clock.now() + 5000.0, None)
-        assert not connection.is_closing and connection.has_queued_requests()
-        gate.gateway.timers.call_at = call_at
-        original()
+        with hold_turns(gate.listener.fair_queue):  # the next request is not served yet
+            writer.write(http_response())
+            assert (await read_statuses(client, 1))[0] == [200]
+            assert connection.has_queued_requests() and connection.open_request is None
+            assert bool(connection.unparsed) is (count > 2)
+            admission.max_connections = admission.hard_max_connections = 0
+            admission.evict_excess(gate.gateway.clock.now() + 5000.0)
+            admission.reject_stopped(gate.gateway.clock.now() + 5000.0, None)
+            assert not connection.is_closing and connection.has_queued_requests()
         (await worker.next_request())[1].write(http_response())
         assert (await read_statuses(client, 1))[0] == [200]
 
@@ -322,15 +329,12 @@
         _, writer = await worker.next_request()
         (connection,) = gate.listener.admission.connections
         gate.gateway.start_closing_connections()
-        call_at = gate.gateway.timers.call_at
-        gate.gateway.timers.call_at = lambda *_: None  # the next request is not served yet
-        writer.write(http_response())
-        assert await read_statuses(client, 1) == ([200], [False])
-        assert not gate.gateway.requests.open and not gate.gateway.has_answered_all()
-        assert gate.gateway.has_unfinished_work() and not connection.is_closing
-        gate.gateway.record_unanswered_at_exit()
-        gate.gateway.timers.call_at = call_at
-        connection.serve_next()
+        with hold_turns(gate.listener.fair_queue):  # the next request is not served yet
+            writer.write(http_response())
+            assert await read_statuses(client, 1) == ([200], [False])
+            assert not gate.gateway.requests.open and not gate.gateway.has_answered_all()
+            assert gate.gateway.has_unfinished_work() and not connection.is_closing
+            gate.gateway.record_unanswered_at_exit()
         server = asyncio.ensure_future(serve(worker))
         assert await read_statuses(client, 2) == ([200, 200], [False, True])
         assert await client.wait_for_end()
--- a/tests/gateway/listeners/http/test_upgrade_offers.py
+++ b/tests/gateway/listeners/http/test_upgrade_offers.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from support.fakes import http_response, request, run_with_worker
 
+from plumpick.gateway.listeners.http.fair_queue import FairQueue
 from plumpick.gateway.listeners.http.request_reader import RequestReader
 from plumpick.gateway.memory_budget import MemoryBudget
 
@@ -202,6 +203,7 @@
             SimpleNamespace(
                 gateway=SimpleNamespace(clock=clock, memory=MemoryBudget(2**20)),
                 admission=admission,
+                fair_queue=FairQueue(lambda _callback: None),
                 on_request_started=lambda _connection: None,
             )
         )
