--- a/tests/gateway/listeners/http/test_fair_share.py
+++ b/tests/gateway/listeners/http/test_fair_share.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 
 import pytest
 from support.fakes import (
@@ -17,16 +18,21 @@
 from support.floods import sound_request
 
 from plumpick.gateway.listeners.http import response_writer
+from plumpick.gateway.memory_budget import MemoryHolder
 from plumpick.policy.actions import RejectRequest
 from plumpick.policy.events import RequestReceived
 
 READY = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
 WITHOUT_ID = b"GET /look HTTP/1.1\r\nHost: h\r\nX-Tier: basic\r\n\r\n"
+STATUS_LINE = b"HTTP/1.1 "
 PIPELINED = 600
 # The stated shares: requests of one connection, and of all that were read before, in one iteration of the
 # event loop, and requests that may be served as they are read.
 CONNECTION_SHARE = 4
 ITERATION_SHARE = 16 + 32
+READ_AHEAD_BYTES = 64 * 1024  # what is read of all connections that wait for their turn
+MIN_READ_AHEAD_BYTES = 2 * 1024  # and of each at least
+PARSED_BYTES = 2 * 1200  # memory counted for the requests of a connection that are parsed
 
 
 class RejectingController(ControllerStub):
@@ -69,11 +75,12 @@
 
 async def count_responses(client, expected):
     """Read until so many status lines have come."""
-    data = b""
-    while (found := data.count(b"HTTP/1.1 ")) < expected:
+    found, tail = 0, b""
+    while found < expected:
         part = await client.reader.read(65536)
         assert part, f"the connection ended after {found} of {expected} responses"
-        data += part
+        found += (tail + part).count(STATUS_LINE)
+        tail = (tail + part)[1 - len(STATUS_LINE) :]
     return found
 
 
@@ -198,6 +205,29 @@
     assert max(later) <= 2 * CONNECTION_SHARE
 
 
+def test_what_is_read_ahead_of_service_does_not_grow_with_the_clients():
+    # Report 81cf89, related: what was read of 24 clients took until the earliest SIGKILL to be answered, and
+    # what was read of 400 all of the memory for requests.
+    clients = 80
+
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            gate.gateway.memory_limits.set_descriptors(1024)
+            gate.listener.set_descriptor_limit(1024)
+            flooders = [await gate.client() for _ in range(clients)]
+            for flooder in flooders:
+                flooder.send(READY * (READ_AHEAD_BYTES // len(READY)))
+            expected = READ_AHEAD_BYTES // len(READY)
+            reading = [asyncio.ensure_future(count_responses(flooder, expected)) for flooder in flooders]
+            await asyncio.gather(*reading)
+            held_bytes = gate.gateway.memory.peak_held_bytes[MemoryHolder.REQUESTS]
+            # The number k to be read while the others wait gets the k-th part, or the least that is read.
+            allowed = READ_AHEAD_BYTES * (1 + math.log(clients)) + clients * MIN_READ_AHEAD_BYTES
+            assert held_bytes <= allowed + clients * PARSED_BYTES
+
+    run(scenario())
+
+
 def test_readiness_of_another_client_is_answered_beside_a_flood_of_it():
     # Report 81cf89: a load balancer would take the gateway out although it serves.
     async def scenario():
--- a/tests/gateway/test_clock.py
+++ b/tests/gateway/test_clock.py
@@ -1,8 +1,11 @@
 """Timers of the gateway's event loop."""
 
 import asyncio
+import socket
+import time
 
 import pytest
+import uvloop
 
 from plumpick.gateway.clock import MIN_COMPACTED_TIMERS, Clock, Timers
 
@@ -72,3 +75,52 @@
         assert fired == list(range(19_000, -1, -1000))
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_events_that_are_ready_come_before_timers_that_are_late(new_loop):
+    # Report 81cf89: after a long iteration of the loop, timeouts fired before the responses that had come.
+    order = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        clock = Clock()
+        timers = Timers(loop, clock)
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            ours.setblocking(False)
+            loop.add_reader(ours, lambda: order.append(("read", ours.recv(1))))
+            timers.call_at(clock.now() + 20.0, lambda: order.append("timeout"))
+            await asyncio.sleep(0)
+            theirs.send(b"x")
+            time.sleep(0.1)  # the loop is held up
+            while "timeout" not in order:
+                await asyncio.sleep(0)
+            loop.remove_reader(ours)
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(scenario())
+    assert order == [("read", b"x"), "timeout"]
+
+
+def test_timer_that_was_cancelled_by_an_event_that_was_ready_does_not_fire_late():
+    # Report 81cf89: a worker was blamed for a timeout although its response was there.
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        clock = Clock()
+        timers = Timers(loop, clock)
+        fired = []
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            ours.setblocking(False)
+            timer = timers.call_at(clock.now() + 20.0, lambda: fired.append("timeout"))
+            timers.call_at(clock.now() + 21.0, lambda: fired.append("other"))
+            loop.add_reader(ours, lambda: (ours.recv(1), timer.cancel()))
+            theirs.send(b"x")
+            time.sleep(0.1)
+            while "other" not in fired:
+                await asyncio.sleep(0.001)
+            loop.remove_reader(ours)
+        assert fired == ["other"]
+
+    uvloop.run(scenario())
--- a/tests/gateway/upstream/test_own_shortage.py
+++ b/tests/gateway/upstream/test_own_shortage.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import time
 
 import pytest
 from support.fakes import (
@@ -137,3 +138,21 @@
         assert (await gate.controller.next_event(AttemptCompleted)).result is AttemptResult.NOT_STARTED
 
     run_with_worker(scenario)
+
+
+def test_worker_is_not_blamed_for_a_connection_that_was_ready_while_the_loop_was_held_up():
+    # Report 81cf89: 502 and ejected workers although each worker was idle and quick.
+    async def scenario(worker, gate, client):
+        serving = asyncio.create_task(answer_slowly(worker))
+        client.send(request())
+        pool = gate.gateway.connection_pool
+        while not pool.connection_count():
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        time.sleep(0.3)  # longer than the timeout of connecting
+        assert (await client.read_response())[0] == 200
+        (completed,) = [one for one in gate.controller.events if isinstance(one, AttemptCompleted)]
+        assert completed.result is AttemptResult.OK
+        serving.cancel()
+
+    run_with_worker(scenario)
--- a/tests/support/floods.py
+++ b/tests/support/floods.py
@@ -16,6 +16,7 @@
 REQUESTS_A_BLOCK = 200  # number of requests with names of their own that are built at a time
 CONNECT_PAUSE_S = 0.005
 READ_BYTES = 256 * 1024
+CUSTOMERS = 2**33  # number of different valid names of customers
 
 _numbers = itertools.count(1)
 
@@ -70,7 +71,7 @@
 
 def new_customers():
     """Sound requests of ever new customers."""
-    return _block(lambda number: sound_request(number, customer=f"{number:016x}"))
+    return _block(lambda number: sound_request(number, customer=f"{number % CUSTOMERS:016x}"))
 
 
 def keyed_posts():
