Fix: what is read of clients that wait for their turn is bounded for all together

Callers of a terminating gateway beside 24 flooders waited up to the earliest SIGKILL: 64 KiB were read of each client, 2,200 requests that are owed an answer. 400 flooders took all of the memory for requests. What is read ahead is now divided among the connections that wait (256 KiB, 4 KiB each at least).

--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -28,7 +28,7 @@
 
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
-        self.rejected_requests = 0
+        self.pauses = 0  # number of pauses after bad requests
         self.is_serving = False  # whether requests are being served in a turn
 
     # -- the transport's callbacks
@@ -199,9 +199,9 @@
         transport = self.transport
         if transport is None or self.is_closing:
             return
-        pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(self.rejected_requests, MAX_PAUSE_DOUBLINGS))
-        self.rejected_requests += 1
+        pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(self.pauses, MAX_PAUSE_DOUBLINGS))
         if not self.is_paused:
+            self.pauses += 1
             transport.pause_reading()
             self.is_paused = True
             self.has_backlog = True
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -51,7 +51,9 @@
     def get_buffer(self, _size_hint: int) -> Any:
         """Return the buffer for the next read."""
         incoming = self.incoming
-        if incoming is None or incoming.in_head or incoming.stream is not None:
+        if incoming is None or incoming.in_head:
+            return self.gateway.read_buffer.view_ahead(len(self.listener.fair_queue))
+        if incoming.stream is not None:
             return self.gateway.read_buffer.view()
         return self.gateway.read_buffer.view(incoming.body_length - incoming.body_received_bytes)
 
--- a/plumpick/gateway/read_buffer.py
+++ b/plumpick/gateway/read_buffer.py
@@ -12,6 +12,9 @@
 MAX_READ_BYTES = 64 * 1024
 CROWDED_READ_BYTES = 16 * 1024
 EXHAUSTED_READ_BYTES = 4 * 1024
+# What is read of the connections that wait to be served: of all together, and of each at least.
+READ_AHEAD_BYTES = 256 * 1024
+MIN_READ_AHEAD_BYTES = 4 * 1024
 CROWDED_STREAMS = 16  # number of streams above which a read is limited to CROWDED_READ_BYTES
 
 
@@ -44,6 +47,15 @@
             self._view = self._buffer[:reserved_bytes]
         return self._view
 
+    def view_ahead(self, waiting_connections: int) -> memoryview:
+        """Return the part of the buffer for a read of requests that have to wait while so many other
+        connections do."""
+        view = self.view()
+        size = max(MIN_READ_AHEAD_BYTES, READ_AHEAD_BYTES // (1 + waiting_connections))
+        if size < len(view):
+            self._view = self._buffer[:size]
+        return self._view
+
     def is_filled_by(self, size: int) -> bool:
         """Whether a read of `size` bytes has filled the buffer, so that more bytes probably wait."""
         return size >= len(self._view)
