Fix: the state of customers has a limit, and belongs to the account of memory

Callers saw a gateway that grew beyond its memory limit while clients sent sound requests of ever new customers: 112 MB after 15 s at 48 MB (150 connections). Cause: accounts and ledgers are kept for 8 s and more whatever their number, and no account of memory counted them. New customers above what the limits leave (0.6 of the total and 1.5 MB, 2 KB each) are now rejected with 503 and Retry-After, known ones go on; nothing is evicted for them, so that nobody gains or loses units; an owner without room denies. What customers hold is taken off the total of requests, and given back to the system when they are gone.

--- a/plumpick/gateway/gateway.py
+++ b/plumpick/gateway/gateway.py
@@ -125,6 +125,7 @@
         self._state_transfer = StateTransfer(self._turn)
         self._init_monitors(loop, platform)
         self._turn.handlers = self._action_handlers()
+        self.memory_limits.limit_customers(self.controller)
         self.timers.call_at(self.clock.now() + SWEEP_INTERVAL_MS, self._sweep)
         self.timers.call_at(self.clock.now() + REQUEST_ID_RETENTION_MS, self.requests.expire_ids)
 
@@ -348,6 +349,7 @@
         self.requests.end_abandoned_uploads()
         self._streams.sweep(now, self.requests)
         self._discarder.sweep(now)
+        self.memory_limits.limit_customers(self.controller)
         self._memory_monitor.sweep(now)
         for listener in self._listeners:
             listener.sweep(now, self.is_closing_connections)
--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -194,7 +194,7 @@
     def _reject_and_pause(self, status: int) -> None:
         """Reject a complete but invalid request. The error is sent at once and a persistent connection stays
         open, but reading pauses, since some clients repeat the same request without delay."""
-        self.listener.admission.on_request_received(self)
+        self.listener.admission.on_request_rejected(self, self.gateway.clock.now())
         self.count_immediate_answer(ImmediateAnswer.INVALID)
         self.respond(status)
         transport = self.transport
--- a/plumpick/gateway/listeners/http/connection_admission.py
+++ b/plumpick/gateway/listeners/http/connection_admission.py
@@ -180,6 +180,14 @@
 
     def on_body_started(self, connection: AdmittedConnection, now: float) -> None:
         """Restart the time limit for the body of a request whose head is complete."""
+        self._restart_time_limit(connection, now)
+
+    def on_request_rejected(self, connection: AdmittedConnection, now: float) -> None:
+        """Restart the time limit for the request behind an invalid one. A connection that brings no valid
+        request is closed when it ends."""
+        self._restart_time_limit(connection, now)
+
+    def _restart_time_limit(self, connection: AdmittedConnection, now: float) -> None:
         if connection in self._awaiting_request:
             del self._awaiting_request[connection]
             self._awaiting_request[connection] = now
--- a/plumpick/gateway/memory_monitor.py
+++ b/plumpick/gateway/memory_monitor.py
@@ -62,11 +62,12 @@
 
     def _trim(self, now: float) -> None:
         memory = self._memory
-        self._used_since_trim = max(self._used_since_trim, memory.used_bytes)
-        decrease = self._used_since_trim - memory.used_bytes
+        used_bytes = memory.used_bytes + self._limits.customer_bytes
+        self._used_since_trim = max(self._used_since_trim, used_bytes)
+        decrease = self._used_since_trim - used_bytes
         if decrease > memory.total_bytes * TRIM_RATIO and now >= self._next_trim_ms:
             self._next_trim_ms = now + TRIM_INTERVAL_MS
-            self._used_since_trim = memory.used_bytes
+            self._used_since_trim = used_bytes
             self._return_freed_memory()
 
     def _resident_mb(self) -> str:
@@ -91,4 +92,6 @@
             fields.append(f"{name}_kb={memory.held_bytes[holder] // 1024}")
             fields.append(f"{name}_peak_kb={memory.peak_held_bytes[holder] // 1024}")
             fields.append(f"{name}_refused={memory.refused_counts[holder]}")
+        fields.append(f"customers_kb={self._limits.customer_bytes // 1024}")
+        fields.append(f"max_customers={self._limits.max_customers()}")
         return " ".join(fields)
--- a/plumpick/policy/controller.py
+++ b/plumpick/policy/controller.py
@@ -95,6 +95,14 @@
         removes it."""
         self.lifecycle.is_within_budgets = is_within
 
+    def limit_customers(self, max_customers: int) -> None:
+        """Set the number of customers up to which new ones are served, as requester and as quota owner."""
+        self.state.quota.limit_customers(max_customers)
+
+    def customer_counts(self) -> tuple[int, int]:
+        """Return the number of accounts and of ledgers of customers."""
+        return len(self.state.quota.requester.accounts), len(self.state.quota.owner.ledgers)
+
     def unresponsive_owners(self) -> frozenset[int]:
         """Numbers of the gateways that did not answer a grant request and have sent no message since then."""
         return frozenset(self.state.quota.liveness.unresponsive_owners)
--- a/plumpick/policy/quota/manager.py
+++ b/plumpick/policy/quota/manager.py
@@ -62,6 +62,11 @@
         self.context.index()
         self.liveness.reconfigure(settings)
 
+    def limit_customers(self, max_customers: int) -> None:
+        """Create no accounts beyond so many, and no ledgers; existing ones stay."""
+        self.requester.max_accounts = max_customers
+        self.owner.max_ledgers = max_customers
+
     def on_period(self, now_ms: float) -> None:
         """Periodic work: decay of the outbox's counts, and heartbeats."""
         self.outbox.on_period()
--- a/plumpick/policy/quota/owner.py
+++ b/plumpick/policy/quota/owner.py
@@ -22,7 +22,7 @@
     reserved_units,
 )
 from plumpick.policy.quota.liveness import PeerLiveness, sends_heartbeats_to_all
-from plumpick.policy.quota.records import GrantKey, PendingGrant, QuotaLedger
+from plumpick.policy.quota.records import NO_LIMIT, GrantKey, PendingGrant, QuotaLedger
 from plumpick.policy.settings import Plan, RequestClass
 from plumpick.policy.timers import TimerKind, TimerQueue
 
@@ -52,6 +52,7 @@
         self.ledgers: dict[int, QuotaLedger] = {}  # ledgers of customers by ledger_key
         # Ledgers of plans removed from the settings, by ledger key with plan index 0, and by name of the plan
         self.detached: dict[tuple[int, str], QuotaLedger] = {}
+        self.max_ledgers = NO_LIMIT  # number of ledgers up to which new ones are created
         self.unvisited_ledgers: list[int] = []
         self.unvisited_detached: list[tuple[int, str]] = []
 
@@ -60,6 +61,11 @@
     def on_message(self, now_ms: float, key: GrantKey, message: QuotaMessage) -> None:
         """Handle a message of a requesting gateway: a grant request, units spent without a grant, or units
         returned."""
+        if not self._has_room_for(message):
+            if message.kind in GRANT_REQUESTS:
+                denial = message._replace(kind=QuotaMessageKind.DENIED, demand_per_s=0.0)
+                self.messenger.send(now_ms, key[0], denial, key[1])
+            return
         plan = self.context.settings.plans[message.plan_index]
         request_class = self.context.settings.classes[message.class_index]
         ledger = self._ledger_for(now_ms, message, plan)
@@ -70,6 +76,13 @@
         elif message.kind is QuotaMessageKind.RETURNED:
             self._on_returned(now_ms, ledger, key, message, plan)
 
+    def _has_room_for(self, message: QuotaMessage) -> bool:
+        """Whether a message's customer has a ledger, or may get one. Without a ledger nothing is granted, so
+        that nobody gets units by being forgotten."""
+        if len(self.ledgers) < self.max_ledgers or ledger_key(message) in self.ledgers:
+            return True
+        return old_ledger_key(message) in self.ledgers
+
     def _ledger_for(self, now_ms: float, message: QuotaMessage, plan: Plan) -> QuotaLedger:
         """Ledger of a message's customer and plan; created full if there is none."""
         name = ledger_key(message)
--- a/plumpick/policy/quota/records.py
+++ b/plumpick/policy/quota/records.py
@@ -9,6 +9,8 @@
 from plumpick.policy.settings import Plan
 
 GrantKey = tuple[int, int, int]  # key of a grant request: requesting gateway, its incarnation, serial number
+# Number of accounts or ledgers where there is no limit
+NO_LIMIT = 1 << 60
 # Key of an account: customer, plan, size and first gateway of the customer's set.
 AccountKey = tuple[str, str, int, int]
 
--- a/plumpick/policy/quota/requester.py
+++ b/plumpick/policy/quota/requester.py
@@ -17,7 +17,7 @@
 from plumpick.policy.quota import hard_limits
 from plumpick.policy.quota.context import DEMAND_MEMORY_MS, MS_PER_S, QuotaContext, QuotaMessenger
 from plumpick.policy.quota.liveness import PeerLiveness
-from plumpick.policy.quota.records import AccountKey, CustomerAccount
+from plumpick.policy.quota.records import NO_LIMIT, AccountKey, CustomerAccount
 from plumpick.policy.request_state import Request
 from plumpick.policy.settings import Plan
 from plumpick.policy.timers import TimerKind, TimerQueue
@@ -68,6 +68,7 @@
         self.round_trip_ms = INITIAL_ROUND_TRIP_MS
         self.serial = 0
         self.accounts: dict[AccountKey, CustomerAccount] = {}
+        self.max_accounts = NO_LIMIT  # number of accounts up to which new ones are created
         self.unvisited_accounts: list[AccountKey] = []
         self.pending: dict[int, Request] = {}  # open requests that the owner was sent a message about
         self.used_ms: dict[int, float] = {}  # end times of requests that used their units, by serial number
@@ -76,12 +77,17 @@
 
     # -- accounts of customers
 
+    def has_room_for(self, received: RequestReceived, plan: Plan) -> bool:
+        """Whether the request's customer has an account, or may get one. Above the limit only customers with
+        an account are served: none is evicted for another, since that would give units away or take some."""
+        return len(self.accounts) < self.max_accounts or account_key(received, plan) in self.accounts
+
     def account_of(self, now_ms: float, received: RequestReceived, plan: Plan) -> CustomerAccount:
         """The account of a request's customer, with its buckets refilled up to `now_ms`; created if missing.
 
         The plan and the gateway set that a request states are part of the key, so that a request with wrong
         values does not affect others of the customer."""
-        key = received.customer, plan.name, received.gateway_set_size, received.first_gateway
+        key = account_key(received, plan)
         account = self.accounts.get(key)
         if account is None:
             account = self.accounts[key] = self._new_account(now_ms, received, plan)
@@ -346,3 +352,8 @@
     def _is_about(request: Request, sender: int, message: QuotaMessage) -> bool:
         account = request.account
         return account.customer_tag == message.customer_tag and account.owner == sender
+
+
+def account_key(received: RequestReceived, plan: Plan) -> AccountKey:
+    """Key of the account of a request's customer."""
+    return received.customer, plan.name, received.gateway_set_size, received.first_gateway
--- a/plumpick/policy/request_lifecycle.py
+++ b/plumpick/policy/request_lifecycle.py
@@ -15,6 +15,7 @@
 from plumpick.policy.timers import TimerKind
 from plumpick.policy.turn import Turn
 
+NEW_CUSTOMER_RETRY_AFTER_MS = 1000.0  # delay recommended where no further customer is served
 DEADLINE_TICKS = 2  # number of clock ticks before its deadline at which a request gets its final answer
 
 
@@ -44,6 +45,9 @@
         if self.is_within_budgets is not None and not self.is_within_budgets(received):
             self._reject(received.id, admission.MIN_RETRY_AFTER_MS)
             return
+        if not state.quota.requester.has_room_for(received, plan):
+            self._reject(received.id, NEW_CUSTOMER_RETRY_AFTER_MS)
+            return
         account = state.quota.requester.account_of(now_ms, received, plan)
         account.demand_units += received.units
         objective_ms = now_ms + request_class.latency_objective_ms
--- a/tests/gateway/listeners/http/test_fair_share.py
+++ b/tests/gateway/listeners/http/test_fair_share.py
@@ -247,8 +247,8 @@
 
 
 def test_time_limit_of_a_head_begins_anew_behind_an_invalid_request():
-    # Report 81cf89, related: a client of invalid requests was cut off 2.5 s after its first one, with requests
-    # behind that were read.
+    # Report 81cf89, related: a client of invalid requests was cut off 2.5 s after its first one, with another
+    # behind that was partly read.
     async def scenario():
         async with RunningGateway(RejectingController()) as gate:
             client = await gate.client()
--- a/tests/gateway/test_memory_budget.py
+++ b/tests/gateway/test_memory_budget.py
@@ -35,9 +35,11 @@
     MemoryLevel,
 )
 from plumpick.gateway.memory_limits import (
+    ACCOUNT_BYTES,
     ALLOCATOR_RATIO,
     CONNECTION_BYTES,
     CONNECTION_DESCRIPTOR_RATIO,
+    LEDGER_BYTES,
     OWN_GROWTH_BYTES,
     RESPONSE_BYTES,
     UPSTREAM_DESCRIPTOR_RATIO,
@@ -432,3 +434,37 @@
     before = limits.budget.total_bytes
     limits.set_baseline(platform.resident_bytes())
     assert limits.budget.total_bytes == before
+
+
+@pytest.mark.parametrize("memory_mb", [32, 48, 80, 192, 256])
+def test_customers_that_a_limit_carries_leave_memory_for_requests(memory_mb):
+    # Report 81cf89: the state of ever new customers was in no account, and no limit made a difference to it.
+    limits = MemoryLimits(memory_mb, 1024)
+    without_customers = limits.budget.total_bytes
+    count = limits.max_customers()
+    limits.limit_customers(SimpleNamespace(customer_counts=lambda: (count, count), limit_customers=print))
+    assert limits.max_customers() == count  # it does not depend on how many there are now
+    assert limits.customer_bytes <= count * (ACCOUNT_BYTES + LEDGER_BYTES)
+    assert limits.budget.total_bytes >= 0.39 * without_customers
+    assert count >= 1000
+
+
+def test_a_target_gateway_carries_the_customers_of_the_whole_target():
+    # 40,000 customers at the target's limit of 256 MB, should a single gateway be left for all of them.
+    assert MemoryLimits(256, 1024).max_customers() >= 40_000
+
+
+def test_memory_of_customers_is_given_back_when_they_are_gone():
+    # Report 81cf89: the memory stayed where it was after a flood of names.
+    limits = MemoryLimits(80, 1024)
+    returned = []
+    monitor = MemoryMonitor(limits, lambda: returned.append(True), lambda: 0)
+    counts = [(5000, 5000)]
+    controller = SimpleNamespace(customer_counts=lambda: counts[0], limit_customers=lambda _count: None)
+    limits.limit_customers(controller)
+    monitor.sweep(1000.0)
+    assert not returned
+    counts[0] = (0, 0)
+    limits.limit_customers(controller)
+    monitor.sweep(3000.0)
+    assert returned and limits.customer_bytes == 0
--- a/tests/policy/quota/test_customer_limit.py
+++ b/tests/policy/quota/test_customer_limit.py
@@ -20,6 +20,13 @@
     return controller
 
 
+def serve(controller, received):
+    """Let a request have its response, if it is not rejected."""
+    for send in actions_of(StartAttempt, controller.handle(NOW_MS, [received])):
+        completed = AttemptCompleted(send.id, 0, send.endpoint, 5.0, AttemptResult.OK, True)
+        controller.handle(NOW_MS, [completed])
+
+
 def customer_owned_here(number):
     """A customer whose ledger is kept by gateway 0."""
     return next(name for n in range(100) if owner_of(name := f"c{number}.{n}") == 0)
@@ -42,7 +49,7 @@
     controller = limited_controller()
     known = customer_owned_here(1)
     for number in range(1, 10 * LIMIT):
-        controller.handle(NOW_MS, [request_event(number, customer=customer_owned_here(number))])
+        serve(controller, request_event(number, customer=customer_owned_here(number)))
     assert actions_of(RejectRequest, controller.handle(NOW_MS, [request_event(10_000, customer="new")]))
     actions = controller.handle(NOW_MS + 1.0, [request_event(10_001, customer=known)])
     assert not actions_of(RejectRequest, actions) and actions_of(StartAttempt, actions)
@@ -71,12 +78,7 @@
     # Report 81cf89: after a flood of names the gateway has to come back to rest.
     controller = limited_controller()
     for number in range(1, 2 * LIMIT):
-        actions = controller.handle(NOW_MS, [request_event(number, customer=customer_owned_here(number))])
-        for send in actions_of(StartAttempt, actions):
-            controller.handle(
-                NOW_MS,
-                [AttemptCompleted(send.id, 0, send.endpoint, 5.0, AttemptResult.OK, True)],
-            )
+        serve(controller, request_event(number, customer=customer_owned_here(number)))
     now_ms = NOW_MS
     while now_ms < NOW_MS + IDLE_MS + 10_000.0:
         now_ms += 50.0
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -106,6 +106,12 @@
     def unresponsive_owners(self):
         return frozenset()
 
+    def customer_counts(self):
+        return 0, 0
+
+    def limit_customers(self, max_customers):
+        """Nothing is kept of customers."""
+
     def handle(self, _now, events):
         self.events += events
         self.received_events.set()
