--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 # What plays whole fleets against the clock has the machine to itself; tiers with faults between them, that
 # are judged by what must never be, share it by two.
-ALONE = tests/rehearsal/test_runs.py tests/rehearsal/test_soak.py tests/gateway/test_answers.py
+ALONE = tests/rehearsal/test_runs.py tests/rehearsal/test_soak.py tests/gateway/test_answers.py tests/gateway/test_floods.py
 TIERS = tests/gateway/cluster/test_lease_tier.py tests/gateway/cluster/test_budget_tier.py tests/gateway/dynamic_config/test_config_processes.py
 
 .PHONY: rehearse fleet test known-red
