--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -72,7 +72,7 @@
             self.update_reading()
             return
         fair_queue = self.listener.fair_queue
-        fair_queue.count_served_as_read(self._serve(fair_queue.read_share()))
+        fair_queue.count_served_as_read(self._cost_of(self._serve(fair_queue.read_share())))
 
     def wait_for_turn(self) -> None:
         """Serve what was read when it is the connection's turn."""
@@ -81,14 +81,23 @@
             self.listener.fair_queue.add(self)
 
     def serve_turn(self, max_requests: int) -> int:
-        """Serve up to so many requests and return their number, or read on if the connection is closing."""
+        """Serve up to so many requests and return the cost in requests; read on if the connection closes."""
         self.is_waiting_for_turn = False
+        has_yielded_reading = self.has_yielded_reading
+        self.has_yielded_reading = False
         if not self.is_closing:
-            return self._serve(max_requests)
+            cost = self._cost_of(self._serve(max_requests))
+            return max(max_requests, cost) if has_yielded_reading else cost
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()  # what comes is discarded, one read in each turn
         return max_requests
 
+    def _cost_of(self, served: int) -> int:
+        """Return the cost of a turn in requests: those that were served, and chunks that were parsed."""
+        cost = served + self.chunked_cost
+        self.chunked_cost = 0
+        return cost
+
     def _serve(self, max_requests: int) -> int:
         """Serve up to so many requests, until one is open, the connection closes, reading is paused or the
         client does not take the responses. Returns their number; the others wait for the next turn.
--- a/plumpick/gateway/listeners/http/fair_queue.py
+++ b/plumpick/gateway/listeners/http/fair_queue.py
@@ -20,7 +20,8 @@
     """A connection that waits for its turn."""
 
     def serve_turn(self, max_requests: int) -> int:
-        """Serve up to so many requests and return their number. What is left waits for the next turn."""
+        """Serve up to so many requests and return what it cost, in requests. What is left waits for the next
+        turn."""
 
 
 class FairQueue:
@@ -75,7 +76,7 @@
         try:
             # One turn is left for those that were served before, however many new ones there are.
             left = self._serve(self._unserved, QUEUED_REQUESTS_PER_ITERATION - REQUESTS_PER_TURN)
-            self._serve(self._backlogged, left + REQUESTS_PER_TURN)
+            self._serve(self._backlogged, max(0, left) + REQUESTS_PER_TURN)
         finally:
             if self._unserved or self._backlogged:
                 self._schedule()
--- a/plumpick/gateway/listeners/http/parsed_request.py
+++ b/plumpick/gateway/listeners/http/parsed_request.py
@@ -96,6 +96,23 @@
         """Whether the client waits for 100 Continue before it sends the body."""
         return self.headers.get(b"expect", b"").lower() == b"100-continue" and not self.is_http_1_0
 
+    def framing_error(self) -> int:
+        """Return the status that rejects the request if its head is too large or its length is ambiguous;
+        otherwise 0."""
+        headers = self.headers
+        length = headers.get(b"content-length", b"0")
+        if b"content-length" in headers and b"transfer-encoding" in headers:
+            return 400  # the two headers contradict each other on the end of the request
+        if self.method == b"CONNECT":
+            return 400  # what follows its head is no HTTP
+        if not length.isdigit():
+            return 400
+        if len(length) > MAX_CONTENT_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
+            return 413
+        if len(self.url) + self.head_bytes > MAX_HEAD_BYTES:  # too long head that came in one read
+            return 431
+        return 0
+
     def longest_wait_ms(self) -> float:
         """Return for how long the request may wait for memory, which is a part of its client's time."""
         timeout = self.headers.get(b"x-deadline-ms", b"")
--- a/plumpick/gateway/listeners/http/request_reader.py
+++ b/plumpick/gateway/listeners/http/request_reader.py
@@ -13,9 +13,7 @@
 from plumpick.gateway.listeners.http.parsed_request import (
     DELIMITING_HEADERS,
     KNOWN_HEADERS,
-    MAX_BODY_BYTES,
     MAX_BUFFERED_BODY_BYTES,
-    MAX_CONTENT_LENGTH_DIGITS,
     MAX_HEAD_BYTES,
     MAX_PIPELINED_REQUESTS,
     MAX_RAW_MESSAGE_BYTES,
@@ -25,6 +23,9 @@
 from plumpick.gateway.listeners.http.response_writer import ResponseWriter
 from plumpick.gateway.listeners.http.upgrade_offer import FRAMING_HEADERS, feed_parser
 
+# Bytes of a body in chunks of one byte that take as long as a small request.
+CHUNKED_BYTES_PER_REQUEST = 512
+
 
 class RequestReader(ResponseWriter):
     """The reading half of a connection: the callbacks of the transport and of the HTTP parser."""
@@ -32,6 +33,8 @@
     def __init__(self, listener: ConnectionOwner) -> None:
         super().__init__(listener)
         self.parser: Any = httptools.HttpRequestParser(self)
+        self.chunked_cost = 0  # cost of the chunks parsed in this turn, in requests
+        self.has_yielded_reading = False  # whether the next turn is for reading on
         self.read_ms = 0.0  # time at which the bytes being parsed were read
         self.stream_parts: list[bytes] = []  # parts of a streamed body that the current read contained
 
@@ -53,6 +56,8 @@
         incoming = self.incoming
         if incoming is None or incoming.in_head:
             return self.gateway.read_buffer.view_ahead(len(self.listener.fair_queue))
+        if incoming.body_length < 0:
+            return self.gateway.read_buffer.view_chunked()
         if incoming.stream is not None:
             return self.gateway.read_buffer.view()
         return self.gateway.read_buffer.view(incoming.body_length - incoming.body_received_bytes)
@@ -62,8 +67,10 @@
         buffer = self.gateway.read_buffer
         is_filled = buffer.is_filled_by(size)
         self.data_received(buffer.take(size))
-        if is_filled and self._may_read():
-            buffer.yield_reading(self.transport, self._may_read)  # type: ignore[arg-type]
+        if is_filled and self._may_read():  # more bytes probably wait: they come after those of others
+            self.has_yielded_reading = True
+            self.wait_for_turn()
+            self.update_reading()
 
     def _may_read(self) -> bool:
         """Whether neither flow control nor the end of the connection forbids reading."""
@@ -91,11 +98,18 @@
         else:
             self.read_ms = self.last_activity_ms
             self._parse(data)
+            self._count_chunked(len(data) - len(self.unparsed))
         incoming = self.incoming
         if incoming is not None and incoming.stream is not None:
             self._forward_stream_parts(incoming)
         self.serve_next()
 
+    def _count_chunked(self, size: int) -> None:
+        """Count the bytes of a body in chunks, which cost the more the shorter the chunks are."""
+        incoming = self.incoming
+        if incoming is not None and incoming.body_length < 0:
+            self.chunked_cost += size // CHUNKED_BYTES_PER_REQUEST
+
     def _read_on_in_turn(self) -> None:
         """Read no more of what a closing connection discards until it is the connection's turn."""
         transport = self.transport
@@ -123,6 +137,7 @@
         data = self.unparsed
         self._keep_unparsed(b"")
         self._parse(data)
+        self._count_chunked(len(data) - len(self.unparsed))
 
     def _parse(self, data: bytes) -> None:
         """Parse received bytes in slices, until enough requests are queued; the rest is kept as it is, since
@@ -333,7 +348,7 @@
         headers = incoming.headers
         incoming.method = self.parser.get_method()
         incoming.is_http_1_0 = self.parser.get_http_version() == "1.0"
-        framing_error = self._framing_error(incoming)
+        framing_error = incoming.framing_error()
         if framing_error or incoming.error_status and not incoming.is_refused:
             self._reject_incoming(incoming, framing_error)
             return
@@ -351,23 +366,6 @@
         elif incoming.body_length:
             self.listener.admission.on_body_started(self, self.gateway.clock.now())
 
-    def _framing_error(self, incoming: ParsedRequest) -> int:
-        """Return the status that rejects a request if its head is too large or its length is ambiguous;
-        otherwise 0."""
-        headers = incoming.headers
-        length = headers.get(b"content-length", b"0")
-        if b"content-length" in headers and b"transfer-encoding" in headers:
-            return 400  # the two headers contradict each other on the end of the request
-        if incoming.method == b"CONNECT":
-            return 400  # what follows its head is no HTTP
-        if not length.isdigit():
-            return 400
-        if len(length) > MAX_CONTENT_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
-            return 413
-        if len(incoming.url) + incoming.head_bytes > MAX_HEAD_BYTES:  # too long head that came in one read
-            return 431
-        return 0
-
     def _send_continue(self, incoming: ParsedRequest) -> None:
         """Send 100 Continue if the client expects it and no earlier request waits for its response."""
         if incoming.is_refused or self.is_waiting_for_memory or not incoming.expects_continue():
--- a/plumpick/gateway/read_buffer.py
+++ b/plumpick/gateway/read_buffer.py
@@ -15,6 +15,7 @@
 # What is read of the connections that wait to be served: of all together, and of each at least.
 READ_AHEAD_BYTES = 256 * 1024
 MIN_READ_AHEAD_BYTES = 4 * 1024
+CHUNKED_READ_BYTES = CROWDED_READ_BYTES  # of a body in chunks, which may be of one byte each
 CROWDED_STREAMS = 16  # number of streams above which a read is limited to CROWDED_READ_BYTES
 
 
@@ -56,6 +57,13 @@
             self._view = self._buffer[:size]
         return self._view
 
+    def view_chunked(self) -> memoryview:
+        """Return the part of the buffer for a read of a body in chunks."""
+        view = self.view()
+        if len(view) > CHUNKED_READ_BYTES:
+            self._view = self._crowded_view
+        return self._view
+
     def is_filled_by(self, size: int) -> bool:
         """Whether a read of `size` bytes has filled the buffer, so that more bytes probably wait."""
         return size >= len(self._view)
--- a/plumpick/gateway/upstream/connection.py
+++ b/plumpick/gateway/upstream/connection.py
@@ -156,6 +156,8 @@
 
     def get_buffer(self, _size_hint: int) -> Any:
         """Return the buffer for the next read."""
+        if self.head.is_chunked and not self.is_in_head:
+            return self.pool.read_buffer.view_chunked()
         return self.pool.read_buffer.view(self.buffered.free_bytes())
 
     def buffer_updated(self, size: int) -> None:
--- a/tests/gateway/listeners/http/test_fair_share.py
+++ b/tests/gateway/listeners/http/test_fair_share.py
@@ -18,6 +18,7 @@
 from support.floods import sound_request
 
 from plumpick.gateway.listeners.http import response_writer
+from plumpick.gateway.listeners.http.connection import ClientConnection
 from plumpick.gateway.memory_budget import MemoryHolder
 from plumpick.policy.actions import RejectRequest
 from plumpick.policy.events import RequestReceived
@@ -263,3 +264,35 @@
             assert (await client.read_response())[0] == 400
 
     run(scenario())
+
+
+def test_bodies_in_chunks_of_one_byte_do_not_hold_the_event_loop(monkeypatch):
+    # Report 81cf89, related: each client with a body in short chunks had 64 KiB of it parsed in an iteration.
+    clients = 24
+    chunks = collections.Counter()
+    iteration = [0]
+    on_body = ClientConnection.on_body
+
+    def counted(connection, part):
+        chunks[iteration[0]] += 1
+        on_body(connection, part)
+
+    monkeypatch.setattr(ClientConnection, "on_body", counted)
+
+    def next_iteration():
+        iteration[0] += 1
+        asyncio.get_running_loop().call_soon(next_iteration)
+
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            flooders = [await gate.client() for _ in range(clients)]
+            next_iteration()
+            for number, flooder in enumerate(flooders):
+                head = sound_request(number, "/debit", method="POST", extra="Transfer-Encoding: chunked\r\n")
+                flooder.send(head + b"1\r\nx\r\n" * 30_000 + b"0\r\n\r\n")
+            found = await asyncio.gather(*(count_responses(flooder, 1) for flooder in flooders))
+            assert found == [1] * clients
+
+    run(scenario())
+    # One read as it arrives, and four of 16 KiB in turn; some more arrive in short reads.
+    assert max(chunks.values()) <= (64 * 1024 + 8 * 16 * 1024) / len(b"1\r\nx\r\n")
