Fix: an id that the predecessor of a hot restart claims does not copy all claimed ones

Cause: each id that the predecessor told after the hand-over made a copy of a frozen set of all of them. The log line of the late loop showed it: late_ms=390 with no answers without an attempt.

--- a/plumpick/gateway/open_request.py
+++ b/plumpick/gateway/open_request.py
@@ -66,7 +66,7 @@
         self._held: dict[bytes, float] = {}  # ends of the times for which ids in `_open` are held
         self._ended: set[bytes] = set()
         self._ended_before: set[bytes] = set()
-        self._inherited: frozenset[bytes] = frozenset()  # reserved by the predecessor of a hot restart
+        self._inherited: set[bytes] = set()  # reserved by the predecessor of a hot restart
 
     def _is_reserved(self, client_id: bytes) -> bool:
         if client_id in self._open or client_id in self._ended:
@@ -114,13 +114,13 @@
 
     def inherit(self, client_ids: Iterable[bytes]) -> None:
         """Reserve the ids that the predecessor exported, until `release_inherited` is called."""
-        self._inherited = frozenset(client_ids)
+        self._inherited = set(client_ids)
 
     def inherit_one(self, client_id: bytes) -> None:
         """Reserve an id that the predecessor has claimed since its export."""
-        self._inherited |= {client_id}
+        self._inherited.add(client_id)
 
     def release_inherited(self) -> None:
         """Mark the inherited ids as ended, because the predecessor's requests have."""
         self._ended.update(self._inherited)
-        self._inherited = frozenset()
+        self._inherited = set()
