--- a/tests/gateway/listeners/http/test_fair_share.py
+++ b/tests/gateway/listeners/http/test_fair_share.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections
 import math
+import socket
 
 import pytest
 from support.fakes import (
+    HOST,
     Client,
     ControllerStub,
     FakeWorker,
@@ -296,3 +298,30 @@
     run(scenario())
     # One read as it arrives, and four of 16 KiB in turn; some more arrive in short reads.
     assert max(chunks.values()) <= (64 * 1024 + 8 * 16 * 1024) / len(b"1\r\nx\r\n")
+
+
+def test_connections_are_accepted_before_what_others_have_read_is_served(monkeypatch):
+    # Report 81cf89, related: the queue of the listening socket overflowed beside a flood, and clients asked
+    # again after a second.
+    new_clients = 60
+    counts = ServedCounts(monkeypatch)
+
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            flooders = [await gate.client() for _ in range(24)]
+            for flooder in flooders:
+                flooder.send(READY * PIPELINED)
+            reading = [asyncio.ensure_future(count_responses(flooder, PIPELINED)) for flooder in flooders]
+            while len(counts.order) < 300:
+                await asyncio.sleep(0)
+            before, accepted = len(counts.order), gate.listener.accepted_connections
+            waiting = [socket.create_connection((HOST, gate.port)) for _ in range(new_clients)]
+            while gate.listener.accepted_connections < accepted + new_clients:
+                await asyncio.sleep(0)
+            # One for each that is accepted, and the shares of some iterations before the first one.
+            assert len(counts.order) - before <= 2 * new_clients + 4 * ITERATION_SHARE
+            for connection in waiting:
+                connection.close()
+            await asyncio.gather(*reading)
+
+    run(scenario())
--- a/tests/gateway/test_floods.py
+++ b/tests/gateway/test_floods.py
@@ -47,3 +47,10 @@
     result = play_plan(Plan([Flood("keyed_posts", 150, 6.0)], 48))
     assert not result.problems and not result.unanswered, result.line()
     assert result.peak_mb <= 48, result.line()
+
+
+def test_new_connections_are_accepted_in_time_beside_connects_at_full_speed_and_a_flood():
+    # Report 81cf89, related: the queue of the listening socket overflowed, and clients asked again after 1 s.
+    floods = [Flood("connect", 24, 4.0), Flood("expired", 24, 4.0), Flood("unknown_classes", 6, 4.0)]
+    result = play_plan(Plan(floods, 192))
+    assert result.is_sound(), result.line()
