--- a/plumpick/gateway/listeners/http/fair_queue.py
+++ b/plumpick/gateway/listeners/http/fair_queue.py
@@ -4,8 +4,7 @@
 next turn, behind the other connections that wait. All connections that wait get QUEUED_REQUESTS_PER_ITERATION
 requests in one iteration. What has just been read is served at once, up to READ_REQUESTS_PER_ITERATION
 requests; beyond that it waits, ahead of the connections that have been served before. So an iteration serves
-at most the sum of both numbers, however many clients send however much. While connections arrive, those that
-wait get QUEUED_REQUESTS_WHILE_ACCEPTING: otherwise the queue of the listening socket would overflow."""
+at most the sum of both numbers, however many clients send however much."""
 
 from __future__ import annotations
 
@@ -13,10 +12,9 @@
 from typing import Any, Protocol
 
 REQUESTS_PER_TURN = 4
-QUEUED_REQUESTS_PER_ITERATION = 16
-# While connections arrive, of which the event loop accepts one in an iteration.
-QUEUED_REQUESTS_WHILE_ACCEPTING = 1
-READ_REQUESTS_PER_ITERATION = 32
+QUEUED_REQUESTS_PER_ITERATION = 32
+UNSERVED_REQUESTS_PER_ITERATION = 16  # part of the queued ones for connections that were not served before
+READ_REQUESTS_PER_ITERATION = 16
 
 
 class QueuedConnection(Protocol):
@@ -37,15 +35,10 @@
         self._backlogged: dict[QueuedConnection, None] = {}  # were served before
         self._read_requests_left = READ_REQUESTS_PER_ITERATION
         self._is_scheduled = False
-        self._has_accepted = False  # whether a connection was accepted since the previous iteration
 
     def __len__(self) -> int:
         return len(self._unserved) + len(self._backlogged)
 
-    def on_accepted(self) -> None:
-        """Let connections that wait to be accepted come before those that were served before."""
-        self._has_accepted = True
-
     def read_share(self) -> int:
         """Return how many requests of a connection that has just been read may be served at once."""
         return min(REQUESTS_PER_TURN, self._read_requests_left)
@@ -82,13 +75,10 @@
         self._is_scheduled = False
         self._read_requests_left = READ_REQUESTS_PER_ITERATION
         try:
-            # One turn is left for those that were served before, however many new ones there are.
-            left = self._serve(self._unserved, QUEUED_REQUESTS_PER_ITERATION - REQUESTS_PER_TURN)
-            share = max(0, left) + REQUESTS_PER_TURN
-            if self._has_accepted:
-                share = QUEUED_REQUESTS_WHILE_ACCEPTING
-            self._has_accepted = False
-            self._serve(self._backlogged, share)
+            # Those that were served before get as much, however many new ones there are.
+            left = self._serve(self._unserved, UNSERVED_REQUESTS_PER_ITERATION)
+            others = QUEUED_REQUESTS_PER_ITERATION - UNSERVED_REQUESTS_PER_ITERATION
+            self._serve(self._backlogged, max(0, left) + others)
         finally:
             if self._unserved or self._backlogged:
                 self._schedule()
--- a/plumpick/gateway/listeners/http/listener.py
+++ b/plumpick/gateway/listeners/http/listener.py
@@ -61,7 +61,6 @@
     def on_connected(self, connection: ConnectionState) -> None:
         """Admit a new connection, or close it."""
         self.accepted_connections += 1
-        self.fair_queue.on_accepted()
         now = self.gateway.clock.now()
         spare_descriptors = self.gateway.spare_descriptors()
         if not self._admit(connection, now, spare_descriptors):
