Fix: requests before a body that waits for memory do not wait with it

Found in reading the change: beyond the share of their turn they were served only when the wait of the body behind them had ended, 0.5 s later, and a large body behind a full share began only with its next bytes. test_fair_queue.py, the test named waits_for_memory, failed before.

--- a/plumpick/gateway/listeners/http/connection.py
+++ b/plumpick/gateway/listeners/http/connection.py
@@ -113,7 +113,7 @@
             while served < max_requests and self._has_next():
                 self._serve_one(self.pipelined.pop(0))
                 served += 1
-            must_wait = self._can_serve() and self.has_queued_requests() and not self.is_waiting_for_memory
+            must_wait = self._can_serve() and self._has_more(served == max_requests)
         finally:
             self.is_serving = False
         if must_wait:
@@ -121,6 +121,13 @@
         self.update_reading()
         return served
 
+    def _has_more(self, is_share_used: bool) -> bool:
+        """Whether something can be served in the next turn. If this turn's share is used, the request that is
+        being read may be one, whose body is streamed."""
+        if self.pipelined or self.unparsed and not self.is_waiting_for_memory:
+            return True
+        return is_share_used and self.incoming is not None
+
     def _can_serve(self) -> bool:
         return self.open_request is None and not self._is_serving_suspended()
 
--- a/tests/gateway/listeners/http/test_fair_queue.py
+++ b/tests/gateway/listeners/http/test_fair_queue.py
@@ -6,6 +6,7 @@
 import socket
 
 import pytest
+from support.crowds import head
 from support.fakes import (
     HOST,
     Client,
@@ -290,8 +291,8 @@
             flooders = [await gate.client() for _ in range(clients)]
             next_iteration()
             for number, flooder in enumerate(flooders):
-                head = sound_request(number, "/debit", method="POST", extra="Transfer-Encoding: chunked\r\n")
-                flooder.send(head + b"1\r\nx\r\n" * 30_000 + b"0\r\n\r\n")
+                start = sound_request(number, "/debit", method="POST", extra="Transfer-Encoding: chunked\r\n")
+                flooder.send(start + b"1\r\nx\r\n" * 30_000 + b"0\r\n\r\n")
             found = await asyncio.gather(*(count_responses(flooder, 1) for flooder in flooders))
             assert found == [1] * clients
 
@@ -325,3 +326,19 @@
             await asyncio.gather(*reading)
 
     run(scenario())
+
+
+def test_requests_before_a_body_that_waits_for_memory_are_served_meanwhile():
+    # Found in reading: those beyond a turn's share waited until the body's wait for memory had ended.
+    async def scenario():
+        async with RunningGateway(RejectingController()) as gate:
+            memory = gate.gateway.memory
+            memory.add(MemoryHolder.STREAMS, int(0.8 * memory.total_bytes))
+            client = await gate.client()
+            client.send(READY * (CONNECTION_SHARE + 2) + head(60_000))
+            async with asyncio.timeout(0.4):  # the body waits for 0.5 s
+                assert await count_responses(client, CONNECTION_SHARE + 2) == CONNECTION_SHARE + 2
+            (connection,) = gate.listener.admission.connections
+            assert connection.is_waiting_for_memory
+
+    run(scenario())
