Fix: connections that come together are accepted together

Cause: the event loop accepts one connection an iteration. Beside a flood an iteration takes some ms, so the queue of 512 overflows, and the kernel ignores further connects until they are tried again after 1 s. Now up to 64 more of the queue are accepted with the one of the loop; those whose client has left and sent nothing are closed at once. The bound keeps the loop free. A server that is closed, as in a hot restart, accepts nothing more. The shutdown, which accepts the rest of the queue, no longer stops at an aborted connection.

--- a/plumpick/gateway/hot_restart/sibling.py
+++ b/plumpick/gateway/hot_restart/sibling.py
@@ -10,6 +10,7 @@
 from plumpick.gateway.errors import CommandRejectedError
 from plumpick.gateway.hot_restart.channel import Channel
 from plumpick.gateway.hot_restart.message import MessageKind
+from plumpick.gateway.listeners.client_server import ClientServer
 from plumpick.gateway.listeners.http.listener import LISTEN_BACKLOG
 
 log = logging.getLogger(__name__)
@@ -28,14 +29,14 @@
         self.settings_source: Any = None  # client of the configuration service, or None
         # Socket that listens for clients; the server has a duplicate of it.
         self.listen_socket: socket.socket | None = None
-        self.server: Any = None  # asyncio server that accepts clients, or None
+        self.server: ClientServer | None = None  # accepts clients
 
     async def listen(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start accepting clients at the listening socket."""
         assert self.listen_socket is not None
-        self.server = await loop.create_server(
-            self.listener.create_connection, sock=self.listen_socket.dup(), backlog=LISTEN_BACKLOG
-        )
+        server = ClientServer(loop, self.listen_socket.dup(), self.listener.create_connection)
+        await server.start(LISTEN_BACKLOG)
+        self.server = server
 
     def close(self) -> None:
         """Stop accepting clients; the listening socket stays open."""
--- a/plumpick/gateway/process.py
+++ b/plumpick/gateway/process.py
@@ -16,6 +16,7 @@
 from plumpick.gateway.discovery import DiscoveryClient
 from plumpick.gateway.errors import CommandRejectedError
 from plumpick.gateway.gateway import Gateway
+from plumpick.gateway.listeners.client_server import ClientServer
 from plumpick.gateway.listeners.http.listener import LISTEN_BACKLOG, HttpListener
 from plumpick.gateway.management import ManagementPlane
 from plumpick.gateway.platform import Platform
@@ -131,9 +132,8 @@
         create = self._listener.create_connection
         self._listen_socket = self._platform.create_listener(self._config.listen, LISTEN_BACKLOG)
         if self._listen_socket is not None:
-            self._server = await self._loop.create_server(
-                create, sock=self._listen_socket, backlog=LISTEN_BACKLOG
-            )
+            self._server = ClientServer(self._loop, self._listen_socket, create)
+            await self._server.start(LISTEN_BACKLOG)
         else:
             self._server = await self._loop.create_server(
                 create, *self._config.listen, backlog=LISTEN_BACKLOG, reuse_address=True
--- a/plumpick/gateway/shutdown.py
+++ b/plumpick/gateway/shutdown.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 import socket
 from collections.abc import Iterable
 from typing import Any
 
+from plumpick.gateway.listeners.client_server import accept_waiting, adopt
 from plumpick.gateway.listeners.http.listener import HttpListener
 
 MAX_GRACE_DEADLINE_S = 3.0  # maximum part of the grace period that a class deadline accounts for
@@ -27,8 +27,6 @@
 MIN_SERVING_S = 0.45  # minimum time after SIGTERM in which connections are kept open
 EXIT_MARGIN_S = 0.1  # time before SIGKILL at which the process exits unless bodies are still being streamed
 
-log = logging.getLogger(__name__)
-
 
 def shutdown_times(deadlines_s: Iterable[float]) -> tuple[float, float, float]:
     """Return the phases of a shutdown, in seconds after SIGTERM, for the deadlines of the request classes:
@@ -84,33 +82,8 @@
     Closing a listening socket resets the connections in its backlog, and requests already sent on them would
     be lost. A connection that arrives between the last accept and the close is still reset, but no request on
     it has been processed, and its client retries elsewhere."""
-    accepted = _accept_all(listening) if listening is not None else []
+    accepted = accept_waiting(listening) if listening is not None else []
     server.close()
     # All at once: one after the other, each would take an iteration of the event loop, and a long backlog all
     # of the time for the shutdown.
-    await asyncio.gather(*(_adopt(loop, connection, listener) for connection in accepted))
-
-
-async def _adopt(loop: asyncio.AbstractEventLoop, connection: socket.socket, listener: HttpListener) -> None:
-    """Serve a client's connection that was accepted without the event loop."""
-    try:
-        connection.setblocking(False)
-        await loop.connect_accepted_socket(listener.create_connection, connection)
-    except OSError as problem:
-        log.warning("client connection from the listener's backlog lost at shutdown: %s", problem)
-        connection.close()
-
-
-def _accept_all(listening: socket.socket) -> list[socket.socket]:
-    """Accept and return the connections in the backlog of a listening socket."""
-    accepted = []
-    while True:
-        try:
-            accepted.append(listening.accept()[0])
-        except (BlockingIOError, ConnectionAbortedError):
-            return accepted
-        except OSError as problem:  # accepting failed, for example because no descriptor is free
-            log.warning(
-                "cannot accept the rest of the listener's backlog, its clients are reset: %s", problem
-            )
-            return accepted
+    await asyncio.gather(*(adopt(loop, connection, listener.create_connection) for connection in accepted))
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -12,7 +12,8 @@
 
 from plumpick.gateway.config import parse_config
 from plumpick.gateway.gateway import Gateway
-from plumpick.gateway.listeners.http.listener import HttpListener
+from plumpick.gateway.listeners.client_server import ClientServer
+from plumpick.gateway.listeners.http.listener import LISTEN_BACKLOG, HttpListener
 from plumpick.gateway.platform import Platform
 from plumpick.policy.actions import FailRequest, StartAttempt
 from plumpick.policy.events import AttemptCompleted, RequestReceived
@@ -154,8 +155,10 @@
         self.server = None
 
     async def __aenter__(self):
-        self.server = await asyncio.get_running_loop().create_server(self.listener.create_connection, HOST, 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        listening = Platform().create_listener((HOST, 0), LISTEN_BACKLOG)
+        self.port = listening.getsockname()[1]
+        self.server = ClientServer(asyncio.get_running_loop(), listening, self.listener.create_connection)
+        await self.server.start(LISTEN_BACKLOG)
         self.gateway.start_serving()
         return self
 
