--- a/tests/policy/quota/test_customer_limit.py
+++ b/tests/policy/quota/test_customer_limit.py
@@ -98,3 +98,18 @@
         keys = housekeeping.next_keys(table, unvisited)
         assert 0 < len(keys) <= housekeeping.MAX_KEYS_PER_STEP
         seen.update(keys)
+
+
+def test_refused_new_customer_spends_nothing_of_a_budget():
+    # Report 81cf89, found in reading: a flood of new names used up a fleet-wide budget without being served.
+    controller = limited_controller()
+    asked = []
+
+    def is_within(received):
+        asked.append(received.id)
+        return True
+
+    controller.limit_by_budgets(is_within)
+    events = [request_event(n, customer=customer_owned_here(n)) for n in range(1, LIMIT + 6)]
+    assert len(actions_of(RejectRequest, controller.handle(NOW_MS, events))) == 5
+    assert asked == list(range(1, LIMIT + 1))
