Fix: a refused new customer spends nothing of a fleet-wide budget

Callers saw: while new names come at full speed above the limit on customers, the requests of known customers could be refused by a budget that the refused ones had used up. Cause: the budget was asked before the limit on customers, and asking takes a unit. Evidence: found in reading; the test asks for the ids that reach the budget. The limit comes first now, as all other refusals do. The test failed before.

--- a/plumpick/policy/request_lifecycle.py
+++ b/plumpick/policy/request_lifecycle.py
@@ -42,12 +42,13 @@
         if request_class is None or plan is None or not received.deadline_ms > now_ms or not is_new:
             self.turn.actions.append(RejectRequest(received.id))
             return
-        if self.is_within_budgets is not None and not self.is_within_budgets(received):
-            self._reject(received.id, admission.MIN_RETRY_AFTER_MS)
-            return
         if not state.quota.requester.has_room_for(received, plan):
             self._reject(received.id, NEW_CUSTOMER_RETRY_AFTER_MS)
             return
+        # Last, as a request that is within a budget has taken a unit of it.
+        if self.is_within_budgets is not None and not self.is_within_budgets(received):
+            self._reject(received.id, admission.MIN_RETRY_AFTER_MS)
+            return
         account = state.quota.requester.account_of(now_ms, received, plan)
         account.demand_units += received.units
         objective_ms = now_ms + request_class.latency_objective_ms
