Clean-up: one limited read, one threshold of lateness, one way to take a client's connection over

ReadBuffer had the rule of view_ahead and view_chunked twice, LATE_MS stood in two modules, and the successor of a hot restart had its own copy of adopt().

--- a/plumpick/gateway/clock.py
+++ b/plumpick/gateway/clock.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 
-LATE_MS = 20.0  # delay of a timer from which on the event loop has been held up
+LATE_MS = 20.0  # delay of a timer or a sweep from which on the event loop counts as late
 # Iterations of the event loop that a late timeout waits for: a connection that was established meanwhile
 # takes as many until its attempt knows.
 LATE_TIMEOUT_ITERATIONS = 4
--- a/plumpick/gateway/hot_restart/successor.py
+++ b/plumpick/gateway/hot_restart/successor.py
@@ -17,6 +17,7 @@
 from plumpick.gateway.hot_restart.message import MessageKind
 from plumpick.gateway.hot_restart.sibling import HotRestartContext, SiblingChannel, handle_sibling_message
 from plumpick.gateway.hot_restart.socket_path import is_same_user, short_address
+from plumpick.gateway.listeners.client_server import adopt
 
 OFFER_TIMEOUT_S = 1.0
 STATE_TIMEOUT_S = 2.0
@@ -137,7 +138,9 @@
                 )
             for descriptor in descriptors:
                 client = socket.socket(fileno=descriptor)
-                task = self._loop.create_task(self._adopt_client(context, client))
+                task = self._loop.create_task(
+                    adopt(self._loop, client, context.listener.create_inherited_connection)
+                )
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
             return
@@ -145,15 +148,6 @@
             os.close(descriptor)
         handle_sibling_message(context, kind, value)
 
-    async def _adopt_client(self, context: HotRestartContext, client: socket.socket) -> None:
-        """Continue a client's connection that the predecessor has transferred."""
-        try:
-            client.setblocking(False)
-            await self._loop.connect_accepted_socket(context.listener.create_inherited_connection, client)
-        except OSError as problem:
-            log.warning("handover: a client's connection could not be taken over and was closed: %s", problem)
-            client.close()
-
     def _on_closed(self) -> None:
         """Resolve pending waits, and notify the owner: the predecessor has ended or sent a malformed
         message."""
--- a/plumpick/gateway/listeners/client_server.py
+++ b/plumpick/gateway/listeners/client_server.py
@@ -90,13 +90,13 @@
     connection: socket.socket,
     create_connection: Callable[[], asyncio.BaseProtocol],
 ) -> None:
-    """Serve a client's connection that was not accepted by the event loop. Never raises OSError: a failure is
-    logged, and the connection closed."""
+    """Serve a client's connection that was not accepted by the event loop of this process. Never raises
+    OSError: a failure is logged, and the connection closed."""
     try:
         connection.setblocking(False)
         await loop.connect_accepted_socket(create_connection, connection)
     except OSError as problem:
-        log.warning("client connection from the listener's backlog lost: %s", problem)
+        log.warning("a client's connection could not be taken over and was closed: %s", problem)
         connection.close()
 
 
--- a/plumpick/gateway/loop_monitor.py
+++ b/plumpick/gateway/loop_monitor.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from enum import IntEnum
 
-LATE_MS = 20.0  # delay of a sweep from which on the event loop counts as late
+from plumpick.gateway.clock import LATE_MS
+
 MANY_ANSWERS = 5000  # number of answers without an attempt in one interval from which on they are reported
 REPORT_INTERVAL_MS = 1000.0
 
--- a/plumpick/gateway/read_buffer.py
+++ b/plumpick/gateway/read_buffer.py
@@ -51,17 +51,15 @@
     def view_ahead(self, waiting_connections: int) -> memoryview:
         """Return the part of the buffer for a read of requests that have to wait while so many other
         connections do."""
-        view = self.view()
-        size = max(MIN_READ_AHEAD_BYTES, READ_AHEAD_BYTES // (1 + waiting_connections))
-        if size < len(view):
-            self._view = self._buffer[:size]
-        return self._view
+        return self._limited_view(max(MIN_READ_AHEAD_BYTES, READ_AHEAD_BYTES // (1 + waiting_connections)))
 
     def view_chunked(self) -> memoryview:
         """Return the part of the buffer for a read of a body in chunks."""
-        view = self.view()
-        if len(view) > CHUNKED_READ_BYTES:
-            self._view = self._crowded_view
+        return self._limited_view(CHUNKED_READ_BYTES)
+
+    def _limited_view(self, max_bytes: int) -> memoryview:
+        if len(self.view()) > max_bytes:
+            self._view = self._buffer[:max_bytes]
         return self._view
 
     def is_filled_by(self, size: int) -> bool:
