Fix: connections are not taken in faster than their requests are served

Cause: 65 connections came in an iteration, 32 requests were served, and the table of connections filled to its limit. Now 16 of those accepted beside the event loop's own one are taken in; the rest waits in the queue of the listening socket.

--- a/plumpick/gateway/listeners/client_server.py
+++ b/plumpick/gateway/listeners/client_server.py
@@ -9,11 +9,14 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
-# Maximum number of connections that are accepted in one iteration in addition to the event loop's own one.
+# Maximum number of connections that are accepted in one iteration beside the event loop's own one, and of
+# those among them that are served. What comes faster than requests are served waits in the backlog.
 MAX_ACCEPTS_PER_ITERATION = 64
+MAX_ADOPTIONS_PER_ITERATION = 16
+MAX_BACKLOG_CONNECTIONS = 65_535  # more than the backlog of any listening socket
 
 log = logging.getLogger(__name__)
 
@@ -59,30 +62,40 @@
         self._is_accept_scheduled = False
         if self._server is None:
             return  # the backlog belongs to another process now, or was accepted by the shutdown
+        adoptions_left = MAX_ADOPTIONS_PER_ITERATION
         for connection in accept_waiting(self._listening, MAX_ACCEPTS_PER_ITERATION):
             if has_client_left(connection):
                 connection.close()
                 continue
-            task = self._loop.create_task(adopt(self._loop, connection, self._create_connection))
-            self._adoptions.add(task)
-            task.add_done_callback(self._adoptions.discard)
-
-
-def accept_waiting(listening: socket.socket, max_connections: int | None = None) -> list[socket.socket]:
-    """Accept and return connections that wait in the backlog of a listening socket, in their order: all of
-    them, or at most `max_connections`. Never raises OSError: a failure is logged, and the rest waits."""
-    accepted: list[socket.socket] = []
-    while max_connections is None or len(accepted) < max_connections:
+            self._adopt(connection)
+            adoptions_left -= 1
+            if not adoptions_left:
+                break
+
+    def _adopt(self, connection: socket.socket) -> None:
+        task = self._loop.create_task(adopt(self._loop, connection, self._create_connection))
+        self._adoptions.add(task)
+        task.add_done_callback(self._adoptions.discard)
+
+
+def accept_waiting(
+    listening: socket.socket, max_connections: int = MAX_BACKLOG_CONNECTIONS
+) -> Iterator[socket.socket]:
+    """Accept connections that wait in the backlog of a listening socket, at most `max_connections`, each when
+    it is asked for. Never raises OSError: a failure is logged, and the rest waits."""
+    accepted = 0
+    while accepted < max_connections:
         try:
-            accepted.append(listening.accept()[0])
+            connection = listening.accept()[0]
         except ConnectionAbortedError:
             continue  # this client has left; others wait behind it
         except BlockingIOError:
-            break
+            return
         except OSError as problem:  # for example, no descriptor is free
             log.warning("cannot accept the rest of the listener's backlog: %s", problem)
-            break
-    return accepted
+            return
+        accepted += 1
+        yield connection
 
 
 async def adopt(
--- a/plumpick/gateway/shutdown.py
+++ b/plumpick/gateway/shutdown.py
@@ -82,7 +82,7 @@
     Closing a listening socket resets the connections in its backlog, and requests already sent on them would
     be lost. A connection that arrives between the last accept and the close is still reset, but no request on
     it has been processed, and its client retries elsewhere."""
-    accepted = accept_waiting(listening) if listening is not None else []
+    accepted = list(accept_waiting(listening)) if listening is not None else []
     server.close()
     # All at once: one after the other, each would take an iteration of the event loop, and a long backlog all
     # of the time for the shutdown.
--- a/tests/gateway/listeners/test_client_server.py
+++ b/tests/gateway/listeners/test_client_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import itertools
 import socket
 
 import pytest
@@ -9,6 +10,7 @@
 
 from plumpick.gateway.listeners.client_server import (
     MAX_ACCEPTS_PER_ITERATION,
+    MAX_ADOPTIONS_PER_ITERATION,
     ClientServer,
     accept_waiting,
     has_client_left,
@@ -72,12 +74,36 @@
 def test_one_iteration_accepts_no_more_than_its_share(listening):
     # Connects at full speed must not hold the event loop.
     clients = connect(listening, MAX_ACCEPTS_PER_ITERATION + 5)
-    accepted = accept_waiting(listening, MAX_ACCEPTS_PER_ITERATION)
+    accepted = list(accept_waiting(listening, MAX_ACCEPTS_PER_ITERATION))
     assert len(accepted) == MAX_ACCEPTS_PER_ITERATION
-    assert len(accept_waiting(listening)) == 5
+    assert len(list(accept_waiting(listening))) == 5
     close_all([*clients, *accepted])
 
 
+def test_connections_are_not_taken_in_faster_than_requests_are_served(listening):
+    # Clients that each sent one request on a new connection and left filled the table of connections, and
+    # those of others were closed.
+    async def scenario():
+        created = []
+
+        def create_connection():
+            created.append(asyncio.get_running_loop().time())
+            return asyncio.Protocol()
+
+        server = ClientServer(asyncio.get_running_loop(), listening, create_connection)
+        clients = connect(listening, MAX_ACCEPTS_PER_ITERATION)
+        await server.start(LISTEN_BACKLOG)
+        counts = [0]
+        while len(created) < len(clients):
+            await asyncio.sleep(0)
+            counts.append(len(created))
+        assert max(b - a for a, b in itertools.pairwise(counts)) <= MAX_ADOPTIONS_PER_ITERATION + 1
+        server.close()
+        close_all(clients)
+
+    run(scenario())
+
+
 def test_clients_that_have_left_take_no_place_and_others_are_answered():
     # Connects at full speed, each closed at once, filled the tables of connections.
     async def scenario():
@@ -119,7 +145,7 @@
         clients = connect(listening, 3)
         server.close()
         await asyncio.sleep(0.05)
-        accepted = accept_waiting(listening)
+        accepted = list(accept_waiting(listening))
         assert len(accepted) == 3
         close_all([*clients, *accepted])
 
@@ -130,7 +156,7 @@
     # The shutdown stopped at the first one, and the others were reset.
     clients = connect(listening, 2)
     failing = FailingListener(listening, ConnectionAbortedError(errno.ECONNABORTED, "aborted"))
-    accepted = accept_waiting(failing)
+    accepted = list(accept_waiting(failing))
     assert len(accepted) == 2
     close_all([*clients, *accepted])
 
@@ -140,15 +166,15 @@
     # The operators' stricter terms: accept may fail for a moment.
     clients = connect(listening, 2)
     failing = FailingListener(listening, OSError(code, "no room"))
-    assert accept_waiting(failing) == [] and "no room" in caplog.text
-    accepted = accept_waiting(failing)
+    assert list(accept_waiting(failing)) == [] and "no room" in caplog.text
+    accepted = list(accept_waiting(failing))
     assert len(accepted) == 2
     close_all([*clients, *accepted])
 
 
 def test_client_has_left_only_if_nothing_can_come(listening):
     silent, sending, left = connect(listening, 3)
-    accepted = accept_waiting(listening)
+    accepted = list(accept_waiting(listening))
     sending.sendall(b"G")
     sending.close()
     left.close()
--- a/tests/gateway/test_floods.py
+++ b/tests/gateway/test_floods.py
@@ -16,6 +16,7 @@
         Flood("broken", 12, FLOOD_S),
     ],
     "unknown paths and one id": [Flood("unknown_paths", 12, FLOOD_S), Flood("same_id", 12, FLOOD_S)],
+    "readiness on ever new connections": [Flood("connect_and_leave", 24, FLOOD_S)],
     "connections and keyed requests": [Flood("connect", 12, FLOOD_S), Flood("keyed_posts", 12, FLOOD_S)],
 }
 
--- a/tests/support/floods.py
+++ b/tests/support/floods.py
@@ -94,6 +94,11 @@
     return head + b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
 
 
+def large_heads():
+    """Sound requests with heads of 6 kB."""
+    return _block(lambda number: sound_request(number, extra=f"X-Filler: {'x' * 6000}\r\n"))
+
+
 KINDS = {
     build.__name__: build
     for build in (
@@ -111,11 +116,19 @@
     )
 }
 
+# Kinds that no seed draws, so that the plans of the seeds stay as they are.
+FURTHER_KINDS = {large_heads.__name__: large_heads}
+# Clients that use each connection once: they only connect and close, or send one readiness check, with or
+# without waiting for the answer.
+CONNECT = "connect"
+CONNECT_AND_ASK = "connect_and_ask"
+CONNECT_AND_LEAVE = "connect_and_leave"
+
 
 @dataclass
 class Flood:
-    """Some clients that send requests of the same kind. `kind`: a key of KINDS, or "connect" for clients that
-    only connect and close. `reads`: whether they read what they get."""
+    """Some clients that send requests of the same kind. `kind`: a key of KINDS or FURTHER_KINDS, or one of
+    the kinds of clients that use each connection once. `reads`: whether they read what they get."""
 
     kind: str
     clients: int
@@ -133,10 +146,20 @@
         received[0] += size
 
 
+async def _use_once(connection, kind, received):
+    """Send what clients send that use each connection once."""
+    loop = asyncio.get_running_loop()
+    if kind in (CONNECT_AND_ASK, CONNECT_AND_LEAVE):
+        await loop.sock_sendall(connection, READY)
+    if kind == CONNECT_AND_ASK:
+        async with asyncio.timeout(1.0):
+            received[0] += len(await loop.sock_recv(connection, READ_BYTES))
+
+
 async def _send(port, flood, until_s, received):
     """Play one client until the loop's time `until_s`."""
     loop = asyncio.get_running_loop()
-    build = KINDS.get(flood.kind)
+    build = (KINDS | FURTHER_KINDS).get(flood.kind)
     while loop.time() < until_s:
         connection = socket.socket()
         connection.setblocking(False)
@@ -145,6 +168,7 @@
         try:
             await loop.sock_connect(connection, (HOST, port))
             if build is None:
+                await _use_once(connection, flood.kind, received)
                 continue
             if flood.reads:
                 reader = asyncio.ensure_future(_drain(connection, received))
