--- a/tests/gateway/listeners/test_client_server.py
+++ b/tests/gateway/listeners/test_client_server.py
@@ -17,6 +17,7 @@
 )
 from plumpick.gateway.listeners.http.listener import LISTEN_BACKLOG
 from plumpick.gateway.platform import Platform
+from plumpick.gateway.shutdown import close_listener
 
 QUEUED = 50
 MAX_ITERATIONS = 12  # of the event loop, however many connections there are
@@ -199,3 +200,21 @@
             close_all(clients)
 
     run(scenario())
+
+
+def test_close_of_the_listener_waits_for_connections_that_are_being_taken_in():
+    # Found in reading: a process that ends with its last request would not know of them, and reset them.
+    async def scenario():
+        async with RunningGateway() as gate:
+            loop = asyncio.get_running_loop()
+            listening = Platform().create_listener((HOST, 0), LISTEN_BACKLOG)
+            server = ClientServer(loop, listening, gate.listener.create_connection)
+            await server.start(LISTEN_BACKLOG)
+            clients = connect(listening, 3)
+            server._accept_more()
+            assert len(gate.listener.admission) < len(clients)
+            await close_listener(loop, server, listening, gate.listener)
+            assert len(gate.listener.admission) == len(clients)
+            close_all(clients)
+
+    run(scenario())
