Fix: the close of the listener waits for connections that are being taken in

Callers could see: a connection that was accepted just before a shutdown closes its listener was reset, if no other work was left. Cause: accepted connections of a batch are known to the admission some iterations later. Found in reading; the shutdown now waits for them as for those it accepts itself. The test failed before.

--- a/plumpick/gateway/listeners/client_server.py
+++ b/plumpick/gateway/listeners/client_server.py
@@ -51,6 +51,10 @@
             self._server.close()
             self._server = None
 
+    def adoptions(self) -> list[asyncio.Task[None]]:
+        """Return the tasks of connections that were accepted and that no protocol object knows yet."""
+        return list(self._adoptions)
+
     def _on_accepted_by_loop(self) -> asyncio.BaseProtocol:
         """Create the protocol object of a connection that the event loop has accepted."""
         if not self._is_accept_scheduled:
--- a/plumpick/gateway/shutdown.py
+++ b/plumpick/gateway/shutdown.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from plumpick.gateway.listeners.client_server import accept_waiting, adopt
+from plumpick.gateway.listeners.client_server import ClientServer, accept_waiting, adopt
 from plumpick.gateway.listeners.http.listener import HttpListener
 
 MAX_GRACE_DEADLINE_S = 3.0  # maximum part of the grace period that a class deadline accounts for
@@ -83,7 +83,9 @@
     be lost. A connection that arrives between the last accept and the close is still reset, but no request on
     it has been processed, and its client retries elsewhere."""
     accepted = list(accept_waiting(listening)) if listening is not None else []
+    adoptions = server.adoptions() if isinstance(server, ClientServer) else []
     server.close()
     # All at once: one after the other, each would take an iteration of the event loop, and a long backlog all
     # of the time for the shutdown.
-    await asyncio.gather(*(adopt(loop, connection, listener.create_connection) for connection in accepted))
+    adoptions += [loop.create_task(adopt(loop, one, listener.create_connection)) for one in accepted]
+    await asyncio.gather(*adoptions)
